Serve the whole path thinly through real processes

Callers, a booking service, a trainer and an operator are served by separate entry processes with small fakes of the outside systems.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements on loopback with small fakes."""
--- /dev/null
+++ b/src/hibiscussaddle/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Thin clients of the outside systems and the peers."""
--- /dev/null
+++ b/src/hibiscussaddle/auth.py
@@ -0,0 +1,30 @@
+"""Check customer keys, operators' secrets and message signatures."""
+
+import hashlib
+import hmac
+
+
+def hash_key(key: str) -> str:
+    """Return the SHA-256 of a customer key, as kept in the contract."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def matches(given: str, expected: str) -> bool:
+    """Compare two secrets in constant time."""
+    return hmac.compare_digest(given.encode(), expected.encode())
+
+
+def sign(secret: str, data: bytes) -> bytes:
+    """Return the HMAC-SHA256 of the data, 32 bytes."""
+    return hmac.digest(secret.encode(), data, "sha256")
+
+
+def is_signed(secret: str, data: bytes, signature: bytes) -> bool:
+    """Check a signature made by sign()."""
+    return hmac.compare_digest(sign(secret, data), signature)
+
+
+def bearer(header: str) -> str:
+    """Return the token of an Authorization header, or an empty text."""
+    scheme, _, token = header.partition(" ")
+    return token.strip() if scheme.lower() == "bearer" else ""
--- /dev/null
+++ b/src/hibiscussaddle/contract_cache.py
@@ -0,0 +1,51 @@
+"""Contracts in force on one instance."""
+
+import time
+
+from hibiscussaddle import auth
+from hibiscussaddle import contracts
+
+
+class ContractCache:
+    """Hold the newest known contract of each customer."""
+
+    def __init__(self) -> None:
+        """Start empty and unconfirmed."""
+        self._records: dict[str, contracts.ContractRecord] = {}
+        self._by_hash: dict[str, str] = {}
+        self.confirmed_at: float | None = None
+
+    def apply(self, record: contracts.ContractRecord) -> bool:
+        """Put a record in force unless a newer one is; tell if changed."""
+        customer = record.contract.customer
+        current = self._records.get(customer)
+        if current is not None and current.revision >= record.revision:
+            return False
+        if current is not None:
+            self._by_hash.pop(current.contract.key_hash, None)
+        self._records[customer] = record
+        self._by_hash[record.contract.key_hash] = customer
+        return True
+
+    def confirm(self) -> None:
+        """Note that the store confirmed the contracts just now."""
+        self.confirmed_at = time.monotonic()
+
+    def get(self, customer: str) -> contracts.ContractRecord | None:
+        """Return the record of one customer."""
+        return self._records.get(customer)
+
+    def find_by_key(self, key: str) -> contracts.ContractRecord | None:
+        """Return the record whose customer key this is."""
+        hashed = auth.hash_key(key)
+        customer = self._by_hash.get(hashed)
+        record = self._records.get(customer) if customer else None
+        if record is None:
+            return None
+        if not auth.matches(hashed, record.contract.key_hash):
+            return None
+        return record
+
+    def all(self) -> tuple[contracts.ContractRecord, ...]:
+        """Return every record, ordered by customer."""
+        return tuple(self._records[key] for key in sorted(self._records))
--- /dev/null
+++ b/src/hibiscussaddle/endpoints.py
@@ -0,0 +1,90 @@
+"""Endpoints as the platform lists them, and the directory of them."""
+
+from collections import abc
+import dataclasses
+import enum
+import typing
+
+
+class EndpointKind(enum.Enum):
+    """Tell model engines from plain services."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class EndpointState(enum.Enum):
+    """Tell whether the platform wants new work on an endpoint."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True)
+class Endpoint:
+    """Describe one back-end server."""
+
+    id: str
+    kind: EndpointKind
+    zone: str
+    # Base URL, such as http://127.0.0.1:9000.
+    address: str
+    incarnation: int = 0
+    state: EndpointState = EndpointState.LIVE
+    models: tuple[str, ...] = ()
+    service: str = ""
+    slots: int = 8
+
+
+def parse(item: abc.Mapping[str, typing.Any]) -> Endpoint | None:
+    """Return the endpoint of a list item; None for other kinds."""
+    try:
+        return Endpoint(
+            id=str(item["id"]),
+            kind=EndpointKind(item["kind"]),
+            zone=str(item["zone"]),
+            address=str(item["address"]),
+            incarnation=int(item.get("incarnation", 0)),
+            state=EndpointState(item.get("state", "live")),
+            models=tuple(item.get("models", ())),
+            service=str(item.get("service", "")),
+            slots=int(item.get("slots", 8)),
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+class Directory:
+    """Hold the endpoints known to one instance."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._endpoints: dict[str, Endpoint] = {}
+
+    def update(self, found: abc.Iterable[Endpoint]) -> None:
+        """Replace the endpoints by a newer list."""
+        self._endpoints = {ep.id: ep for ep in found}
+
+    def get(self, endpoint_id: str) -> Endpoint | None:
+        """Return one endpoint."""
+        return self._endpoints.get(endpoint_id)
+
+    def all(self) -> tuple[Endpoint, ...]:
+        """Return every endpoint, ordered by id."""
+        return tuple(self._endpoints[key] for key in sorted(self._endpoints))
+
+    def engines(self, model: str) -> tuple[Endpoint, ...]:
+        """Return the engines that serve a model."""
+        return tuple(
+            ep
+            for ep in self._endpoints.values()
+            if ep.kind is EndpointKind.ENGINE and model in ep.models
+        )
+
+    def services(self, service: str) -> tuple[Endpoint, ...]:
+        """Return the servers of a plain service."""
+        return tuple(
+            ep
+            for ep in self._endpoints.values()
+            if ep.kind is EndpointKind.SERVICE and ep.service == service
+        )
--- /dev/null
+++ b/src/hibiscussaddle/entry.py
@@ -0,0 +1,99 @@
+"""Run one entry instance: its ports, its controllers and its stop."""
+
+import logging
+import random
+import signal
+import time
+import typing
+
+import anyio
+import httpx
+
+from hibiscussaddle.adapters import store
+from hibiscussaddle import caller_app
+from hibiscussaddle import contract_cache
+from hibiscussaddle import controllers
+from hibiscussaddle import endpoints
+from hibiscussaddle import lifecycle
+from hibiscussaddle import logs
+from hibiscussaddle import operator_app
+from hibiscussaddle import plugins
+from hibiscussaddle.policy import tickets
+from hibiscussaddle import runtime as runtime_lib
+from hibiscussaddle import serving
+from hibiscussaddle import settings
+
+_LOG = logging.getLogger(__name__)
+_MAX_CONNECTIONS: typing.Final = 4000
+
+
+def create_runtime(cfg: settings.Settings) -> runtime_lib.Runtime:
+    """Return the components of an instance; needs a running event loop."""
+    plugins.load_all()
+    incarnation = time.time_ns() // 1_000_000
+    limits = httpx.Limits(
+        max_connections=_MAX_CONNECTIONS, max_keepalive_connections=200
+    )
+    client = httpx.AsyncClient(limits=limits, trust_env=False)
+    return runtime_lib.Runtime(
+        cfg=cfg,
+        incarnation=incarnation,
+        clock=time.monotonic,
+        rng=random.Random(),
+        client=client,
+        lifecycle=lifecycle.Lifecycle(),
+        contracts=contract_cache.ContractCache(),
+        directory=endpoints.Directory(),
+        ledger=tickets.Ledger(cfg.instance, incarnation, cfg.peer_secret),
+        steps={},
+        store=store.StoreClient(client, cfg.store_url)
+        if cfg.store_url
+        else None,
+    )
+
+
+async def run(cfg: settings.Settings) -> None:
+    """Run an instance until a signal stops it."""
+    runtime = create_runtime(cfg)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_handle_signals, runtime)
+        await run_until_stopped(runtime)
+        tasks.cancel_scope.cancel()
+
+
+async def run_until_stopped(runtime: runtime_lib.Runtime) -> None:
+    """Serve and control until a stop is requested and work is done."""
+    cfg = runtime.cfg
+    drained = anyio.Event()
+    logs.event(_LOG, "started", incarnation=runtime.incarnation)
+    async with anyio.create_task_group() as tasks:
+        for loop in controllers.REGISTRY.values():
+            tasks.start_soon(loop, runtime)
+        for app, port in (
+            (caller_app.create_app(runtime), cfg.caller_port),
+            (operator_app.create_app(runtime), cfg.operator_port),
+        ):
+            tasks.start_soon(
+                serving.serve,
+                app,
+                cfg.host,
+                port,
+                drained.wait,
+                cfg.tls_cert,
+                cfg.tls_key,
+            )
+        await runtime.lifecycle.stop_requested.wait()
+        logs.event(_LOG, "stopping", running=runtime.lifecycle.total())
+        with anyio.move_on_after(cfg.drain_seconds):
+            await runtime.lifecycle.wait_idle()
+        drained.set()
+        tasks.cancel_scope.cancel()
+    await runtime.client.aclose()
+    logs.event(_LOG, "stopped")
+
+
+async def _handle_signals(runtime: runtime_lib.Runtime) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for signum in signals:
+            logs.event(_LOG, "signal", number=int(signum))
+            runtime.lifecycle.request_stop()
--- /dev/null
+++ b/src/hibiscussaddle/operator_client.py
@@ -0,0 +1,47 @@
+"""Client of the operator port, used by the command line."""
+
+import typing
+
+import httpx
+import result
+
+from hibiscussaddle import codes
+
+TIMEOUT_SECONDS: typing.Final = 30.0
+
+
+def call(
+    address: str,
+    secret: str,
+    method: str,
+    path: str,
+    body: object = None,
+) -> result.Result[typing.Any, codes.Refusal]:
+    """Call one operation of an entry instance."""
+    base = address if "://" in address else f"http://{address}"
+    try:
+        resp = httpx.request(
+            method,
+            base + path,
+            json=body,
+            headers={"authorization": f"Bearer {secret}"},
+            timeout=TIMEOUT_SECONDS,
+            trust_env=False,
+        )
+    except httpx.HTTPError as exc:
+        message = f"instance at {address}: {exc or type(exc).__name__}"
+        return result.Err(codes.Refusal(codes.Code.UNREACHABLE, message))
+    if resp.is_success:
+        return result.Ok(resp.json())
+    return result.Err(_to_refusal(resp))
+
+
+def _to_refusal(resp: httpx.Response) -> codes.Refusal:
+    try:
+        found = resp.json()
+        code = codes.BY_NUMBER[int(found["code"])]
+        return codes.Refusal(code, str(found["message"]))
+    except (ValueError, KeyError, TypeError):
+        return codes.Refusal(
+            codes.Code.INTERNAL, f"HTTP status {resp.status_code}"
+        )
--- /dev/null
+++ b/src/hibiscussaddle/plugins.py
@@ -0,0 +1,20 @@
+"""Import every module that registers a filter, handler or controller."""
+
+import importlib
+import pkgutil
+import types
+
+from hibiscussaddle import controllers
+from hibiscussaddle import filters
+from hibiscussaddle import handlers
+
+
+def load_all() -> None:
+    """Fill the registries."""
+    for package in (filters, handlers, controllers):
+        _import_modules(package)
+
+
+def _import_modules(package: types.ModuleType) -> None:
+    for found in pkgutil.iter_modules(package.__path__):
+        importlib.import_module(f"{package.__name__}.{found.name}")
--- /dev/null
+++ b/src/hibiscussaddle/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions and state machines without I/O or clocks."""
--- /dev/null
+++ b/src/hibiscussaddle/runtime.py
@@ -0,0 +1,34 @@
+"""Components of one entry instance, shared by its parts."""
+
+from collections import abc
+import dataclasses
+import random
+
+import httpx
+
+from hibiscussaddle.adapters import store as store_lib
+from hibiscussaddle import contract_cache
+from hibiscussaddle import endpoints
+from hibiscussaddle import lifecycle
+from hibiscussaddle.policy import tickets
+from hibiscussaddle import settings
+from hibiscussaddle import steps
+
+
+@dataclasses.dataclass(frozen=True)
+class Runtime:
+    """Hold the components of one entry instance."""
+
+    cfg: settings.Settings
+    # Wall-clock milliseconds at start; a restart has a higher one.
+    incarnation: int
+    # Monotonic seconds.
+    clock: abc.Callable[[], float]
+    rng: random.Random
+    client: httpx.AsyncClient
+    lifecycle: lifecycle.Lifecycle
+    contracts: contract_cache.ContractCache
+    directory: endpoints.Directory
+    ledger: tickets.Ledger
+    steps: dict[tuple[str, str], steps.StepSpec]
+    store: store_lib.StoreClient | None = None
--- /dev/null
+++ b/src/hibiscussaddle/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the outside systems, for tests, demo and bench."""
--- /dev/null
+++ b/src/hibiscussaddle/standins/run.py
@@ -0,0 +1,110 @@
+"""Run one fake as a process."""
+
+from collections import abc
+import time
+import typing
+
+import anyio
+import httpx
+from starlette import applications
+
+from hibiscussaddle import serving
+from hibiscussaddle.standins import engine
+from hibiscussaddle.standins import faults
+from hibiscussaddle.standins import platform
+from hibiscussaddle.standins import scorer
+from hibiscussaddle.standins import service
+from hibiscussaddle.standins import store
+from hibiscussaddle.standins import weight_store
+
+Options: typing.TypeAlias = abc.Mapping[str, typing.Any]
+Factory: typing.TypeAlias = abc.Callable[[Options], applications.Starlette]
+
+FACTORIES: typing.Final[dict[str, Factory]] = {}
+
+
+def standin(name: str) -> abc.Callable[[Factory], Factory]:
+    """Register the factory of a fake."""
+
+    def register(factory: Factory) -> Factory:
+        FACTORIES[name] = factory
+        return factory
+
+    return register
+
+
+@standin("engine")
+def create_engine(options: Options) -> applications.Starlette:
+    """Return a model engine."""
+    cfg = engine.EngineConfig(
+        id=str(options["id"]),
+        model=str(options.get("model", "base")),
+        slots=int(options.get("slots", 8)),
+        token_seconds=float(options.get("token_seconds", 0.002)),
+        seed=int(options.get("seed", 0)),
+    )
+    return engine.create_app(
+        engine.Engine(cfg, int(options.get("version", 1)))
+    )
+
+
+@standin("service")
+def create_service(options: Options) -> applications.Starlette:
+    """Return a plain service."""
+    return service.create_app(service.Service(str(options["service"])))
+
+
+@standin("store")
+def create_store(_: Options) -> applications.Starlette:
+    """Return a key-value service."""
+    return store.create_app(store.Store())
+
+
+@standin("platform")
+def create_platform(options: Options) -> applications.Starlette:
+    """Return the platform's list."""
+    lag = float(options.get("lag_seconds", 0.0))
+    return platform.create_app(platform.Platform(lag))
+
+
+@standin("weight_store")
+def create_weight_store(_: Options) -> applications.Starlette:
+    """Return a weight store."""
+    return weight_store.create_app(weight_store.WeightStore())
+
+
+@standin("scorer")
+def create_scorer(_: Options) -> applications.Starlette:
+    """Return a scoring service."""
+    return scorer.create_app(faults.Faults())
+
+
+async def run(name: str, host: str, port: int, options: Options) -> None:
+    """Serve a fake and register it with the platform's list."""
+    app = FACTORIES[name](options)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(serving.serve_forever, app, host, port)
+        if options.get("platform_url"):
+            await _register(name, f"http://{host}:{port}", options)
+
+
+async def _register(name: str, address: str, options: Options) -> None:
+    item = {
+        "kind": name,
+        "zone": options.get("zone", "zone-a"),
+        "address": address,
+        "incarnation": time.time_ns() // 1_000_000,
+        "state": "live",
+        "models": [options.get("model", "base")] if name == "engine" else [],
+        "service": options.get("service", ""),
+        "slots": int(options.get("slots", 8)),
+    }
+    url = f"{options['platform_url']}/v1/instances/{options['id']}"
+    async with httpx.AsyncClient(trust_env=False) as client:
+        while True:
+            try:
+                resp = await client.put(url, json=item)
+                resp.raise_for_status()
+                return
+            except httpx.HTTPError:
+                await anyio.sleep(0.2)
--- /dev/null
+++ b/src/hibiscussaddle/standins/service.py
@@ -0,0 +1,71 @@
+"""Fake plain service: bookings or orders, counted by ticket."""
+
+import dataclasses
+import itertools
+import typing
+
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from hibiscussaddle.standins import faults as faults_lib
+
+METHODS: typing.Final = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+
+
+@dataclasses.dataclass(frozen=True)
+class Execution:
+    """Record one call that truly ran."""
+
+    number: int
+    method: str
+    path: str
+    key: str
+    body: str
+
+
+class Service:
+    """Keep the record of executed calls."""
+
+    def __init__(self, name: str) -> None:
+        """Start with an empty record."""
+        self.name = name
+        self.executions: list[Execution] = []
+        self.faults = faults_lib.Faults()
+        self._numbers = itertools.count(1)
+
+    def execute(self, method: str, path: str, key: str, body: str) -> int:
+        """Run one call; it is never deduplicated here."""
+        number = next(self._numbers)
+        self.executions.append(Execution(number, method, path, key, body))
+        return number
+
+
+def create_app(service: Service) -> applications.Starlette:
+    """Return the HTTP interface of the fake."""
+
+    async def call(req: requests.Request) -> responses.Response:
+        refused = await faults_lib.apply_before(service.faults)
+        if refused is not None:
+            return refused
+        body = (await req.body()).decode()
+        key = req.headers.get("idempotency-key", "")
+        number = service.execute(req.method, req.url.path, key, body)
+        await faults_lib.apply_after(service.faults)
+        return responses.JSONResponse(
+            {"service": service.name, "number": number, "echo": body}
+        )
+
+    async def record(_: requests.Request) -> responses.Response:
+        return responses.JSONResponse(
+            [dataclasses.asdict(item) for item in service.executions]
+        )
+
+    return applications.Starlette(
+        routes=[
+            routing.Route("/v1/record", record),
+            faults_lib.create_route(service.faults),
+            routing.Route("/{path:path}", call, methods=METHODS),
+        ]
+    )
