--- /dev/null
+++ b/src/hibiscussaddle/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Groups of operators' commands."""
--- /dev/null
+++ b/src/hibiscussaddle/operations/status.py
@@ -0,0 +1,28 @@
+"""Report the state of this instance."""
+
+import result
+from starlette import requests
+
+from hibiscussaddle import operations
+from hibiscussaddle import runtime as runtime_lib
+
+
+@operations.operation("GET", "/v1/status")
+async def get_status(
+    runtime: runtime_lib.Runtime, _: requests.Request
+) -> operations.Answer:
+    """Return the state of this instance."""
+    return result.Ok(
+        {
+            "instance": runtime.cfg.instance,
+            "incarnation": runtime.incarnation,
+            "zone": runtime.cfg.zone,
+            "phase": runtime.lifecycle.phase.value,
+            "running": runtime.lifecycle.total(),
+            "endpoints": len(runtime.directory.all()),
+            "contracts": {
+                record.contract.customer: record.revision
+                for record in runtime.contracts.all()
+            },
+        }
+    )
--- a/src/hibiscussaddle/plugins.py
+++ b/src/hibiscussaddle/plugins.py
@@ -1,4 +1,4 @@
-"""Import every module that registers a filter, handler or controller."""
+"""Import every module that registers a component."""
 
 import importlib
 import pkgutil
@@ -7,11 +7,12 @@
 from hibiscussaddle import controllers
 from hibiscussaddle import filters
 from hibiscussaddle import handlers
+from hibiscussaddle import operations
 
 
 def load_all() -> None:
     """Fill the registries."""
-    for package in (filters, handlers, controllers):
+    for package in (filters, handlers, controllers, operations):
         _import_modules(package)
 
 
