Stop every demo process

The recorded ids were those of subshells, so the programs outlived the demo and held its ports. make demo: passed twice in a row, no process left.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -7,11 +7,12 @@
 export PYTHONPATH=src
 logs=$(mktemp -d)
 pids=()
-app() { "$python" -m hibiscussaddle "$@"; }
+
 start() {
   local name=$1
   shift
-  app "$@" >"$logs/$name.log" 2>&1 &
+  # Not through a function in a subshell: the id must be the program's own.
+  "$python" -m hibiscussaddle "$@" >"$logs/$name.log" 2>&1 &
   pids+=($!)
 }
 cleanup() {
