Add the peer transport, shared facts and members

Cause: instances had no way to reach each other, so forwarded calls, handovers and confirmed contracts could not be built. Before: no transport. Conclusion: other parts can build on request(), publish() and members.

--- /dev/null
+++ b/src/hibiscussaddle/adapters/peers.py
@@ -0,0 +1,397 @@
+"""Exchange signed messages with other entry instances over nng."""
+
+from collections import abc
+import dataclasses
+import enum
+import logging
+import time
+import typing
+
+import anyio
+from anyio import lowlevel
+import msgspec
+import pynng
+import result
+
+from hibiscussaddle.adapters import peer_sockets
+from hibiscussaddle import auth
+from hibiscussaddle import logs
+
+if typing.TYPE_CHECKING:
+    from hibiscussaddle import runtime as runtime_lib
+
+_LOG = logging.getLogger(__name__)
+MAX_FRAME_BYTES: typing.Final = 1 << 20
+_SIGNATURE_BYTES: typing.Final = 32
+# An asend that has not been taken by a connection by then was never sent.
+CONNECT_SECONDS: typing.Final = 1.0
+_RECEIVERS: typing.Final = 4
+# Forwarded calls and pulls may run for minutes; past this many the instance
+# answers "busy" at once, so that heartbeats never queue behind them.
+_MAX_RUNNING: typing.Final = 1000
+
+_M = typing.TypeVar("_M")
+
+
+class PeerErrorKind(enum.Enum):
+    """List the ways a request to a peer can fail."""
+
+    UNREACHABLE = "unreachable"
+    TIMEOUT = "timeout"
+    BUSY = "busy"
+    NO_SOCKET = "no_socket"
+    NO_HANDLER = "no_handler"
+    MISDIRECTED = "misdirected"
+    TOO_LARGE = "too_large"
+    MALFORMED = "malformed"
+    FAILED = "failed"
+
+
+_NOT_HANDLED = frozenset(
+    {
+        PeerErrorKind.UNREACHABLE,
+        PeerErrorKind.BUSY,
+        PeerErrorKind.NO_SOCKET,
+        PeerErrorKind.NO_HANDLER,
+        PeerErrorKind.MISDIRECTED,
+        PeerErrorKind.TOO_LARGE,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerError:
+    """Tell why a request to a peer has no answer."""
+
+    kind: PeerErrorKind
+    detail: str = ""
+
+    @property
+    def ran(self) -> str:
+        """Return "no" when no handler can have run, else "unknown"."""
+        return "no" if self.kind in _NOT_HANDLED else "unknown"
+
+
+@dataclasses.dataclass(frozen=True)
+class Sender:
+    """Name the instance that sent a frame."""
+
+    id: str
+    incarnation: int
+
+
+class Target(typing.Protocol):
+    """Describe what request() needs to know of a member."""
+
+    @property
+    def id(self) -> str:
+        """Return the name of the instance."""
+
+    @property
+    def address(self) -> str:
+        """Return its host:port for peers."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """Hold an answer and the instance that gave it."""
+
+    sender: Sender
+    message: typing.Any
+
+
+class Direction(enum.Enum):
+    """Tell frames sent from frames received."""
+
+    SEND = "send"
+    RECEIVE = "receive"
+
+
+# Called with the direction and the peer's id (its address while the id is
+# unknown); a frame passes when it returns True. Tests cut links with it.
+LinkFilter: typing.TypeAlias = abc.Callable[[Direction, str], bool]
+Handler: typing.TypeAlias = abc.Callable[
+    ["runtime_lib.Runtime", Sender, typing.Any],
+    abc.Awaitable[typing.Any | None],
+]
+
+_KINDS: dict[str, type] = {}
+_NAMES: dict[type, str] = {}
+_HANDLERS: dict[type, Handler] = {}
+
+
+def message(kind: str) -> abc.Callable[[type[_M]], type[_M]]:
+    """Register a frozen dataclass as the message of a kind."""
+
+    def register(cls: type[_M]) -> type[_M]:
+        _KINDS[kind] = cls
+        _NAMES[cls] = kind
+        return cls
+
+    return register
+
+
+def handles(cls: type) -> abc.Callable[[Handler], Handler]:
+    """Register the handler of a message; None leaves it unanswered."""
+
+    def register(handler: Handler) -> Handler:
+        _HANDLERS[cls] = handler
+        return handler
+
+    return register
+
+
+@message("ack")
+@dataclasses.dataclass(frozen=True)
+class Done:
+    """Acknowledge a message whose answer carries nothing."""
+
+
+@message("fault")
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """Tell that a message was not answered by a handler."""
+
+    kind: PeerErrorKind
+    detail: str = ""
+
+
+class _Envelope(msgspec.Struct, frozen=True, rename={"source": "from"}):
+    kind: str
+    source: str
+    incarnation: int
+    # Wall-clock milliseconds, for diagnosis only.
+    sent: int
+    body: msgspec.Raw
+    # Empty while the receiver's id is unknown. A frame for another instance
+    # is refused: addresses are reused by replacements.
+    to: str = ""
+
+
+_ENVELOPES = msgspec.msgpack.Decoder(_Envelope)
+
+
+def _error(kind: PeerErrorKind, detail: str = "") -> result.Err[PeerError]:
+    return result.Err(PeerError(kind, detail))
+
+
+class PeerTransport:
+    """Send requests to peers and answer theirs."""
+
+    def __init__(
+        self,
+        me: Sender,
+        secret: str,
+        address: str,
+        sockets: peer_sockets.SocketCache,
+    ) -> None:
+        """Sign with the secret; listen at the address once served."""
+        self.me = me
+        self.address = address
+        self.link_filter: LinkFilter | None = None
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self._secret = secret
+        self._sockets = sockets
+        self._running = 0
+
+    async def request(
+        self, member: Target, msg: object, timeout: float
+    ) -> result.Result[typing.Any, PeerError]:
+        """Return the answer of a member within timeout seconds."""
+        answer = await self.ask(member.address, msg, timeout, member.id)
+        return answer.map(lambda found: found.message)
+
+    async def ask(
+        self, address: str, msg: object, timeout: float, to: str = ""
+    ) -> result.Result[Answer, PeerError]:
+        """Return the answer of whoever listens at an address."""
+        frame = self._pack(msg, to)
+        if len(frame) > MAX_FRAME_BYTES:
+            return _error(PeerErrorKind.TOO_LARGE, f"{len(frame)} bytes")
+        if not self._passes(Direction.SEND, to or address):
+            await anyio.sleep(min(timeout, CONNECT_SECONDS))
+            return _error(PeerErrorKind.UNREACHABLE, "link filter")
+        sock = self._sockets.acquire(address)
+        if sock is None:
+            return _error(PeerErrorKind.NO_SOCKET, address)
+        try:
+            raw = await self._exchange(sock, frame, timeout)
+        finally:
+            self._sockets.release(address)
+        if isinstance(raw, result.Err):
+            return raw
+        return self._read_answer(raw.ok_value, to)
+
+    async def _exchange(
+        self, sock: pynng.Req0, frame: bytes, timeout: float
+    ) -> result.Result[bytes, PeerError]:
+        sent = False
+        ends = anyio.current_time() + timeout
+        try:
+            with sock.new_context() as ctx:
+                with anyio.fail_after(min(timeout, CONNECT_SECONDS)):
+                    await _wait(ctx.asend(frame))
+                    sent = True
+                self.bytes_sent += len(frame)
+                with anyio.fail_after(ends - anyio.current_time()):
+                    raw = await _wait(ctx.arecv())
+        except (TimeoutError, pynng.Timeout):
+            if not sent:
+                return _error(PeerErrorKind.UNREACHABLE, "no connection")
+            return _error(PeerErrorKind.TIMEOUT, f"{timeout:.3g} s")
+        except pynng.NNGException as exc:
+            if not sent:
+                return _error(PeerErrorKind.UNREACHABLE, str(exc))
+            return _error(PeerErrorKind.TIMEOUT, str(exc))
+        self.bytes_received += len(raw)
+        return result.Ok(raw)
+
+    def _read_answer(
+        self, raw: bytes, to: str
+    ) -> result.Result[Answer, PeerError]:
+        envelope = self._unpack(raw)
+        if envelope is None:
+            return _error(PeerErrorKind.MALFORMED, "answer")
+        if not self._passes(Direction.RECEIVE, envelope.source):
+            return _error(PeerErrorKind.TIMEOUT, "link filter")
+        msg = _decode(envelope)
+        if msg is None:
+            return _error(PeerErrorKind.MALFORMED, envelope.kind)
+        if isinstance(msg, Fault):
+            return _error(msg.kind, msg.detail)
+        if to and envelope.source != to:
+            return _error(PeerErrorKind.MALFORMED, envelope.source)
+        sender = Sender(envelope.source, envelope.incarnation)
+        return result.Ok(Answer(sender, msg))
+
+    async def serve(self, runtime: "runtime_lib.Runtime") -> None:
+        """Answer peers until cancelled."""
+        with self._sockets.listen(self.address) as listener:
+            async with anyio.create_task_group() as tasks:
+                for _ in range(_RECEIVERS):
+                    tasks.start_soon(self._receive, runtime, listener, tasks)
+
+    # Each receiver waits in a context of its own; a context stays with its
+    # message until the answer is sent.
+    async def _receive(
+        self,
+        runtime: "runtime_lib.Runtime",
+        listener: pynng.Rep0,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        while True:
+            ctx = listener.new_context()
+            try:
+                raw = await _wait(ctx.arecv())
+            except pynng.NNGException as exc:
+                logs.event(_LOG, "peer_receive_failed", why=exc)
+                await anyio.sleep(0.1)
+                continue
+            except BaseException:
+                ctx.close()
+                raise
+            self.bytes_received += len(raw)
+            tasks.start_soon(self._answer, runtime, ctx, raw)
+
+    async def _answer(
+        self, runtime: "runtime_lib.Runtime", ctx: pynng.Context, raw: bytes
+    ) -> None:
+        self._running += 1
+        try:
+            frame = await self._handle(runtime, raw)
+            if frame is not None:
+                await _wait(ctx.asend(frame))
+                self.bytes_sent += len(frame)
+        except pynng.NNGException as exc:
+            logs.event(_LOG, "peer_answer_failed", why=exc)
+        finally:
+            self._running -= 1
+            ctx.close()
+
+    async def _handle(
+        self, runtime: "runtime_lib.Runtime", raw: bytes
+    ) -> bytes | None:
+        envelope = self._unpack(raw)
+        if envelope is None:
+            # No answer: a sender without the secret learns nothing.
+            logs.event(_LOG, "peer_frame_refused", bytes=len(raw))
+            return None
+        source = envelope.source
+        if not self._passes(Direction.RECEIVE, source):
+            return None
+        answer = await self._call(runtime, envelope)
+        if answer is None or not self._passes(Direction.SEND, source):
+            return None
+        frame = self._pack(answer, source)
+        if len(frame) > MAX_FRAME_BYTES:
+            detail = f"answer has {len(frame)} bytes"
+            return self._pack(Fault(PeerErrorKind.FAILED, detail), source)
+        return frame
+
+    async def _call(
+        self, runtime: "runtime_lib.Runtime", envelope: _Envelope
+    ) -> typing.Any | None:
+        if envelope.to not in ("", self.me.id):
+            return Fault(PeerErrorKind.MISDIRECTED, self.me.id)
+        if self._running > _MAX_RUNNING:
+            return Fault(PeerErrorKind.BUSY)
+        msg = _decode(envelope)
+        handler = _HANDLERS.get(type(msg))
+        if handler is None:
+            return Fault(PeerErrorKind.NO_HANDLER, envelope.kind)
+        sender = Sender(envelope.source, envelope.incarnation)
+        try:
+            return await handler(runtime, sender, msg)
+        except Exception as exc:
+            # One faulty message must not end the listener.
+            _LOG.exception("event=peer_handler_failed kind=%s", envelope.kind)
+            return Fault(PeerErrorKind.FAILED, type(exc).__name__)
+
+    def close(self) -> None:
+        """Close every cached socket."""
+        self._sockets.close()
+
+    def _passes(self, direction: Direction, peer: str) -> bool:
+        return self.link_filter is None or self.link_filter(direction, peer)
+
+    def _pack(self, msg: object, to: str) -> bytes:
+        envelope = _Envelope(
+            kind=_NAMES[type(msg)],
+            source=self.me.id,
+            incarnation=self.me.incarnation,
+            sent=time.time_ns() // 1_000_000,
+            body=msgspec.Raw(msgspec.msgpack.encode(msg)),
+            to=to,
+        )
+        body = msgspec.msgpack.encode(envelope)
+        return auth.sign(self._secret, body) + body
+
+    def _unpack(self, raw: bytes) -> _Envelope | None:
+        signature, body = raw[:_SIGNATURE_BYTES], raw[_SIGNATURE_BYTES:]
+        if not auth.is_signed(self._secret, body, signature):
+            return None
+        try:
+            return _ENVELOPES.decode(body)
+        except msgspec.MsgspecError:
+            return None
+
+
+async def _wait(operation: abc.Awaitable[_M]) -> _M:
+    # pynng raises a cancellation of its own, in which anyio does not
+    # recognise its scope; the checkpoint raises the scope's one instead.
+    try:
+        return await operation
+    except anyio.get_cancelled_exc_class():
+        await lowlevel.checkpoint_if_cancelled()
+        raise
+
+
+def _decode(envelope: _Envelope) -> typing.Any | None:
+    cls = _KINDS.get(envelope.kind)
+    if cls is None:
+        return None
+    try:
+        return msgspec.msgpack.decode(envelope.body, type=cls)
+    except msgspec.MsgspecError:
+        return None
--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -9,6 +9,8 @@
 import anyio
 import httpx
 
+from hibiscussaddle.adapters import peer_sockets
+from hibiscussaddle.adapters import peers
 from hibiscussaddle.adapters import store
 from hibiscussaddle import caller_app
 from hibiscussaddle import contract_cache
@@ -16,12 +18,14 @@
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
 from hibiscussaddle import logs
+from hibiscussaddle import members
 from hibiscussaddle import operator_app
 from hibiscussaddle import plugins
 from hibiscussaddle.policy import tickets
 from hibiscussaddle import runtime as runtime_lib
 from hibiscussaddle import serving
 from hibiscussaddle import settings
+from hibiscussaddle import shared_facts
 
 _LOG = logging.getLogger(__name__)
 _MAX_CONNECTIONS: typing.Final = 4000
@@ -35,7 +39,11 @@
         max_connections=_MAX_CONNECTIONS, max_keepalive_connections=200
     )
     client = httpx.AsyncClient(limits=limits, trust_env=False)
-    return runtime_lib.Runtime(
+    address = f"{cfg.host}:{cfg.peer_port}"
+    me = members.Member(
+        cfg.instance, cfg.zone, cfg.region, address, incarnation
+    )
+    runtime = runtime_lib.Runtime(
         cfg=cfg,
         incarnation=incarnation,
         clock=time.monotonic,
@@ -46,10 +54,20 @@
         directory=endpoints.Directory(),
         ledger=tickets.Ledger(cfg.instance, incarnation, cfg.peer_secret),
         steps={},
+        peers=peers.PeerTransport(
+            peers.Sender(cfg.instance, incarnation),
+            cfg.peer_secret,
+            address,
+            peer_sockets.create_socket_cache(cfg),
+        ),
+        members=members.Members(me),
+        facts=shared_facts.SharedFacts(),
         store=store.StoreClient(client, cfg.store_url)
         if cfg.store_url
         else None,
     )
+    runtime.facts.bind(runtime)
+    return runtime
 
 
 async def run(cfg: settings.Settings) -> None:
--- /dev/null
+++ b/src/hibiscussaddle/members.py
@@ -0,0 +1,70 @@
+"""Entry instances that this instance knows."""
+
+import dataclasses
+import enum
+
+
+class MemberState(enum.Enum):
+    """List the states of a member; later ones win within a version."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+    # Stopped as planned.
+    LEFT = "left"
+
+
+_LIVE = (MemberState.ALIVE, MemberState.SUSPECT)
+
+
+@dataclasses.dataclass(frozen=True)
+class Member:
+    """Describe one entry instance."""
+
+    id: str
+    zone: str
+    region: str
+    # Its host:port for peers.
+    address: str
+    # Wall-clock milliseconds at start; identifies one run of the instance.
+    incarnation: int
+    state: MemberState = MemberState.ALIVE
+    # Id of the member that took over ledger and cursors at a planned stop.
+    successor: str = ""
+    # Raised above the incarnation by the member itself, to refute suspicion
+    # and to announce changes.
+    heartbeat: int = 0
+
+
+class Members:
+    """Hold the members known to one instance, itself included."""
+
+    def __init__(self, me: Member) -> None:
+        """Start with this instance alone."""
+        self._members: dict[str, Member] = {me.id: me}
+        self._own_id = me.id
+
+    @property
+    def me(self) -> Member:
+        """Return this instance."""
+        return self._members[self._own_id]
+
+    def put(self, member: Member) -> None:
+        """Add or replace a member."""
+        self._members[member.id] = member
+
+    def get(self, member_id: str) -> Member | None:
+        """Return a member in any state."""
+        return self._members.get(member_id)
+
+    def all(self) -> tuple[Member, ...]:
+        """Return every member in any state, ordered by id."""
+        return tuple(self._members[key] for key in sorted(self._members))
+
+    def live(self) -> tuple[Member, ...]:
+        """Return the members not known to be gone, ordered by id."""
+        return tuple(m for m in self.all() if m.state in _LIVE)
+
+    def others(self) -> tuple[Member, ...]:
+        """Return the live members but this one."""
+        return tuple(m for m in self.live() if m.id != self._own_id)
--- a/src/hibiscussaddle/runtime.py
+++ b/src/hibiscussaddle/runtime.py
@@ -6,12 +6,15 @@
 
 import httpx
 
+from hibiscussaddle.adapters import peers as peers_lib
 from hibiscussaddle.adapters import store as store_lib
 from hibiscussaddle import contract_cache
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
+from hibiscussaddle import members as members_lib
 from hibiscussaddle.policy import tickets
 from hibiscussaddle import settings
+from hibiscussaddle import shared_facts
 from hibiscussaddle import steps
 
 
@@ -31,4 +34,7 @@
     directory: endpoints.Directory
     ledger: tickets.Ledger
     steps: dict[tuple[str, str], steps.StepSpec]
+    peers: peers_lib.PeerTransport
+    members: members_lib.Members
+    facts: shared_facts.SharedFacts
     store: store_lib.StoreClient | None = None
--- /dev/null
+++ b/src/hibiscussaddle/shared_facts.py
@@ -0,0 +1,89 @@
+"""Facts that all instances share: publish, apply and pass on."""
+
+from collections import abc
+import logging
+import typing
+
+import anyio
+
+from hibiscussaddle.policy import facts as facts_policy
+
+if typing.TYPE_CHECKING:
+    from hibiscussaddle import runtime as runtime_lib
+
+_LOG = logging.getLogger(__name__)
+
+Applier: typing.TypeAlias = abc.Callable[
+    ["runtime_lib.Runtime", facts_policy.Fact], None
+]
+
+_APPLIERS: dict[str, list[Applier]] = {}
+
+
+def applies(kind: str) -> abc.Callable[[Applier], Applier]:
+    """Register a function that puts each newer fact of a kind in force."""
+
+    def register(applier: Applier) -> Applier:
+        _APPLIERS.setdefault(kind, []).append(applier)
+        return applier
+
+    return register
+
+
+class SharedFacts:
+    """Hold the facts of one instance and those to pass on."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.table = facts_policy.FactTable()
+        self.changed = anyio.Event()
+        self._outbox: dict[facts_policy.Key, facts_policy.Fact] = {}
+        self._runtime: runtime_lib.Runtime | None = None
+
+    def bind(self, runtime: "runtime_lib.Runtime") -> None:
+        """Set the components that appliers receive."""
+        self._runtime = runtime
+
+    def get(self, kind: str, key: str) -> facts_policy.Fact | None:
+        """Return the newest known fact about a key."""
+        return self.table.get(kind, key)
+
+    def of_kind(self, kind: str) -> tuple[facts_policy.Fact, ...]:
+        """Return the facts of a kind, ordered by key."""
+        return self.table.of_kind(kind)
+
+    def publish(self, fact: facts_policy.Fact) -> bool:
+        """Put a fact in force here and push it; tell if it was newer."""
+        return self.receive((fact,)) == 1
+
+    def receive(self, found: abc.Iterable[facts_policy.Fact]) -> int:
+        """Apply and pass on those that are newer; return how many were."""
+        newer = 0
+        for fact in found:
+            if not self.table.put(fact):
+                continue
+            newer += 1
+            if fact.kind not in facts_policy.UNHURRIED_KINDS:
+                self._outbox[fact.id] = fact
+            self._apply(fact)
+        if self._outbox:
+            self.changed.set()
+        return newer
+
+    def take_outbox(self) -> tuple[facts_policy.Fact, ...]:
+        """Return the facts to push, once each."""
+        found = tuple(self._outbox.values())
+        self._outbox.clear()
+        self.changed = anyio.Event()
+        return found
+
+    def _apply(self, fact: facts_policy.Fact) -> None:
+        if self._runtime is None:
+            return
+        for applier in _APPLIERS.get(fact.kind, ()):
+            try:
+                applier(self._runtime, fact)
+            except Exception:
+                # A malformed value from one peer must not end the exchange
+                # with the others.
+                _LOG.exception("event=fact_not_applied kind=%s", fact.kind)
