End cancelled peer operations by closing their context

A send that failed also kept its frame. Change: timeouts are nng's own; a cancelled operation ends by closing its context; an unsent frame is freed. Conclusion: a fact published on one of five instances is applied exactly once on each.

--- a/src/hibiscussaddle/adapters/peer_sockets.py
+++ b/src/hibiscussaddle/adapters/peer_sockets.py
@@ -1,5 +1,6 @@
 """Open nng sockets to peers and keep a bounded number of them."""
 
+import asyncio
 import collections
 from collections import abc
 import contextlib
@@ -41,6 +42,8 @@
 
 _limit_threads()
 
+_T = typing.TypeVar("_T")
+
 
 @dataclasses.dataclass(frozen=True)
 class Tls:
@@ -57,6 +60,56 @@
     users: int = 0
 
 
+async def send(ctx: pynng.Context, frame: bytes, timeout: float) -> None:
+    """Send within timeout seconds; a frame that raises was not sent."""
+    _set_timeout(ctx, b"send-timeout", timeout)
+    await _until_closed(ctx, _send(ctx, frame))
+
+
+async def receive(ctx: pynng.Context, timeout: float | None = None) -> bytes:
+    """Return the next frame; without a timeout wait until closed."""
+    _set_timeout(ctx, b"recv-timeout", timeout)
+    return await _until_closed(ctx, ctx.arecv())
+
+
+def _set_timeout(
+    ctx: pynng.Context, option: bytes, timeout: float | None
+) -> None:
+    milliseconds = -1 if timeout is None else max(int(timeout * 1000), 1)
+    pynng.lib.nng_ctx_set_ms(ctx.context, option, milliseconds)
+
+
+async def _send(ctx: pynng.Context, frame: bytes) -> None:
+    msg = pynng.Message(frame)
+    try:
+        await ctx.asend_msg(msg)
+    except pynng.NNGException:
+        # nng leaves an unsent message to its caller, and pynng forgets it:
+        # each failed send would leak its frame.
+        msg._mem_freed = False
+        raise
+
+
+async def _until_closed(
+    ctx: pynng.Context, operation: abc.Coroutine[typing.Any, typing.Any, _T]
+) -> _T:
+    # pynng 0.9 swallows cancellations until nng has aborted the operation,
+    # while anyio repeats them in every turn of the loop: exits took up to
+    # 11 s. Closing the context ends the operation without cancelling it.
+    task = asyncio.ensure_future(operation)
+    try:
+        return await asyncio.shield(task)
+    except asyncio.CancelledError:
+        task.add_done_callback(_forget_outcome)
+        ctx.close()
+        raise
+
+
+def _forget_outcome(task: "asyncio.Task[typing.Any]") -> None:
+    if not task.cancelled():
+        task.exception()
+
+
 class SocketCache:
     """Cache one request socket for each peer, least recently used last."""
 
--- a/src/hibiscussaddle/adapters/peers.py
+++ b/src/hibiscussaddle/adapters/peers.py
@@ -8,7 +8,6 @@
 import typing
 
 import anyio
-from anyio import lowlevel
 import msgspec
 import pynng
 import result
@@ -26,6 +25,7 @@
 # An asend that has not been taken by a connection by then was never sent.
 CONNECT_SECONDS: typing.Final = 1.0
 _RECEIVERS: typing.Final = 4
+_RECEIVE_RETRY_SECONDS: typing.Final = 0.1
 # Forwarded calls and pulls may run for minutes; past this many the instance
 # answers "busy" at once, so that heartbeats never queue behind them.
 _MAX_RUNNING: typing.Final = 1000
@@ -228,22 +228,19 @@
     ) -> result.Result[bytes, PeerError]:
         sent = False
         ends = anyio.current_time() + timeout
+        ctx = sock.new_context()
         try:
-            with sock.new_context() as ctx:
-                with anyio.fail_after(min(timeout, CONNECT_SECONDS)):
-                    await _wait(ctx.asend(frame))
-                    sent = True
-                self.bytes_sent += len(frame)
-                with anyio.fail_after(ends - anyio.current_time()):
-                    raw = await _wait(ctx.arecv())
-        except (TimeoutError, pynng.Timeout):
-            if not sent:
-                return _error(PeerErrorKind.UNREACHABLE, "no connection")
-            return _error(PeerErrorKind.TIMEOUT, f"{timeout:.3g} s")
+            await peer_sockets.send(ctx, frame, min(timeout, CONNECT_SECONDS))
+            sent = True
+            self.bytes_sent += len(frame)
+            raw = await peer_sockets.receive(
+                ctx, max(ends - anyio.current_time(), 0.001)
+            )
         except pynng.NNGException as exc:
-            if not sent:
-                return _error(PeerErrorKind.UNREACHABLE, str(exc))
-            return _error(PeerErrorKind.TIMEOUT, str(exc))
+            kind = PeerErrorKind.TIMEOUT if sent else PeerErrorKind.UNREACHABLE
+            return _error(kind, str(exc))
+        finally:
+            ctx.close()
         self.bytes_received += len(raw)
         return result.Ok(raw)
 
@@ -283,14 +280,12 @@
         while True:
             ctx = listener.new_context()
             try:
-                raw = await _wait(ctx.arecv())
+                raw = await peer_sockets.receive(ctx)
             except pynng.NNGException as exc:
+                ctx.close()
                 logs.event(_LOG, "peer_receive_failed", why=exc)
-                await anyio.sleep(0.1)
+                await anyio.sleep(_RECEIVE_RETRY_SECONDS)
                 continue
-            except BaseException:
-                ctx.close()
-                raise
             self.bytes_received += len(raw)
             tasks.start_soon(self._answer, runtime, ctx, raw)
 
@@ -301,7 +296,7 @@
         try:
             frame = await self._handle(runtime, raw)
             if frame is not None:
-                await _wait(ctx.asend(frame))
+                await peer_sockets.send(ctx, frame, CONNECT_SECONDS)
                 self.bytes_sent += len(frame)
         except pynng.NNGException as exc:
             logs.event(_LOG, "peer_answer_failed", why=exc)
@@ -377,16 +372,6 @@
             return None
 
 
-async def _wait(operation: abc.Awaitable[_M]) -> _M:
-    # pynng raises a cancellation of its own, in which anyio does not
-    # recognise its scope; the checkpoint raises the scope's one instead.
-    try:
-        return await operation
-    except anyio.get_cancelled_exc_class():
-        await lowlevel.checkpoint_if_cancelled()
-        raise
-
-
 def _decode(envelope: _Envelope) -> typing.Any | None:
     cls = _KINDS.get(envelope.kind)
     if cls is None:
--- /dev/null
+++ b/tests/test_shared_facts.py
@@ -0,0 +1,54 @@
+"""Facts and members spread between instances over loopback."""
+
+import typing
+
+import anyio
+import builders
+
+from hibiscussaddle.controllers import membership
+from hibiscussaddle import entry
+from hibiscussaddle.policy import facts
+from hibiscussaddle import runtime as runtime_lib
+from hibiscussaddle import shared_facts
+
+FIRST_PORT = 22200
+APPLIED: list[tuple[str, typing.Any]] = []
+
+
+@shared_facts.applies("test_kind")
+def record(runtime: runtime_lib.Runtime, fact: facts.Fact) -> None:
+    """Note which instance applied what."""
+    APPLIED.append((runtime.cfg.instance, fact.value))
+
+
+def test_published_fact_is_applied_once_on_every_instance() -> None:
+    """Guards against facts that reach some instances only, or twice."""
+
+    async def job() -> None:
+        APPLIED.clear()
+        runtimes = [
+            entry.create_runtime(
+                builders.cfg(
+                    instance=f"entry-{number}",
+                    peer_port=FIRST_PORT + number,
+                    peers=(f"127.0.0.1:{FIRST_PORT}",),
+                )
+            )
+            for number in range(5)
+        ]
+        names = {runtime.cfg.instance for runtime in runtimes}
+        async with anyio.create_task_group() as tasks:
+            for runtime in runtimes:
+                tasks.start_soon(membership.run, runtime)
+            with anyio.fail_after(20):
+                while any(len(r.members.live()) < 5 for r in runtimes):
+                    await anyio.sleep(0.05)
+                runtimes[3].facts.publish(
+                    facts.Fact("test_kind", "a", 1, "entry-3", {"x": 1})
+                )
+                while {name for name, _ in APPLIED} != names:
+                    await anyio.sleep(0.05)
+            tasks.cancel_scope.cancel()
+        assert sorted(APPLIED) == [(name, {"x": 1}) for name in sorted(names)]
+
+    anyio.run(job)
