Build the binary with the locked versions

pex took '--only-binary :all:' for a project name and fell back to unlocked versions. 'make binary' now passes requirements.lock as constraints.

--- a/Makefile
+++ b/Makefile
@@ -42,5 +42,5 @@
 
 binary: $(STAMP)
 	mkdir -p dist
-	$(PY) -m pex . -r requirements.lock --no-build --only-binary :all: -c hibiscussaddle -o dist/hibiscussaddle || \
-	$(PY) -m pex . -c hibiscussaddle -o dist/hibiscussaddle
+	$(PY) -m pex . --constraints requirements.lock -c hibiscussaddle \
+		-o dist/hibiscussaddle
