Settle contract changes by change id and record refused ones

Cause: a lost answer of the store was reported as unknown at once, a repeat of a change failed as a conflict, refused changes left no audit entry and the trail grew without a bound. Change: the document counts accepted changes as its revision; a lost answer is resolved by reading the change id back; a conflict names the current revision and is recorded in the same compare-and-swap; old entries move to audit/<customer>/<n>; 'contract history' lists both. A repeat of an unknown change says so, and is never answered 'not run' when the first attempt can still take effect.

--- a/src/hibiscussaddle/codes.py
+++ b/src/hibiscussaddle/codes.py
@@ -249,6 +249,15 @@
         "The change is done; some instances have not confirmed it.",
         "Watch 'instance list' until the missing ones show it.",
     )
+    STORE_UNAVAILABLE = CodeInfo(
+        1506,
+        "store_unavailable",
+        "no",
+        503,
+        23,
+        "The store could not be read.",
+        "Wait until 'status' shows the store up, then repeat.",
+    )
     SETTING_INVALID = CodeInfo(
         1601,
         "setting_invalid",
--- a/src/hibiscussaddle/commands/contract.py
+++ b/src/hibiscussaddle/commands/contract.py
@@ -1,7 +1,11 @@
 """Commands that read and change contracts."""
 
+import datetime
 import getpass
 import json
+import secrets
+import sys
+import typing
 
 from hibiscussaddle import codes as result_codes
 from hibiscussaddle.commands import console
@@ -29,10 +33,15 @@
         revision: int,
         reason: str,
         who: str = "",
+        change_id: str = "",
         address: str = "",
         output: str = "json",
     ) -> None:
-        """Change a contract from a JSON file, seen at a revision."""
+        """Change a contract from a JSON file, seen at a revision.
+
+        The revision is the one that 'contract get' showed. To repeat a
+        change whose outcome is unknown, give its change id again.
+        """
         try:
             with open(file, encoding="utf-8") as source:
                 document = json.load(source)
@@ -44,7 +53,12 @@
                     f"file {file!r} is not a contract: {exc}",
                 )
             )
+        repeat = bool(change_id)
+        change_id = str(change_id) or secrets.token_hex(8)
+        sys.stderr.write(f"change id: {change_id}\n")
         body = {
+            "change_id": change_id,
+            "repeat": repeat,
             "contract": document,
             "expected_revision": revision,
             "who": who or getpass.getuser(),
@@ -54,3 +68,47 @@
             address, "PUT", f"/v1/contracts/{customer}", body
         )
         console.show(answer, output)
+
+    def history(
+        self,
+        customer: str,
+        archive: int | None = None,
+        address: str = "",
+        output: str = "table",
+    ) -> None:
+        """List accepted and refused changes, oldest first.
+
+        Entries that left the document are listed with --archive and the
+        number that the listing before gave.
+        """
+        path = f"/v1/contracts/{customer}/history"
+        if archive is not None:
+            path += f"?archive={archive}"
+        found = console.call(address, "GET", path)
+        if output == "json":
+            console.show(found, output)
+            return
+        rows = [_to_row(entry) for entry in found["entries"]]
+        console.show(rows, output)
+        if found["archive"] is not None:
+            sys.stderr.write(f"older entries: --archive {found['archive']}\n")
+
+
+def _to_row(entry: dict[str, typing.Any]) -> dict[str, object]:
+    """Return one line of the history: what changed instead of all fields."""
+    before, after = entry["before"] or {}, entry["after"] or {}
+    changed = {
+        name: f"{before.get(name)} -> {value}"
+        for name, value in after.items()
+        if before.get(name) != value
+    }
+    at = datetime.datetime.fromtimestamp(entry["at"], datetime.UTC)
+    return {
+        "at": at.isoformat(timespec="seconds"),
+        "who": entry["who"],
+        "outcome": entry["outcome"],
+        "revision": entry["revision"],
+        "change_id": entry["change_id"],
+        "changed": changed,
+        "reason": entry["reason"],
+    }
--- a/src/hibiscussaddle/controllers/contracts.py
+++ b/src/hibiscussaddle/controllers/contracts.py
@@ -11,6 +11,7 @@
 from hibiscussaddle import contracts
 from hibiscussaddle import controllers
 from hibiscussaddle import logs
+from hibiscussaddle.policy import contract_document as documents
 from hibiscussaddle import runtime as runtime_lib
 
 _LOG = logging.getLogger(__name__)
@@ -47,17 +48,31 @@
     for entry in entries:
         if entry.value is None:
             continue
-        parsed = contracts.parse(entry.value["contract"])
-        if isinstance(parsed, result.Err):
-            message = parsed.err_value.message
-            logs.event(_LOG, "contract_malformed", key=entry.key, why=message)
+        document = documents.decode(entry.value, documents.Document)
+        if document is None:
+            logs.event(_LOG, "contract_malformed", key=entry.key)
             continue
-        record = contracts.ContractRecord(parsed.ok_value, entry.revision)
-        if runtime.contracts.apply(record):
-            customer = record.contract.customer
-            logs.event(
-                _LOG,
-                "contract_applied",
-                customer=customer,
-                revision=record.revision,
-            )
+        put_in_force(runtime, document.contract, document.revision)
+
+
+def put_in_force(
+    runtime: runtime_lib.Runtime, document: object, revision: int
+) -> bool:
+    """Put one contract in force unless a newer one is; tell if changed."""
+    if document is None:
+        return False
+    parsed = contracts.parse(document)
+    if isinstance(parsed, result.Err):
+        message = parsed.err_value.message
+        logs.event(_LOG, "contract_malformed", why=message)
+        return False
+    record = contracts.ContractRecord(parsed.ok_value, revision)
+    if not runtime.contracts.apply(record):
+        return False
+    logs.event(
+        _LOG,
+        "contract_applied",
+        customer=record.contract.customer,
+        revision=revision,
+    )
+    return True
--- a/src/hibiscussaddle/operations/contracts.py
+++ b/src/hibiscussaddle/operations/contracts.py
@@ -6,6 +6,7 @@
 from hibiscussaddle import codes
 from hibiscussaddle import contract_changes
 from hibiscussaddle import operations
+from hibiscussaddle.policy import contract_document as documents
 from hibiscussaddle import runtime as runtime_lib
 
 
@@ -44,9 +45,64 @@
     runtime: runtime_lib.Runtime, req: requests.Request
 ) -> operations.Answer:
     """Change the contract of one customer."""
-    parsed = contract_changes.parse(
-        await req.body(), req.path_params["customer"]
-    )
+    customer = req.path_params["customer"]
+    raw = await req.body()
+    parsed = contract_changes.parse(raw, customer)
     if isinstance(parsed, result.Err):
+        refusal = parsed.err_value
+        await contract_changes.record_invalid(runtime, customer, raw, refusal)
         return parsed
     return await contract_changes.submit(runtime, parsed.ok_value)
+
+
+@operations.operation("GET", "/v1/contracts/{customer}/history")
+async def get_history(
+    runtime: runtime_lib.Runtime, req: requests.Request
+) -> operations.Answer:
+    """Return audit entries, oldest first, from the store."""
+    customer = req.path_params["customer"]
+    number = req.query_params.get("archive")
+    if runtime.store is None:
+        return _refuse_history("no store is configured")
+    if number is not None:
+        if not number.isdigit():
+            return result.Err(
+                codes.Refusal(
+                    codes.Code.BAD_REQUEST,
+                    f"field 'archive' has value {number!r}; "
+                    "allowed: a number that an earlier answer gave",
+                )
+            )
+        archive = await contract_changes.fetch_archive(
+            runtime.store, customer, int(number)
+        )
+        if isinstance(archive, result.Err):
+            return _refuse_history(archive.err_value.failure.value)
+        found = archive.ok_value
+        return _to_history(found.entries, found.previous)
+    read = await contract_changes.fetch(runtime.store, customer)
+    if isinstance(read, result.Err):
+        return _refuse_history(read.err_value.failure.value)
+    document = read.ok_value.document
+    return _to_history(document.audit, document.last_archive)
+
+
+def _refuse_history(why: str) -> result.Err[codes.Refusal]:
+    return result.Err(
+        codes.Refusal(
+            codes.Code.STORE_UNAVAILABLE,
+            f"the audit trail cannot be read from the store: {why}",
+        )
+    )
+
+
+def _to_history(
+    entries: tuple[documents.AuditEntry, ...], previous: int | None
+) -> operations.Answer:
+    return result.Ok(
+        {
+            "entries": [documents.encode(entry) for entry in entries],
+            # Number of the archive with the entries before these.
+            "archive": previous,
+        }
+    )
--- /dev/null
+++ b/src/hibiscussaddle/policy/contract_document.py
@@ -0,0 +1,127 @@
+"""Document of one customer: contract, revision and audit trail."""
+
+import dataclasses
+import enum
+import typing
+
+import msgspec
+
+MAX_AUDIT_ENTRIES: typing.Final = 500
+MAX_DOCUMENT_BYTES: typing.Final = 512 * 1024
+# A document holds the contract three times when a change is recorded (as
+# contract, before and after), and the store takes values up to 1 MiB.
+MAX_CONTRACT_BYTES: typing.Final = 64 * 1024
+# Part of a full trail that moves to one archive key.
+_ARCHIVE_PART: typing.Final = 0.5
+
+Json: typing.TypeAlias = dict[str, typing.Any]
+
+
+class Outcome(enum.Enum):
+    """Tell what became of a change."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+
+
+@dataclasses.dataclass(frozen=True)
+class AuditEntry:
+    """Record one change, accepted or refused."""
+
+    who: str
+    # Wall-clock seconds of the instance that took the change.
+    at: float
+    change_id: str
+    reason: str
+    # Revision of the contract after the change.
+    revision: int
+    expected_revision: int
+    outcome: Outcome
+    before: Json | None
+    after: Json | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Archive:
+    """Hold the entries that left a document, oldest first."""
+
+    entries: tuple[AuditEntry, ...]
+    # Number of the archive before this one; None for the first.
+    previous: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Document:
+    """Hold one customer's contract and its newest audit entries."""
+
+    # None while every change was refused.
+    contract: Json | None = None
+    # Counts accepted changes. The store's own revision also moves when a
+    # refused change is recorded, so it cannot tell operators apart.
+    revision: int = 0
+    change_id: str = ""
+    audit: tuple[AuditEntry, ...] = ()
+    # Entries moved out so far; also the number of the next archive.
+    archived: int = 0
+    last_archive: int | None = None
+
+    def find(self, change_id: str) -> AuditEntry | None:
+        """Return the newest entry of a change."""
+        for entry in reversed(self.audit):
+            if entry.change_id == change_id:
+                return entry
+        return None
+
+    def record(self, entry: AuditEntry) -> "Document":
+        """Append an entry; an accepted one replaces the contract."""
+        recorded = dataclasses.replace(self, audit=(*self.audit, entry))
+        if entry.outcome is not Outcome.ACCEPTED:
+            return recorded
+        return dataclasses.replace(
+            recorded,
+            contract=entry.after,
+            revision=entry.revision,
+            change_id=entry.change_id,
+        )
+
+    def is_full(self) -> bool:
+        """Tell whether old entries must move out before a swap."""
+        if len(self.audit) > MAX_AUDIT_ENTRIES:
+            return True
+        return len(encode_bytes(self)) > MAX_DOCUMENT_BYTES
+
+    def oldest(self) -> Archive:
+        """Return the archive of the oldest part of the trail."""
+        count = max(1, int(len(self.audit) * _ARCHIVE_PART))
+        return Archive(self.audit[:count], self.last_archive)
+
+    def without_oldest(self, count: int) -> "Document":
+        """Drop the entries that an archive now holds."""
+        return dataclasses.replace(
+            self,
+            audit=self.audit[count:],
+            archived=self.archived + count,
+            last_archive=self.archived,
+        )
+
+
+def encode(value: Document | Archive | AuditEntry) -> Json:
+    """Return the JSON document."""
+    return typing.cast(Json, msgspec.to_builtins(value))
+
+
+def encode_bytes(value: Document) -> bytes:
+    """Return the JSON text, as the store counts its size."""
+    return msgspec.json.encode(value)
+
+
+_Kind = typing.TypeVar("_Kind", Document, Archive)
+
+
+def decode(value: object, kind: type[_Kind]) -> _Kind | None:
+    """Return the typed value; None when it is malformed."""
+    try:
+        return msgspec.convert(value, kind)
+    except msgspec.ValidationError:
+        return None
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,73 @@
+"""Serve fakes over loopback HTTP inside the test's process."""
+
+from collections import abc
+import contextlib
+import os
+import random
+import socket
+import typing
+
+import anyio
+from hypercorn import asyncio as hypercorn_asyncio
+from hypercorn import config as hypercorn_config
+
+from hibiscussaddle import entry
+from hibiscussaddle import runtime as runtime_lib
+
+import builders
+
+_FIRST_PORT = int(os.environ.get("TEST_FIRST_PORT", "23000"))
+_PORTS = 1000
+
+
+def listen() -> socket.socket:
+    """Return a listening socket on a free port of the range."""
+    for offset in random.sample(range(_PORTS), _PORTS):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(("127.0.0.1", _FIRST_PORT + offset))
+        except OSError:
+            sock.close()
+            continue
+        sock.listen(256)
+        return sock
+    raise RuntimeError("no free port in the range")
+
+
+@contextlib.asynccontextmanager
+async def serve(app: typing.Any) -> abc.AsyncIterator[str]:
+    """Serve an app and yield its base URL."""
+    sock = listen()
+    port = sock.getsockname()[1]
+    cfg = hypercorn_config.Config()
+    cfg.bind = [f"fd://{sock.detach()}"]
+    cfg.loglevel = "CRITICAL"
+    cfg.graceful_timeout = 0.1
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+
+        async def run() -> None:
+            await hypercorn_asyncio.serve(app, cfg, shutdown_trigger=stop.wait)
+
+        tasks.start_soon(run)
+        try:
+            yield f"http://127.0.0.1:{port}"
+        finally:
+            stop.set()
+
+
+@contextlib.asynccontextmanager
+async def runtimes(
+    count: int, **cfg: typing.Any
+) -> abc.AsyncIterator[list[runtime_lib.Runtime]]:
+    """Yield the components of instances that run no controller yet."""
+    found = [
+        entry.create_runtime(builders.cfg(instance=f"entry-{number}", **cfg))
+        for number in range(count)
+    ]
+    try:
+        yield found
+    finally:
+        for runtime in found:
+            await runtime.client.aclose()
