Limit store calls by a budget and share one watch in a process

Cause: nothing bounded the store calls of an instance, failed watches were retried at a fixed pace, and each user of the store would have needed its own watch; a timed-out connect counted as a call that may have run. Change: token bucket of store_calls_per_second with a 2 s burst, counts by kind, jittered back-off up to 1 s, StoreWatch with several prefixes on one waiting call, lease calls; the stand-in reports the most watches at once and can expire all leases. Figures: 10 calls at a budget of 1/s and a 50 ms wait limit sent 2 and held back 8 (test_spent_budget_sends_nothing); two subscribers used one watch at a time with no change lost in 60 writes (test_watch_misses_no_change_and_uses_one_call); before, 10 of 10 would be sent, as no code limited them. Conclusion: the budget holds over every window (property test).

--- a/src/hibiscussaddle/contract_changes.py
+++ b/src/hibiscussaddle/contract_changes.py
@@ -383,7 +383,8 @@
             details=(("change_id", change.change_id),),
         )
     return codes.Refusal(
-        codes.Code.NOT_ACCEPTED, "the store is down or too slow"
+        codes.Code.NOT_ACCEPTED,
+        "the store is down or too slow, or the call budget is spent",
     )
 
 
--- a/src/hibiscussaddle/controllers/contracts.py
+++ b/src/hibiscussaddle/controllers/contracts.py
@@ -1,12 +1,13 @@
 """Keep the contracts in force equal to those in the store."""
 
+import functools
 import logging
-import typing
 
 import anyio
 import result
 
 from hibiscussaddle.adapters import store
+from hibiscussaddle.adapters import store_watch
 from hibiscussaddle import contract_changes
 from hibiscussaddle import contracts
 from hibiscussaddle import controllers
@@ -15,28 +16,22 @@
 from hibiscussaddle import runtime as runtime_lib
 
 _LOG = logging.getLogger(__name__)
-WATCH_SECONDS: typing.Final = 10.0
-RETRY_SECONDS: typing.Final = 0.5
 
 
 @controllers.controller("contracts")
 async def run(runtime: runtime_lib.Runtime) -> None:
-    """Scan once, then follow the store's watch."""
-    client = runtime.store
-    if client is None:
+    """Read the contracts once, then follow the store's watch."""
+    if runtime.store is None:
         return
-    after: int | None = None
+    watch = store_watch.StoreWatch(runtime.store)
+    watch.subscribe(contract_changes.PREFIX, functools.partial(apply, runtime))
+    backoff = store.Backoff(runtime.rng)
     while True:
-        prefix = contract_changes.PREFIX
-        if after is None:
-            answer = await client.scan(prefix)
-        else:
-            answer = await client.watch(prefix, after, WATCH_SECONDS)
+        answer = await watch.step()
         if isinstance(answer, result.Err):
-            await anyio.sleep(RETRY_SECONDS * (1 + runtime.rng.random()))
+            await anyio.sleep(backoff.next())
             continue
-        entries, after = answer.ok_value
-        apply(runtime, entries)
+        backoff.reset()
         runtime.contracts.confirm()
         runtime.lifecycle.set_ready()
 
--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -46,7 +46,11 @@
         directory=endpoints.Directory(),
         ledger=tickets.Ledger(cfg.instance, incarnation, cfg.peer_secret),
         steps={},
-        store=store.StoreClient(client, cfg.store_url)
+        store=store.StoreClient(
+            client,
+            cfg.store_url,
+            calls_per_second=cfg.store_calls_per_second,
+        )
         if cfg.store_url
         else None,
     )
--- a/src/hibiscussaddle/standins/store.py
+++ b/src/hibiscussaddle/standins/store.py
@@ -48,6 +48,9 @@
         self.leases: dict[str, Lease] = {}
         self.changes: list[Entry] = []
         self.calls: dict[str, int] = {}
+        # Watches that wait now, and the most that ever waited at once.
+        self.watching = 0
+        self.most_watching = 0
         self.faults = faults_lib.Faults()
         self._now = now
         self._ids = itertools.count(1)
@@ -213,16 +216,28 @@
         timeout = min(
             float(req.query_params.get("timeout", "10")), MAX_WATCH_SECONDS
         )
-        with anyio.move_on_after(timeout):
-            while not store.changes_after(prefix, after):
-                await store.wait_change()
+        store.watching += 1
+        store.most_watching = max(store.most_watching, store.watching)
+        try:
+            with anyio.move_on_after(timeout):
+                while not store.changes_after(prefix, after):
+                    await store.wait_change()
+        finally:
+            store.watching -= 1
         events = [_to_dict(e) for e in store.changes_after(prefix, after)]
         return responses.JSONResponse(
             {"events": events, "revision": store.revision}
         )
 
     async def calls(_: requests.Request) -> responses.Response:
-        return responses.JSONResponse(store.calls)
+        return responses.JSONResponse(
+            {**store.calls, "most_watching": store.most_watching}
+        )
+
+    async def expire(_: requests.Request) -> responses.Response:
+        for lease_id in list(store.leases):
+            store.revoke(lease_id)
+        return responses.JSONResponse({})
 
     return applications.Starlette(
         routes=[
@@ -234,6 +249,7 @@
             route("/v1/leases/{id}", "DELETE", "write", revoke),
             route("/v1/watch", "GET", "watch", watch),
             routing.Route("/calls", calls),
+            routing.Route("/expire", expire, methods=["POST"]),
             faults_lib.create_route(store.faults),
         ]
     )
--- /dev/null
+++ b/tests/test_store_client.py
@@ -0,0 +1,110 @@
+"""Guard the client of the key-value service."""
+
+import random
+
+import anyio
+import httpx
+import hypothesis
+from hypothesis import strategies
+
+from hibiscussaddle.adapters import store
+from hibiscussaddle.adapters import store_watch
+from hibiscussaddle.standins import store as fake_store
+import loopback
+
+
+@hypothesis.given(
+    strategies.floats(0.5, 50),
+    strategies.lists(strategies.floats(0, 0.5), min_size=1, max_size=60),
+)
+def test_budget_holds_over_every_window(
+    rate: float, gaps: list[float]
+) -> None:
+    """Fails when calls exceed the burst plus the rate in some window."""
+    now = 0.0
+    budget = store.CallBudget(rate, lambda: now)
+    sent = []
+    for gap in gaps:
+        now += gap
+        wait = budget.reserve(2.0)
+        if wait is not None:
+            assert 0 <= wait <= 2.0
+            sent.append(now + wait)
+    burst = max(1.0, rate * 2)
+    for first, start in enumerate(sent):
+        for last in range(first, len(sent)):
+            count = last - first + 1
+            assert count <= burst + rate * (sent[last] - start) + 1 + 1e-6
+
+
+def test_backoff_grows_to_its_limit() -> None:
+    """Fails when waits are not jittered, grow without bound or stay."""
+    backoff = store.Backoff(random.Random(1), first=0.2, longest=1.0)
+    waits = [backoff.next() for _ in range(20)]
+    assert 0.1 <= waits[0] <= 0.2
+    assert all(0.5 <= wait <= 1.0 for wait in waits[5:])
+    assert len(set(waits)) == len(waits)
+    backoff.reset()
+    assert backoff.next() <= 0.2
+
+
+def test_watch_misses_no_change_and_uses_one_call() -> None:
+    """Fails when a change between scan and watch is lost.
+
+    Also fails when two subscribers of a process hold two watches.
+    """
+    fake = fake_store.Store()
+    seen: dict[str, int] = {}
+
+    def handle(entries: list[store.StoreEntry]) -> None:
+        seen.update({entry.key: entry.value for entry in entries})
+
+    async def write() -> None:
+        for number in range(1, 31):
+            for key in ("contract/a", "mark/b"):
+                current = fake.entries.get(key)
+                fake.put(key, number, current.revision if current else 0, None)
+            await anyio.sleep(random.random() * 0.004)
+
+    async def main() -> None:
+        async with (
+            loopback.serve(fake_store.create_app(fake)) as url,
+            httpx.AsyncClient(trust_env=False) as http,
+            anyio.create_task_group() as tasks,
+        ):
+            client = store.StoreClient(http, url, calls_per_second=1000)
+            watch = store_watch.StoreWatch(client)
+            watch.subscribe("contract/", handle)
+            watch.subscribe("mark/", handle)
+            tasks.start_soon(write)
+            with anyio.fail_after(10):
+                while seen != {"contract/a": 30, "mark/b": 30}:
+                    (await watch.step()).unwrap()
+            assert client.calls["read"] == 2
+            assert client.calls["watch"] == fake.calls["watch"]
+            fake.faults.down = True
+            failed = await watch.step()
+            assert failed.err_value.failure is store.StoreFailure.DOWN
+
+    anyio.run(main)
+    assert fake.most_watching == 1
+
+
+def test_spent_budget_sends_nothing() -> None:
+    """Fails when a process calls the store beyond its budget."""
+    fake = fake_store.Store()
+
+    async def main() -> None:
+        async with (
+            loopback.serve(fake_store.create_app(fake)) as url,
+            httpx.AsyncClient(trust_env=False) as http,
+        ):
+            client = store.StoreClient(http, url, 0.05, calls_per_second=1)
+            answers = [await client.get("none") for _ in range(10)]
+            kinds = [answer.err_value.failure for answer in answers]
+            assert kinds.count(store.StoreFailure.MISSING) == 2
+            assert kinds.count(store.StoreFailure.DOWN) == 8
+            assert client.calls == {"read": 2, "held_back": 8}
+
+    anyio.run(main)
+    assert fake.calls == {"read": 2}
