--- a/src/hibiscussaddle/controllers/contracts.py
+++ b/src/hibiscussaddle/controllers/contracts.py
@@ -1,41 +1,37 @@
 """Keep the contracts in force equal to those in the store."""
 
+import functools
 import logging
-import typing
 
 import anyio
 import result
 
 from hibiscussaddle.adapters import store
+from hibiscussaddle.adapters import store_watch
 from hibiscussaddle import contract_changes
 from hibiscussaddle import contracts
 from hibiscussaddle import controllers
 from hibiscussaddle import logs
+from hibiscussaddle.policy import contract_document as documents
 from hibiscussaddle import runtime as runtime_lib
 
 _LOG = logging.getLogger(__name__)
-WATCH_SECONDS: typing.Final = 10.0
-RETRY_SECONDS: typing.Final = 0.5
 
 
 @controllers.controller("contracts")
 async def run(runtime: runtime_lib.Runtime) -> None:
-    """Scan once, then follow the store's watch."""
-    client = runtime.store
-    if client is None:
+    """Read the contracts once, then follow the store's watch."""
+    if runtime.store is None:
         return
-    after: int | None = None
+    watch = store_watch.StoreWatch(runtime.store)
+    watch.subscribe(contract_changes.PREFIX, functools.partial(apply, runtime))
+    backoff = store.Backoff(runtime.rng)
     while True:
-        prefix = contract_changes.PREFIX
-        if after is None:
-            answer = await client.scan(prefix)
-        else:
-            answer = await client.watch(prefix, after, WATCH_SECONDS)
+        answer = await watch.step()
         if isinstance(answer, result.Err):
-            await anyio.sleep(RETRY_SECONDS * (1 + runtime.rng.random()))
+            await anyio.sleep(backoff.next())
             continue
-        entries, after = answer.ok_value
-        apply(runtime, entries)
+        backoff.reset()
         runtime.contracts.confirm()
         runtime.lifecycle.set_ready()
 
@@ -47,17 +43,31 @@
     for entry in entries:
         if entry.value is None:
             continue
-        parsed = contracts.parse(entry.value["contract"])
-        if isinstance(parsed, result.Err):
-            message = parsed.err_value.message
-            logs.event(_LOG, "contract_malformed", key=entry.key, why=message)
+        document = documents.decode(entry.value, documents.Document)
+        if document is None:
+            logs.event(_LOG, "contract_malformed", key=entry.key)
             continue
-        record = contracts.ContractRecord(parsed.ok_value, entry.revision)
-        if runtime.contracts.apply(record):
-            customer = record.contract.customer
-            logs.event(
-                _LOG,
-                "contract_applied",
-                customer=customer,
-                revision=record.revision,
-            )
+        put_in_force(runtime, document.contract, document.revision)
+
+
+def put_in_force(
+    runtime: runtime_lib.Runtime, document: object, revision: int
+) -> bool:
+    """Put one contract in force unless a newer one is; tell if changed."""
+    if document is None:
+        return False
+    parsed = contracts.parse(document)
+    if isinstance(parsed, result.Err):
+        message = parsed.err_value.message
+        logs.event(_LOG, "contract_malformed", why=message)
+        return False
+    record = contracts.ContractRecord(parsed.ok_value, revision)
+    if not runtime.contracts.apply(record):
+        return False
+    logs.event(
+        _LOG,
+        "contract_applied",
+        customer=record.contract.customer,
+        revision=revision,
+    )
+    return True
--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -62,7 +62,11 @@
         ),
         members=members.Members(me),
         facts=shared_facts.SharedFacts(),
-        store=store.StoreClient(client, cfg.store_url)
+        store=store.StoreClient(
+            client,
+            cfg.store_url,
+            calls_per_second=cfg.store_calls_per_second,
+        )
         if cfg.store_url
         else None,
     )
