Hold readiness until endpoints are listed, and detect failed members

Cause: an instance was ready as soon as it had contracts, so the first calls after a start were refused with no_endpoint; a member that crashed stayed live for ever; each instance polled the platform's list. SWIM-style detector with indirect probes, suspicion, refutation and probes of dead members. The demo client waits for /readyz of every instance as a balancer does. Tests take free ports: two worktrees that ran the same test collided on fixed ones.

--- a/src/hibiscussaddle/controllers/membership.py
+++ b/src/hibiscussaddle/controllers/membership.py
@@ -10,86 +10,109 @@
 
 from hibiscussaddle.adapters import peers
 from hibiscussaddle import controllers
+from hibiscussaddle import gossip
 from hibiscussaddle import logs
 from hibiscussaddle import members
 from hibiscussaddle.policy import facts as facts_policy
+from hibiscussaddle.policy import membership as policy
 from hibiscussaddle import runtime as runtime_lib
 from hibiscussaddle import shared_facts
 
 _LOG = logging.getLogger(__name__)
 PROBE_SECONDS: typing.Final = 1.0
 PROBE_TIMEOUT_SECONDS: typing.Final = 0.5
-PUSH_FANOUT: typing.Final = 4
-MAX_BATCH_BYTES: typing.Final = 32 * 1024
+# The helper's own probe fits in it.
+INDIRECT_TIMEOUT_SECONDS: typing.Final = 0.9
+# In the own zone, and the same number elsewhere.
+PUSH_FANOUT: typing.Final = 2
+PUSH_BYTES: typing.Final = 8 * 1024
+# Facts that change together travel together, and a partition that heals
+# costs each node at most 8 KiB to 4 peers in this time.
+PUSH_PAUSE_SECONDS: typing.Final = 0.1
+SEED_SECONDS: typing.Final = 5.0
 
-
-@peers.message("ping")
-@dataclasses.dataclass(frozen=True)
-class Ping:
-    """Probe a member and compare facts."""
-
-    facts: tuple[facts_policy.Fact, ...]
-    digest: facts_policy.Digest
+_ALIVE = members.MemberState.ALIVE
 
 
-@peers.message("ping_ack")
+@peers.message("probe_for")
 @dataclasses.dataclass(frozen=True)
-class Ack:
-    """Answer a probe."""
+class ProbeFor:
+    """Ask a helper to probe a member."""
 
-    facts: tuple[facts_policy.Fact, ...]
-    digest: facts_policy.Digest
+    target: str
 
 
-@peers.message("news")
+@peers.message("probed")
 @dataclasses.dataclass(frozen=True)
-class News:
-    """Push fresh facts."""
+class Probed:
+    """Tell whether the member answered the helper."""
 
-    facts: tuple[facts_policy.Fact, ...]
+    reached: bool
 
 
-@peers.handles(Ping)
+@peers.handles(gossip.Ping)
 async def answer_ping(
-    runtime: runtime_lib.Runtime, _: peers.Sender, msg: Ping
-) -> Ack:
-    """Return the facts in which the tables differ."""
-    runtime.facts.receive(msg.facts)
-    table = runtime.facts.table
-    scope = facts_policy.Scope.GLOBAL
-    differing = table.differing(scope, msg.digest)
-    batch = facts_policy.take_batch(
-        table.in_buckets(scope, differing), MAX_BATCH_BYTES
-    )
-    return Ack(batch, table.digest(scope))
+    runtime: runtime_lib.Runtime, _: peers.Sender, msg: gossip.Ping
+) -> gossip.Ack:
+    """Answer a probe."""
+    return _gossip(runtime).answer(msg)
+
+
+@peers.handles(gossip.Sync)
+async def answer_sync(
+    runtime: runtime_lib.Runtime, _: peers.Sender, msg: gossip.Sync
+) -> gossip.News:
+    """Repair differing facts."""
+    return _gossip(runtime).answer_sync(msg)
 
 
-@peers.handles(News)
+@peers.handles(gossip.News)
 async def answer_news(
-    runtime: runtime_lib.Runtime, _: peers.Sender, msg: News
+    runtime: runtime_lib.Runtime, _: peers.Sender, msg: gossip.News
 ) -> peers.Done:
     """Apply pushed facts."""
     runtime.facts.receive(msg.facts)
     return peers.Done()
 
 
-@shared_facts.applies("member")
+@peers.handles(ProbeFor)
+async def answer_probe_for(
+    runtime: runtime_lib.Runtime, _: peers.Sender, msg: ProbeFor
+) -> Probed:
+    """Probe a member on behalf of another."""
+    target = runtime.members.get(msg.target)
+    return Probed(target is not None and await _ping(runtime, target))
+
+
+@shared_facts.applies(policy.KIND)
 def apply_member(
     runtime: runtime_lib.Runtime, fact: facts_policy.Fact
 ) -> None:
     """Update the list of members."""
-    member = msgspec.convert(fact.value, members.Member)
-    runtime.members.put(member)
+    stated = msgspec.convert(fact.value, members.Member)
+    known = runtime.members.get(stated.id)
+    corrected = runtime.detector.merge(stated, runtime.clock())
+    if corrected is not None:
+        logs.event(_LOG, "suspicion_refuted", heartbeat=corrected.heartbeat)
+        runtime.facts.publish(policy.to_fact(corrected))
+    elif known is None or known.state is not stated.state:
+        logs.event(
+            _LOG,
+            "member_changed",
+            member=stated.id,
+            state=stated.state.value,
+            incarnation=stated.incarnation,
+        )
 
 
 def publish_self(runtime: runtime_lib.Runtime) -> None:
     """Push the description of this instance."""
-    me = runtime.members.me
-    version = max(me.incarnation, me.heartbeat)
-    value = msgspec.to_builtins(me)
-    runtime.facts.publish(
-        facts_policy.Fact("member", me.id, version, me.id, value)
-    )
+    runtime.facts.publish(policy.to_fact(runtime.members.me))
+
+
+def _gossip(runtime: runtime_lib.Runtime) -> gossip.Gossip:
+    cfg = runtime.cfg
+    return gossip.Gossip(cfg.instance, cfg.zone, runtime.facts, runtime.rng)
 
 
 @controllers.controller("membership")
@@ -99,69 +122,150 @@
     try:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(runtime.peers.serve, runtime)
-            tasks.start_soon(_push, runtime)
-            tasks.start_soon(_probe, runtime)
+            tasks.start_soon(_push, runtime, tasks)
+            tasks.start_soon(_probe_all, runtime, tasks)
+            tasks.start_soon(_join, runtime)
     finally:
         runtime.peers.close()
 
 
-async def _push(runtime: runtime_lib.Runtime) -> None:
+async def _push(
+    runtime: runtime_lib.Runtime, tasks: anyio.abc.TaskGroup
+) -> None:
     while True:
         await runtime.facts.changed.wait()
-        batch = runtime.facts.take_outbox()
-        others = runtime.members.others()
-        chosen = runtime.rng.sample(others, min(PUSH_FANOUT, len(others)))
-        async with anyio.create_task_group() as tasks:
-            for member in chosen:
-                tasks.start_soon(
-                    runtime.peers.request,
-                    member,
-                    News(batch),
-                    PROBE_TIMEOUT_SECONDS,
-                )
+        batch = runtime.facts.take_outbox(PUSH_BYTES)
+        for member in _push_targets(runtime):
+            tasks.start_soon(
+                runtime.peers.request,
+                member,
+                gossip.News(batch),
+                PROBE_TIMEOUT_SECONDS,
+            )
+        await anyio.sleep(PUSH_PAUSE_SECONDS)
 
 
-async def _probe(runtime: runtime_lib.Runtime) -> None:
-    scope = facts_policy.Scope.GLOBAL
-    while True:
-        address = _choose_address(runtime)
-        if address:
-            digest = runtime.facts.table.digest(scope)
-            answer = await runtime.peers.ask(
-                address, Ping((), digest), PROBE_TIMEOUT_SECONDS
-            )
-            if isinstance(answer, result.Ok):
-                await _repair(runtime, address, answer.ok_value.message)
-            else:
-                why = answer.err_value
-                logs.event(
-                    _LOG,
-                    "probe_failed",
-                    level=logging.DEBUG,
-                    address=address,
-                    why=why.kind.value,
-                )
-        await anyio.sleep(PROBE_SECONDS * (0.8 + 0.4 * runtime.rng.random()))
-
-
-async def _repair(
-    runtime: runtime_lib.Runtime, address: str, ack: Ack
+def _push_targets(runtime: runtime_lib.Runtime) -> list[members.Member]:
+    others = list(runtime.members.others())
+    runtime.rng.shuffle(others)
+    near = [m for m in others if m.zone == runtime.cfg.zone]
+    far = [m for m in others if m.zone != runtime.cfg.zone]
+    chosen = near[:PUSH_FANOUT]
+    rest = far + near[PUSH_FANOUT:]
+    return chosen + rest[: 2 * PUSH_FANOUT - len(chosen)]
+
+
+async def _probe_all(
+    runtime: runtime_lib.Runtime, tasks: anyio.abc.TaskGroup
 ) -> None:
-    table = runtime.facts.table
-    scope = facts_policy.Scope.GLOBAL
-    runtime.facts.receive(ack.facts)
-    differing = table.differing(scope, ack.digest)
-    batch = facts_policy.take_batch(
-        table.in_buckets(scope, differing), MAX_BATCH_BYTES
+    detector = runtime.detector
+    while True:
+        now = runtime.clock()
+        for member in detector.expired(now):
+            logs.event(_LOG, "member_dead", member=member.id)
+            runtime.facts.publish(policy.to_fact(member))
+        target = detector.next_target()
+        if target is not None:
+            tasks.start_soon(_probe, runtime, target)
+        dead = detector.next_dead(now)
+        if dead is not None:
+            tasks.start_soon(_ping, runtime, dead)
+        neighbour = _neighbour(runtime, target)
+        if neighbour is not None:
+            tasks.start_soon(_ping, runtime, neighbour)
+        await anyio.sleep(PROBE_SECONDS * (0.9 + 0.2 * runtime.rng.random()))
+
+
+def _neighbour(
+    runtime: runtime_lib.Runtime, target: members.Member | None
+) -> members.Member | None:
+    """Return whom to send the zone's facts unless the target gets them."""
+    zone = runtime.cfg.zone
+    if target is not None and target.zone == zone:
+        return None
+    near = [m for m in runtime.members.others() if m.zone == zone]
+    return runtime.rng.choice(near) if near else None
+
+
+async def _probe(runtime: runtime_lib.Runtime, target: members.Member) -> None:
+    if await _ping(runtime, target):
+        return
+    detector = runtime.detector
+    if await _probe_indirectly(runtime, detector.helpers(target.id), target):
+        return
+    suspicion = detector.suspect(target)
+    if suspicion is not None:
+        logs.event(_LOG, "member_suspect", member=target.id)
+        runtime.facts.publish(policy.to_fact(suspicion))
+
+
+async def _probe_indirectly(
+    runtime: runtime_lib.Runtime,
+    helpers: tuple[members.Member, ...],
+    target: members.Member,
+) -> bool:
+    reached = False
+
+    async def ask(helper: members.Member) -> None:
+        nonlocal reached
+        answer = await runtime.peers.request(
+            helper, ProbeFor(target.id), INDIRECT_TIMEOUT_SECONDS
+        )
+        if isinstance(answer, result.Ok):
+            reached = reached or answer.ok_value.reached
+
+    async with anyio.create_task_group() as tasks:
+        for helper in helpers:
+            tasks.start_soon(ask, helper)
+    return reached
+
+
+async def _ping(runtime: runtime_lib.Runtime, target: members.Member) -> bool:
+    doubted = target.state is not _ALIVE
+    extra = (policy.to_fact(target),) if doubted else ()
+    return await _exchange(
+        runtime, target.address, target.id, target.zone, extra
     )
-    if batch:
-        await runtime.peers.ask(address, News(batch), PROBE_TIMEOUT_SECONDS)
 
 
-def _choose_address(runtime: runtime_lib.Runtime) -> str:
-    known = {member.address for member in runtime.members.all()}
-    seeds = [seed for seed in runtime.cfg.peers if seed not in known]
-    others = [member.address for member in runtime.members.others()]
-    if seeds and (not others or runtime.rng.random() < 0.5):
-        return runtime.rng.choice(seeds)
-    return runtime.rng.choice(others) if others else ""
+async def _exchange(
+    runtime: runtime_lib.Runtime,
+    address: str,
+    to: str = "",
+    zone: str = "",
+    extra: tuple[facts_policy.Fact, ...] = (),
+) -> bool:
+    speaker = _gossip(runtime)
+    answer = await runtime.peers.ask(
+        address, speaker.ping(zone, extra), PROBE_TIMEOUT_SECONDS, to
+    )
+    if isinstance(answer, result.Err):
+        logs.event(
+            _LOG,
+            "probe_failed",
+            level=logging.DEBUG,
+            address=address,
+            why=answer.err_value.kind.value,
+        )
+        return False
+    repair = speaker.repair(answer.ok_value.message)
+    if repair is not None:
+        found = await runtime.peers.ask(
+            address, repair, PROBE_TIMEOUT_SECONDS, to
+        )
+        if isinstance(found, result.Ok):
+            runtime.facts.receive(found.ok_value.message.facts)
+    return True
+
+
+async def _join(runtime: runtime_lib.Runtime) -> None:
+    """Find members by the addresses of settings and platform list."""
+    while True:
+        known = {member.address for member in runtime.members.all()}
+        seeds = {*runtime.cfg.peers, *runtime.members.listed} - known
+        alone = not runtime.members.others()
+        if seeds:
+            address = runtime.rng.choice(sorted(seeds))
+            await _exchange(runtime, address)
+        pause = PROBE_SECONDS / 2 if alone else SEED_SECONDS
+        await anyio.sleep(pause * (0.8 + 0.4 * runtime.rng.random()))
--- a/src/hibiscussaddle/endpoints.py
+++ b/src/hibiscussaddle/endpoints.py
@@ -60,10 +60,26 @@
     def __init__(self) -> None:
         """Start empty."""
         self._endpoints: dict[str, Endpoint] = {}
+        # Raised by every change.
+        self.revision = 0
 
     def update(self, found: abc.Iterable[Endpoint]) -> None:
         """Replace the endpoints by a newer list."""
-        self._endpoints = {ep.id: ep for ep in found}
+        newer = {ep.id: ep for ep in found}
+        if newer != self._endpoints:
+            self._endpoints = newer
+            self.revision += 1
+
+    def put(self, endpoint: Endpoint) -> None:
+        """Add or replace one endpoint."""
+        if self._endpoints.get(endpoint.id) != endpoint:
+            self._endpoints[endpoint.id] = endpoint
+            self.revision += 1
+
+    def remove(self, endpoint_id: str) -> None:
+        """Forget one endpoint."""
+        if self._endpoints.pop(endpoint_id, None) is not None:
+            self.revision += 1
 
     def get(self, endpoint_id: str) -> Endpoint | None:
         """Return one endpoint."""
--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -15,12 +15,14 @@
 from hibiscussaddle import caller_app
 from hibiscussaddle import contract_cache
 from hibiscussaddle import controllers
+from hibiscussaddle.controllers import endpoints as endpoint_list
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
 from hibiscussaddle import logs
 from hibiscussaddle import members
 from hibiscussaddle import operator_app
 from hibiscussaddle import plugins
+from hibiscussaddle.policy import membership
 from hibiscussaddle.policy import tickets
 from hibiscussaddle import runtime as runtime_lib
 from hibiscussaddle import serving
@@ -43,13 +45,14 @@
     me = members.Member(
         cfg.instance, cfg.zone, cfg.region, address, incarnation
     )
+    known, rng = members.Members(me), random.Random()
     runtime = runtime_lib.Runtime(
         cfg=cfg,
         incarnation=incarnation,
         clock=time.monotonic,
-        rng=random.Random(),
+        rng=rng,
         client=client,
-        lifecycle=lifecycle.Lifecycle(),
+        lifecycle=lifecycle.Lifecycle(endpoint_list.holds(cfg)),
         contracts=contract_cache.ContractCache(),
         directory=endpoints.Directory(),
         ledger=tickets.Ledger(cfg.instance, incarnation, cfg.peer_secret),
@@ -60,7 +63,8 @@
             address,
             peer_sockets.create_socket_cache(cfg),
         ),
-        members=members.Members(me),
+        members=known,
+        detector=membership.Detector(known, rng),
         facts=shared_facts.SharedFacts(),
         store=store.StoreClient(
             client,
--- a/src/hibiscussaddle/lifecycle.py
+++ b/src/hibiscussaddle/lifecycle.py
@@ -1,6 +1,7 @@
 """Lifecycle of one instance: ready, stopping, work in progress."""
 
 import collections
+from collections import abc
 import enum
 
 import anyio
@@ -17,18 +18,27 @@
 class Lifecycle:
     """Hold the phase and count the work in progress."""
 
-    def __init__(self) -> None:
-        """Start in phase STARTING."""
+    def __init__(self, holds: abc.Iterable[str] = ()) -> None:
+        """Start in phase STARTING; stay there until each hold is released."""
         self.phase = Phase.STARTING
+        self._holds = set(holds)
+        self._wanted = False
         self.running: collections.Counter[str] = collections.Counter()
         self.stop_requested = anyio.Event()
         self._idle = anyio.Event()
 
     def set_ready(self) -> None:
-        """Accept work, unless a stop was requested."""
-        if self.phase is Phase.STARTING:
+        """Accept work once nothing holds, unless a stop was requested."""
+        self._wanted = True
+        if self.phase is Phase.STARTING and not self._holds:
             self.phase = Phase.READY
 
+    def release(self, hold: str) -> None:
+        """End one hold on readiness."""
+        self._holds.discard(hold)
+        if self._wanted:
+            self.set_ready()
+
     def request_stop(self) -> None:
         """Refuse new work from now on."""
         self.phase = Phase.STOPPING
--- a/src/hibiscussaddle/members.py
+++ b/src/hibiscussaddle/members.py
@@ -43,6 +43,8 @@
         """Start with this instance alone."""
         self._members: dict[str, Member] = {me.id: me}
         self._own_id = me.id
+        # Peer addresses in the platform's list.
+        self.listed: frozenset[str] = frozenset()
 
     @property
     def me(self) -> Member:
--- a/src/hibiscussaddle/policy/facts.py
+++ b/src/hibiscussaddle/policy/facts.py
@@ -18,9 +18,12 @@
     ZONE = "zone"
 
 
-_ZONE_KINDS: typing.Final = frozenset({"load", "demand"})
-# Facts published every second travel with heartbeats only.
-UNHURRIED_KINDS: typing.Final = frozenset({"load", "demand", "zone_load"})
+_ZONE_KINDS: typing.Final = frozenset({"load", "demand", "endpoint"})
+# Published every second: they travel with heartbeats, and digests leave
+# them out, since the tables would never agree on them.
+PERIODIC_KINDS: typing.Final = frozenset({"load", "demand", "zone_load"})
+# Pushed as soon as they change; others travel with heartbeats.
+_UNPUSHED_KINDS: typing.Final = PERIODIC_KINDS | {"endpoint"}
 
 Key: typing.TypeAlias = tuple[str, str]
 Digest: typing.TypeAlias = tuple[int, ...]
@@ -47,6 +50,16 @@
         """Return how far the fact spreads."""
         return Scope.ZONE if self.kind in _ZONE_KINDS else Scope.GLOBAL
 
+    @property
+    def is_periodic(self) -> bool:
+        """Tell whether the origin publishes the fact again every second."""
+        return self.kind in PERIODIC_KINDS
+
+    @property
+    def is_pushed(self) -> bool:
+        """Tell whether the fact spreads at once and not by heartbeats."""
+        return self.kind not in _UNPUSHED_KINDS
+
     @property
     def order(self) -> tuple[int, str]:
         """Return the rank among facts about the same key."""
@@ -112,20 +125,26 @@
             return False
         self.drop(fact.kind, fact.key)
         self._facts[fact.id] = fact
-        bucket = _bucket(fact.id)
-        self._buckets[fact.scope][bucket].add(fact.id)
-        self._digests[fact.scope][bucket] ^= _checksum(fact)
+        self._toggle(fact)
         return True
 
     def drop(self, kind: str, key: str) -> None:
         """Forget the fact about a key."""
         fact = self._facts.pop((kind, key), None)
-        if fact is None:
+        if fact is not None:
+            self._toggle(fact)
+
+    def _toggle(self, fact: Fact) -> None:
+        if fact.is_periodic:
             return
         bucket = _bucket(fact.id)
-        self._buckets[fact.scope][bucket].discard(fact.id)
+        self._buckets[fact.scope][bucket] ^= {fact.id}
         self._digests[fact.scope][bucket] ^= _checksum(fact)
 
+    def summary(self, scope: Scope) -> int:
+        """Return one checksum of the whole digest."""
+        return zlib.crc32(repr(self._digests[scope]).encode())
+
     def digest(self, scope: Scope) -> Digest:
         """Return one checksum for each bucket; equal tables agree."""
         return tuple(self._digests[scope])
@@ -144,5 +163,51 @@
     ) -> abc.Iterator[Fact]:
         """Yield the facts of some buckets."""
         for number in numbers:
+            if not 0 <= number < BUCKETS:
+                continue
             for key in sorted(self._buckets[scope][number]):
                 yield self._facts[key]
+
+
+# Sends of one fact by each instance that has it; with a fanout of two
+# (a heartbeat and an answer each second) 4 reach a zone of 45.
+SPREAD_SENDS: typing.Final = 4
+
+
+class SpreadQueue:
+    """Hold facts to be sent a bounded number of times each."""
+
+    def __init__(self, sends: int = SPREAD_SENDS) -> None:
+        """Send each fact that many times."""
+        self._sends = sends
+        self._left: dict[Key, tuple[int, Fact]] = {}
+
+    def __len__(self) -> int:
+        """Return the number of facts still to be sent."""
+        return len(self._left)
+
+    def add(self, fact: Fact) -> None:
+        """Send a fact instead of the older one about its key."""
+        self._left[fact.id] = (self._sends, fact)
+
+    def take(
+        self, scopes: abc.Container[Scope], max_bytes: int
+    ) -> tuple[Fact, ...]:
+        """Return the facts least often sent that fit in max_bytes."""
+        found: list[Fact] = []
+        room = max_bytes
+        waiting = sorted(
+            self._left.values(), key=lambda item: item[0], reverse=True
+        )
+        for left, fact in waiting:
+            if fact.scope not in scopes:
+                continue
+            room -= encoded_size(fact)
+            if room < 0:
+                break
+            found.append(fact)
+            if left > 1:
+                self._left[fact.id] = (left - 1, fact)
+            else:
+                del self._left[fact.id]
+        return tuple(found)
--- a/src/hibiscussaddle/runtime.py
+++ b/src/hibiscussaddle/runtime.py
@@ -12,6 +12,7 @@
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
 from hibiscussaddle import members as members_lib
+from hibiscussaddle.policy import membership
 from hibiscussaddle.policy import tickets
 from hibiscussaddle import settings
 from hibiscussaddle import shared_facts
@@ -36,5 +37,6 @@
     steps: dict[tuple[str, str], steps.StepSpec]
     peers: peers_lib.PeerTransport
     members: members_lib.Members
+    detector: membership.Detector
     facts: shared_facts.SharedFacts
     store: store_lib.StoreClient | None = None
--- a/src/hibiscussaddle/shared_facts.py
+++ b/src/hibiscussaddle/shared_facts.py
@@ -36,6 +36,7 @@
     def __init__(self) -> None:
         """Start empty."""
         self.table = facts_policy.FactTable()
+        self.queue = facts_policy.SpreadQueue()
         self.changed = anyio.Event()
         self._outbox: dict[facts_policy.Key, facts_policy.Fact] = {}
         self._runtime: runtime_lib.Runtime | None = None
@@ -63,18 +64,22 @@
             if not self.table.put(fact):
                 continue
             newer += 1
-            if fact.kind not in facts_policy.UNHURRIED_KINDS:
+            if fact.is_pushed:
                 self._outbox[fact.id] = fact
+            elif fact.is_periodic:
+                self.queue.add(fact)
             self._apply(fact)
         if self._outbox:
             self.changed.set()
         return newer
 
-    def take_outbox(self) -> tuple[facts_policy.Fact, ...]:
-        """Return the facts to push, once each."""
-        found = tuple(self._outbox.values())
-        self._outbox.clear()
-        self.changed = anyio.Event()
+    def take_outbox(self, max_bytes: int) -> tuple[facts_policy.Fact, ...]:
+        """Return facts to push that fit in max_bytes, once each."""
+        found = facts_policy.take_batch(self._outbox.values(), max_bytes)
+        for fact in found:
+            del self._outbox[fact.id]
+        if not self._outbox:
+            self.changed = anyio.Event()
         return found
 
     def _apply(self, fact: facts_policy.Fact) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,12 +5,13 @@
 import typing
 
 import anyio
+import builders
 import result
 
 from hibiscussaddle.adapters import peer_sockets
 from hibiscussaddle.adapters import peers
 
-FIRST_PORT = 22100
+PORTS = builders.free_ports(10)
 SECRET = "secret-for-tests-0123456789"
 
 
@@ -81,7 +82,7 @@
     """Guards against answers that reach the wrong caller or queue up."""
 
     async def job() -> None:
-        one, two = create("one", FIRST_PORT), create("two", FIRST_PORT + 1)
+        one, two = create("one", PORTS[0]), create("two", PORTS[1])
         target = Target("two", two.address)
         found: dict[str, typing.Any] = {}
 
@@ -103,12 +104,12 @@
     """Guards against "not run" for a message that a peer handled."""
 
     async def job() -> None:
-        one, two = create("one", FIRST_PORT), create("two", FIRST_PORT + 1)
-        forger = create("forger", FIRST_PORT + 2, secret="x" * 20)
+        one, two = create("one", PORTS[0]), create("two", PORTS[1])
+        forger = create("forger", PORTS[2], secret="x" * 20)
         target = Target("two", two.address)
         async with serving(one, two):
             CALLS.clear()
-            gone = Target("gone", f"127.0.0.1:{FIRST_PORT + 9}")
+            gone = Target("gone", f"127.0.0.1:{PORTS[9]}")
             answer = await one.request(gone, Echo("gone"), 0.2)
             assert kind_of(answer) is peers.PeerErrorKind.UNREACHABLE
             other = Target("three", two.address)
@@ -142,10 +143,10 @@
     """Guards against one socket per member of a large fleet."""
 
     async def job() -> None:
-        one = create("one", FIRST_PORT, limit=2)
+        one = create("one", PORTS[0], limit=2)
         names = ("two", "three", "four")
         others = [
-            create(name, FIRST_PORT + 1 + number)
+            create(name, PORTS[1 + number])
             for number, name in enumerate(names)
         ]
         sockets = one._sockets
@@ -163,10 +164,10 @@
     """Guards against a cached socket that stays with the old process."""
 
     async def job() -> None:
-        one = create("one", FIRST_PORT)
-        target = Target("two", f"127.0.0.1:{FIRST_PORT + 1}")
+        one = create("one", PORTS[0])
+        target = Target("two", f"127.0.0.1:{PORTS[1]}")
         for _ in range(2):
-            async with serving(create("two", FIRST_PORT + 1)):
+            async with serving(create("two", PORTS[1])):
                 answer = await one.request(target, Echo("a"), 5.0)
                 assert answer.ok_value.text == "one:a"
         one.close()
--- a/tests/test_shared_facts.py
+++ b/tests/test_shared_facts.py
@@ -11,7 +11,6 @@
 from hibiscussaddle import runtime as runtime_lib
 from hibiscussaddle import shared_facts
 
-FIRST_PORT = 22200
 APPLIED: list[tuple[str, typing.Any]] = []
 
 
@@ -26,12 +25,13 @@
 
     async def job() -> None:
         APPLIED.clear()
+        ports = builders.free_ports(5)
         runtimes = [
             entry.create_runtime(
                 builders.cfg(
                     instance=f"entry-{number}",
-                    peer_port=FIRST_PORT + number,
-                    peers=(f"127.0.0.1:{FIRST_PORT}",),
+                    peer_port=ports[number],
+                    peers=(f"127.0.0.1:{ports[0]}",),
                 )
             )
             for number in range(5)
--- a/tools/demo_client.py
+++ b/tools/demo_client.py
@@ -108,6 +108,23 @@
     raise SystemExit(f"operator: revision {revision} not in force: {seen}")
 
 
+def wait_ready(demo: Demo) -> None:
+    """Wait for every instance, as the load balancer does."""
+    until = time.monotonic() + START_SECONDS
+    waiting = list(demo.callers)
+    while waiting and time.monotonic() < until:
+        try:
+            resp = demo.client.get(waiting[0] + "/readyz")
+            if resp.is_success:
+                waiting.pop(0)
+                continue
+        except httpx.HTTPError:
+            pass
+        time.sleep(0.1)
+    if waiting:
+        raise SystemExit(f"not ready in time: {waiting}")
+
+
 def stream_answer(demo: Demo) -> None:
     """Play the caller who reads a streamed answer."""
     body = {
@@ -201,6 +218,7 @@
     demo = Demo(int(sys.argv[1]))
     revision = change_contract(demo, 1, 0)
     wait_in_force(demo, revision)
+    wait_ready(demo)
     started = time.monotonic()
     rounds = 0
     while rounds < 3 or time.monotonic() < started + 10:
