Make samples in the background and keep answers by pull number

Cause: a pull generated its samples itself, one after another, without staleness test, scoring or a cursor; another customer could name the step. Change: pure cursor, version and group modules; StepTable holds open steps by customer; the controller makes samples with bounded concurrency, scores whole groups, duplicates stragglers within 5% and drops stale samples; a pull waits for samples and a repeated number gets the same answer.

--- /dev/null
+++ b/src/hibiscussaddle/adapters/scorers.py
@@ -0,0 +1,48 @@
+"""Client of the scoring service."""
+
+from collections import abc
+import dataclasses
+import math
+import typing
+
+import httpx
+import result
+
+from hibiscussaddle import steps
+
+TIMEOUT_SECONDS: typing.Final = 30.0
+
+
+class ScorerClient:
+    """Ask for the rewards of the samples of a group."""
+
+    def __init__(self, client: httpx.AsyncClient, url: str) -> None:
+        """Use a shared HTTP client and the base URL of the service."""
+        self._client = client
+        self._url = url.rstrip("/") + "/v1/score"
+
+    async def score(
+        self,
+        service: str,
+        messages: abc.Sequence[abc.Mapping[str, typing.Any]],
+        samples: abc.Sequence[steps.Sample],
+    ) -> result.Result[list[float], str]:
+        """Return one reward a sample, in order; Err tells what failed."""
+        body = {
+            "service": service,
+            "messages": messages,
+            "samples": [dataclasses.asdict(sample) for sample in samples],
+        }
+        try:
+            resp = await self._client.post(
+                self._url, json=body, timeout=TIMEOUT_SECONDS
+            )
+            resp.raise_for_status()
+            rewards = [float(item) for item in resp.json()["rewards"]]
+        except (httpx.HTTPError, ValueError, KeyError, TypeError) as exc:
+            return result.Err(f"{type(exc).__name__}: {exc}")
+        if len(rewards) != len(samples):
+            return result.Err(f"{len(rewards)} rewards for {len(samples)}")
+        if not all(math.isfinite(item) for item in rewards):
+            return result.Err("a reward is not finite")
+        return result.Ok(rewards)
--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -22,6 +22,7 @@
 from hibiscussaddle import runtime as runtime_lib
 from hibiscussaddle import serving
 from hibiscussaddle import settings
+from hibiscussaddle import step_table
 
 _LOG = logging.getLogger(__name__)
 _MAX_CONNECTIONS: typing.Final = 4000
@@ -45,7 +46,7 @@
         contracts=contract_cache.ContractCache(),
         directory=endpoints.Directory(),
         ledger=tickets.Ledger(cfg.instance, incarnation, cfg.peer_secret),
-        steps={},
+        steps=step_table.StepTable(),
         store=store.StoreClient(client, cfg.store_url)
         if cfg.store_url
         else None,
--- a/src/hibiscussaddle/handlers/steps.py
+++ b/src/hibiscussaddle/handlers/steps.py
@@ -1,14 +1,15 @@
 """Open steps and answer the pulls of trainers."""
 
+import anyio
 import msgspec
 import result
 
-from hibiscussaddle.adapters import engines
 from hibiscussaddle import codes
 from hibiscussaddle import exchange
 from hibiscussaddle import handlers
 from hibiscussaddle.policy import cursor
 from hibiscussaddle import runtime as runtime_lib
+from hibiscussaddle import step_table
 from hibiscussaddle import steps
 
 
@@ -25,103 +26,111 @@
             return exchange.refuse(
                 codes.Code.NOT_FOUND, f"model {spec.model!r} is not allowed"
             )
-        current = runtime.steps.setdefault(spec.name, spec)
-        if current != spec:
+        if spec.reward is not None and not runtime.cfg.scorer_url:
             return exchange.refuse(
-                codes.Code.STEP_CONFLICT, f"step {spec.step!r} differs"
+                codes.Code.NO_ENDPOINT, "setting 'scorer_url' is empty"
             )
+        opened = open_here(runtime, req.contract.customer, spec)
+        if isinstance(opened, result.Err):
+            return opened
         body = msgspec.json.encode({"slots": spec.slots})
         return result.Ok(exchange.Response(201, body))
 
     return call
 
 
+def open_here(
+    runtime: runtime_lib.Runtime, customer: str, spec: steps.StepSpec
+) -> result.Result[step_table.StepRun, codes.Refusal]:
+    """Open a step on this instance and start making its samples."""
+    opened = runtime.steps.open(customer, spec, runtime.clock())
+    if isinstance(opened, result.Ok):
+        runtime.steps.activate(opened.ok_value)
+    return opened
+
+
 @handlers.handler(exchange.Kind.STEP_PULL)
 def create_pull_handler(runtime: runtime_lib.Runtime) -> exchange.Handler:
     """Return the handler that answers a pull."""
-    client = engines.EngineClient(runtime.client)
 
     async def call(req: exchange.Request) -> exchange.Outcome:
-        spec = runtime.steps.get((req.params["trainer"], req.params["step"]))
-        if spec is None:
-            return exchange.refuse(
-                codes.Code.STEP_UNKNOWN, f"step {req.params['step']!r}"
-            )
-        parsed = steps.parse(req.body, steps.PullBody)
+        parsed = steps.parse(req.body, steps.PullBody).and_then(
+            steps.check_pull
+        )
         if isinstance(parsed, result.Err):
             return parsed
-        pull = parsed.ok_value
-        have = cursor.decode(spec.slots, pull.have)
-        if have is None:
-            return exchange.refuse(
-                codes.Code.BAD_REQUEST, "field 'have' is not a bitmap"
-            )
-        samples: list[steps.Sample] = []
-        owed = have.missing()
-        for slot in owed[: pull.max_samples]:
-            made = await _make(runtime, client, spec, slot)
-            if made is not None:
-                samples.append(made)
-        answer = steps.PullAnswer(
-            pull.pull, tuple(samples), len(owed) - len(samples)
+        key = steps.StepKey(
+            req.contract.customer, req.params["trainer"], req.params["step"]
         )
-        return result.Ok(exchange.Response(200, msgspec.json.encode(answer)))
+        answered = await pull_here(runtime, key, parsed.ok_value, req.deadline)
+        if isinstance(answered, result.Err):
+            return answered
+        body = msgspec.json.encode(answered.ok_value)
+        return result.Ok(exchange.Response(200, body))
 
     return call
 
 
-async def _make(
+async def pull_here(
     runtime: runtime_lib.Runtime,
-    client: engines.EngineClient,
-    spec: steps.StepSpec,
-    slot: int,
-) -> steps.Sample | None:
-    group, index = divmod(slot, spec.samples_per_group)
-    found = runtime.directory.engines(spec.model)
-    if not found:
-        return None
-    endpoint = runtime.rng.choice(found)
-    body = {
-        "model": spec.model,
-        "messages": spec.groups[group],
-        "max_tokens": spec.max_tokens,
-        "request_id": f"{spec.trainer}/{spec.step}/{slot}",
-    }
-    text: list[str] = []
-    ranges: list[steps.VersionRange] = []
-    tokens = 0
-    try:
-        async for chunk in client.stream(endpoint, body, 60.0):
-            if chunk.version is None:
-                return None
-            text.append(chunk.text)
-            tokens += chunk.tokens
-            ranges = _extend(ranges, chunk)
-    except (engines.NotRun, engines.StreamBroken):
-        return None
-    return steps.Sample(
-        spec.trainer,
-        spec.step,
-        group,
-        index,
-        "".join(text),
-        tokens,
-        tuple(ranges),
-    )
+    key: steps.StepKey,
+    pull: steps.PullBody,
+    deadline: float,
+) -> result.Result[steps.PullAnswer, codes.Refusal]:
+    """Answer a pull from the samples of this instance."""
+    run = runtime.steps.get(key)
+    if run is None:
+        return exchange.refuse(codes.Code.STEP_UNKNOWN, f"step {key.step!r}")
+    have = cursor.decode(run.spec.slots, pull.have)
+    if have is None:
+        return exchange.refuse(
+            codes.Code.BAD_REQUEST, "field 'have' is not a bitmap of the step"
+        )
+    now = runtime.clock()
+    reader = cursor.Reader(pull.shard, pull.shards)
+    verdict = run.begin(reader, pull, have, now)
+    runtime.steps.activate(run)
+    runtime.steps.notify()
+    if verdict is cursor.Verdict.OLD:
+        return _refuse_old(pull)
+    until = min(now + pull.wait_seconds, deadline)
+    return await _wait(runtime, run, reader, pull, until)
 
 
-def _extend(
-    ranges: list[steps.VersionRange], chunk: engines.Chunk
-) -> list[steps.VersionRange]:
-    assert chunk.version is not None
-    last = chunk.first_token + chunk.tokens - 1
-    if ranges and ranges[-1].version == chunk.version:
-        first = ranges[-1].first_token
-        return [
-            *ranges[:-1],
-            steps.VersionRange(chunk.version, first, last),
-        ]
-    return [
-        *ranges,
-        steps.VersionRange(chunk.version, chunk.first_token, last),
-    ]
+async def _wait(
+    runtime: runtime_lib.Runtime,
+    run: step_table.StepRun,
+    reader: cursor.Reader,
+    pull: steps.PullBody,
+    until: float,
+) -> result.Result[steps.PullAnswer, codes.Refusal]:
+    while run.cursor.is_current(reader, pull.pull):
+        if runtime.steps.get(run.key) is not run:
+            return exchange.refuse(
+                codes.Code.STEP_UNKNOWN, f"step {run.key.step!r} was removed"
+            )
+        record = runtime.contracts.get(run.key.customer)
+        if record is None:
+            return exchange.refuse(
+                codes.Code.NOT_READY, "the customer's contract is unknown"
+            )
+        changed = run.changed
+        left = until - runtime.clock()
+        answer = run.answer(
+            reader,
+            pull,
+            runtime.steps.newest(run),
+            record.contract.staleness_versions,
+            final=left <= 0,
+        )
+        if answer is not None:
+            return result.Ok(answer)
+        with anyio.move_on_after(max(0.0, left)):
+            await changed.wait()
+    return _refuse_old(pull)
+
+
+def _refuse_old(pull: steps.PullBody) -> result.Err[codes.Refusal]:
+    return exchange.refuse(
+        codes.Code.PULL_STALE, f"a pull later than {pull.pull} was seen"
+    )
--- a/src/hibiscussaddle/policy/cursor.py
+++ b/src/hibiscussaddle/policy/cursor.py
@@ -1,7 +1,9 @@
 """Cursor of a step: which sample slots the trainer already holds."""
 
 import base64
+from collections import abc
 import dataclasses
+import enum
 
 
 @dataclasses.dataclass(frozen=True)
@@ -17,7 +19,11 @@
 
     def missing(self) -> list[int]:
         """Return the slots whose bits are not set."""
-        return [slot for slot in range(self.size) if not self.has(slot)]
+        # One pass over the digits: a shift for each slot is quadratic.
+        digits = format(self.bits, f"0{self.size}b")
+        return [
+            slot for slot, bit in enumerate(reversed(digits)) if bit == "0"
+        ]
 
     def with_slot(self, slot: int) -> "Bitmap":
         """Return the bitmap with one more bit set."""
@@ -27,6 +33,19 @@
         """Return the bits of both."""
         return dataclasses.replace(self, bits=self.bits | other.bits)
 
+    def minus(self, other: "Bitmap") -> "Bitmap":
+        """Return the bits that the other does not have."""
+        return dataclasses.replace(self, bits=self.bits & ~other.bits)
+
+    def slots(self) -> list[int]:
+        """Return the slots whose bits are set."""
+        full = (1 << self.size) - 1
+        return Bitmap(self.size, self.bits ^ full).missing()
+
+    def count(self) -> int:
+        """Return the number of bits set."""
+        return self.bits.bit_count()
+
     def encode(self) -> str:
         """Return the bitmap in base64, least significant byte first."""
         count = (self.size + 7) // 8
@@ -43,3 +62,124 @@
     if bits >> size:
         return None
     return Bitmap(size, bits)
+
+
+@dataclasses.dataclass(frozen=True)
+class Reader:
+    """Name one reader of a step: the groups where group % shards == shard."""
+
+    shard: int = 0
+    shards: int = 1
+
+
+class Verdict(enum.Enum):
+    """List what a cursor says about a pull."""
+
+    NEW = "new"
+    REPEAT = "repeat"
+    OLD = "old"
+
+
+@dataclasses.dataclass
+class _Position:
+    pull: int
+    # Slots of the answer; None while no answer was fixed.
+    batch: tuple[int, ...] | None = None
+
+
+class Cursor:
+    """Decide which slots each pull of one step may get."""
+
+    def __init__(self, size: int, samples_per_group: int) -> None:
+        """Start with no bit seen."""
+        self.size = size
+        self.seen = Bitmap(size)
+        self._per_group = samples_per_group
+        self._shards = 0
+        self._replaced: set[int] = set()
+        self._positions: dict[int, _Position] = {}
+
+    def begin(self, reader: Reader, pull: int, have: Bitmap) -> Verdict:
+        """Note a pull and its bits; an older one changes only the bits."""
+        # Bits only ever mean "received", so those of an old pull are true.
+        self.seen = self.seen.union(have)
+        if not self._use_layout(reader.shards):
+            return Verdict.OLD
+        position = self._positions.get(reader.shard)
+        if position is None or pull > position.pull:
+            self._positions[reader.shard] = _Position(pull)
+            return Verdict.NEW
+        if pull < position.pull:
+            return Verdict.OLD
+        return Verdict.NEW if position.batch is None else Verdict.REPEAT
+
+    def _use_layout(self, shards: int) -> bool:
+        if shards in self._replaced:
+            return False
+        if shards != self._shards:
+            # The trainer restarted with another number of readers. The old
+            # ones are refused, so no slot is owed to two readers.
+            if self._shards:
+                self._replaced.add(self._shards)
+            self._shards = shards
+            self._positions.clear()
+        return True
+
+    def is_current(self, reader: Reader, pull: int) -> bool:
+        """Tell whether no later pull of the reader has begun."""
+        position = self._positions.get(reader.shard)
+        return (
+            reader.shards == self._shards
+            and position is not None
+            and position.pull == pull
+        )
+
+    def owed(self, reader: Reader) -> list[int]:
+        """Return the slots of the reader whose bits were never seen."""
+        return [
+            slot
+            for slot in self.seen.missing()
+            if slot // self._per_group % reader.shards == reader.shard
+        ]
+
+    def batch(self, reader: Reader, pull: int) -> tuple[int, ...] | None:
+        """Return the fixed answer of the pull, without bits seen since."""
+        if not self.is_current(reader, pull):
+            return None
+        fixed = self._positions[reader.shard].batch
+        if fixed is None:
+            return None
+        return tuple(slot for slot in fixed if not self.seen.has(slot))
+
+    def fix(
+        self, reader: Reader, pull: int, slots: abc.Iterable[int]
+    ) -> tuple[int, ...] | None:
+        """Fix and return the answer of a pull; None when it is old.
+
+        A concurrent repeat may have fixed it already; that answer stays.
+        """
+        if not self.is_current(reader, pull):
+            return None
+        position = self._positions[reader.shard]
+        if position.batch is None:
+            allowed = set(self.owed(reader))
+            position.batch = tuple(s for s in slots if s in allowed)
+        return self.batch(reader, pull)
+
+    def remove(self, reader: Reader, pull: int, slots: set[int]) -> None:
+        """Take stale slots out of a fixed answer; repeats lack them."""
+        if not self.is_current(reader, pull):
+            return
+        position = self._positions[reader.shard]
+        if position.batch is not None:
+            position.batch = tuple(
+                slot for slot in position.batch if slot not in slots
+            )
+
+    def kept(self) -> set[int]:
+        """Return the slots of answers that no later pull confirmed."""
+        return {
+            slot
+            for position in self._positions.values()
+            for slot in position.batch or ()
+        }
--- /dev/null
+++ b/src/hibiscussaddle/policy/groups.py
@@ -0,0 +1,263 @@
+"""Progress of the groups of a step: starts, stragglers, first answers."""
+
+import collections
+from collections import abc
+import dataclasses
+import heapq
+import statistics
+import typing
+
+EXTRA_FRACTION: typing.Final = 0.05
+# A sample that runs this many times the median is a straggler.
+STRAGGLER_FACTOR: typing.Final = 2.0
+_MIN_DURATIONS: typing.Final = 3
+_MAX_DURATIONS: typing.Final = 64
+
+_Sample = typing.TypeVar("_Sample")
+
+
+@dataclasses.dataclass(frozen=True)
+class Attempt:
+    """Name one generation of a slot."""
+
+    slot: int
+    number: int
+    started_at: float
+    duplicate: bool = False
+
+
+class ExtraBudget:
+    """Limit duplicate work to a part of the first attempts, in tokens."""
+
+    def __init__(self, fraction: float = EXTRA_FRACTION) -> None:
+        """Start with nothing to spend."""
+        self.fraction = fraction
+        self.first = 0
+        self.extra = 0
+
+    def add(self, tokens: int) -> None:
+        """Count the tokens of a first attempt."""
+        self.first += tokens
+
+    def take(self, tokens: int) -> bool:
+        """Spend tokens on a duplicate if the fraction allows it."""
+        if self.extra + tokens > self.fraction * self.first:
+            return False
+        self.extra += tokens
+        return True
+
+
+@dataclasses.dataclass(frozen=True)
+class Counts:
+    """Count the slots of a step by state."""
+
+    pending: int
+    running: int
+    finished: int
+    ready: int
+    received: int
+
+
+class Progress(typing.Generic[_Sample]):
+    """Track the slots of one step until the trainer holds them.
+
+    A slot is pending, running, finished, ready (scored, or finished in a
+    step without scoring) and received, in this order. A lost attempt or a
+    stale sample makes it pending again.
+    """
+
+    def __init__(
+        self, size: int, samples_per_group: int, scored: bool
+    ) -> None:
+        """Start with every slot pending."""
+        self.size = size
+        self._per_group = samples_per_group
+        self._scored = scored
+        self._pending = set(range(size))
+        self._running: dict[int, dict[int, Attempt]] = {}
+        self.samples: dict[int, _Sample] = {}
+        self._ready: set[int] = set()
+        self._received: set[int] = set()
+        # Groups that wait for the scorer, in the order they became whole.
+        self._unscored: dict[int, None] = {}
+        self._numbers = 0
+        self._durations: collections.deque[float] = collections.deque(
+            maxlen=_MAX_DURATIONS
+        )
+        self._open = [samples_per_group] * (size // samples_per_group)
+        self._heap = [(count, group) for group, count in enumerate(self._open)]
+        self._queued = set(self._heap)
+        self._scoring: set[int] = set()
+
+    def _slots(self, group: int) -> range:
+        first = group * self._per_group
+        return range(first, first + self._per_group)
+
+    def _move(self, slot: int, change: int) -> None:
+        group = slot // self._per_group
+        self._open[group] += change
+        entry = (self._open[group], group)
+        if self._open[group] and entry not in self._queued:
+            self._queued.add(entry)
+            heapq.heappush(self._heap, entry)
+
+    def next_slot(self) -> int | None:
+        """Return the pending slot whose group is nearest to whole."""
+        while self._heap:
+            count, group = self._heap[0]
+            if self._open[group] == count:
+                for slot in self._slots(group):
+                    if slot in self._pending:
+                        return slot
+            self._queued.discard(heapq.heappop(self._heap))
+        return None
+
+    def start(self, slot: int, now: float) -> Attempt:
+        """Start the first attempt of a pending slot."""
+        self._pending.remove(slot)
+        return self._attempt(slot, now, False)
+
+    def _attempt(self, slot: int, now: float, duplicate: bool) -> Attempt:
+        self._numbers += 1
+        attempt = Attempt(slot, self._numbers, now, duplicate)
+        self._running.setdefault(slot, {})[attempt.number] = attempt
+        return attempt
+
+    def median_seconds(self) -> float | None:
+        """Return the median time of a sample; None while too few ended."""
+        if len(self._durations) < _MIN_DURATIONS:
+            return None
+        return statistics.median(self._durations)
+
+    def straggler(self, now: float) -> int | None:
+        """Return the slot that has run longest, if it is a straggler."""
+        median = self.median_seconds()
+        if median is None or not self._running:
+            return None
+        single = [
+            next(iter(attempts.values()))
+            for attempts in self._running.values()
+            if len(attempts) == 1
+        ]
+        if not single:
+            return None
+        slowest = min(single, key=lambda item: (item.started_at, item.number))
+        late = now - slowest.started_at > STRAGGLER_FACTOR * median
+        return slowest.slot if late else None
+
+    def duplicate(
+        self, slot: int, now: float, tokens: int, budget: ExtraBudget
+    ) -> Attempt | None:
+        """Start a second attempt if the budget allows it."""
+        if len(self._running.get(slot, ())) != 1 or not budget.take(tokens):
+            return None
+        return self._attempt(slot, now, True)
+
+    def complete(
+        self, attempt: Attempt, sample: _Sample, now: float
+    ) -> tuple[bool, tuple[Attempt, ...]]:
+        """Keep the first whole sample; return the attempts to cancel."""
+        attempts = self._running.get(attempt.slot, {})
+        if attempts.pop(attempt.number, None) is None:
+            return False, ()
+        losers = tuple(self._running.pop(attempt.slot).values())
+        self._durations.append(now - attempt.started_at)
+        self.samples[attempt.slot] = sample
+        self._move(attempt.slot, -1)
+        if not self._scored:
+            self._ready.add(attempt.slot)
+        self._note_whole(attempt.slot // self._per_group)
+        return True, losers
+
+    def fail(self, attempt: Attempt) -> None:
+        """Make the slot pending again when its last attempt is lost."""
+        attempts = self._running.get(attempt.slot, {})
+        if attempts.pop(attempt.number, None) is None or attempts:
+            return
+        del self._running[attempt.slot]
+        self._pending.add(attempt.slot)
+        self._move(attempt.slot, 0)
+
+    def _note_whole(self, group: int) -> None:
+        if not self._scored or self._open[group] or group in self._scoring:
+            return
+        if any(self._waits(slot) for slot in self._slots(group)):
+            self._unscored[group] = None
+
+    def _waits(self, slot: int) -> bool:
+        return slot in self.samples and slot not in self._ready
+
+    def next_unscored(self) -> tuple[int, dict[int, _Sample]] | None:
+        """Take the oldest whole group without rewards, with its samples."""
+        while self._unscored:
+            group = next(iter(self._unscored))
+            del self._unscored[group]
+            if self._open[group]:
+                continue
+            found = {
+                slot: self.samples[slot]
+                for slot in self._slots(group)
+                if slot in self.samples
+            }
+            if found:
+                self._scoring.add(group)
+                return group, found
+        return None
+
+    def score(
+        self, group: int, scored: abc.Mapping[int, tuple[_Sample, _Sample]]
+    ) -> None:
+        """Replace samples by scored ones; each pair is (before, after)."""
+        for slot, (before, after) in scored.items():
+            if self.samples.get(slot) is before:
+                self.samples[slot] = after
+                self._ready.add(slot)
+        self.unscored(group)
+
+    def unscored(self, group: int) -> None:
+        """End a scoring; samples still without reward wait again."""
+        self._scoring.discard(group)
+        self._note_whole(group)
+
+    def ready(self, slot: int) -> bool:
+        """Tell whether the slot's sample may be delivered."""
+        return slot in self._ready
+
+    def drop(self, slot: int) -> None:
+        """Drop a stale sample, so that it is made again."""
+        if self.samples.pop(slot, None) is None:
+            return
+        self._ready.discard(slot)
+        self._pending.add(slot)
+        self._move(slot, 1)
+
+    def receive(self, slots: abc.Iterable[int]) -> tuple[Attempt, ...]:
+        """Free the slots that the trainer holds; return what to cancel."""
+        cancel: list[Attempt] = []
+        for slot in slots:
+            if slot in self._received:
+                continue
+            self._received.add(slot)
+            if self.samples.pop(slot, None) is None:
+                self._pending.discard(slot)
+                cancel += self._running.pop(slot, {}).values()
+                self._move(slot, -1)
+            self._ready.discard(slot)
+            self._note_whole(slot // self._per_group)
+        return tuple(cancel)
+
+    def attempts(self) -> tuple[Attempt, ...]:
+        """Return the attempts that run."""
+        return tuple(
+            item for found in self._running.values() for item in found.values()
+        )
+
+    def counts(self) -> Counts:
+        """Count the slots by state."""
+        return Counts(
+            len(self._pending),
+            len(self._running),
+            len(self.samples) - len(self._ready),
+            len(self._ready),
+            len(self._received),
+        )
--- /dev/null
+++ b/src/hibiscussaddle/policy/versions.py
@@ -0,0 +1,135 @@
+"""Weight versions of a sample: token ranges, certainty and staleness."""
+
+from collections import abc
+import dataclasses
+import enum
+import typing
+
+# Weight of the latest interval in the learned time between versions.
+_SMOOTHING: typing.Final = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class VersionRange:
+    """Name the weight version of a range of tokens, ends included."""
+
+    version: int
+    first_token: int
+    last_token: int
+
+
+class Doubt(enum.Enum):
+    """List the reasons why the versions of a sample are uncertain."""
+
+    GAP = "gap"
+    UNKNOWN_VERSION = "unknown_version"
+    RESTARTED = "engine_restarted"
+    EMPTY = "empty"
+
+
+class Trail:
+    """Collect the versions of one stream; the first doubt is final."""
+
+    def __init__(self) -> None:
+        """Start before the first token."""
+        self.doubt: Doubt | None = None
+        self.tokens = 0
+        self._ranges: list[VersionRange] = []
+        self._incarnation: int | None = None
+
+    def add(
+        self, first_token: int, tokens: int, version: int | None, inc: int
+    ) -> bool:
+        """Add the tokens of one chunk; tell whether all is certain."""
+        if self.doubt is None:
+            self.doubt = self._find_doubt(first_token, tokens, version, inc)
+        if self.doubt is not None or tokens == 0 or version is None:
+            return self.doubt is None
+        last = first_token + tokens - 1
+        self.tokens = last + 1
+        if self._ranges and self._ranges[-1].version == version:
+            first_token = self._ranges.pop().first_token
+        self._ranges.append(VersionRange(version, first_token, last))
+        return True
+
+    def _find_doubt(
+        self, first_token: int, tokens: int, version: int | None, inc: int
+    ) -> Doubt | None:
+        if self._incarnation is None:
+            self._incarnation = inc
+        if inc != self._incarnation:
+            return Doubt.RESTARTED
+        if version is None:
+            return Doubt.UNKNOWN_VERSION
+        if tokens < 0 or first_token != self.tokens:
+            return Doubt.GAP
+        return None
+
+    def finish(self) -> tuple[VersionRange, ...] | None:
+        """Return the ranges of a whole stream; None when in doubt."""
+        if self.doubt is None and not self._ranges:
+            self.doubt = Doubt.EMPTY
+        return None if self.doubt is not None else tuple(self._ranges)
+
+
+def oldest(ranges: abc.Iterable[VersionRange]) -> int:
+    """Return the oldest version of a sample."""
+    return min(part.version for part in ranges)
+
+
+def is_fresh(
+    ranges: abc.Iterable[VersionRange], newest: int, bound: int
+) -> bool:
+    """Tell whether the oldest part is within the staleness bound."""
+    return newest - oldest(ranges) <= bound
+
+
+class NewestVersion:
+    """Hold the newest known version of a model and learn its interval."""
+
+    def __init__(self) -> None:
+        """Start with no version known."""
+        self.version = 0
+        self._changed_at: float | None = None
+        self._interval: float | None = None
+
+    def note(self, version: int, now: float) -> bool:
+        """Take over a newer version; tell whether it was newer."""
+        if version <= self.version:
+            return False
+        if self._changed_at is not None:
+            interval = (now - self._changed_at) / (version - self.version)
+            if self._interval is not None:
+                interval = (
+                    _SMOOTHING * interval + (1 - _SMOOTHING) * self._interval
+                )
+            self._interval = interval
+        self.version = version
+        self._changed_at = now
+        return True
+
+    def expected_at(self, now: float, seconds: float) -> int:
+        """Return the version expected to be newest after some seconds."""
+        if self._interval is None or self._changed_at is None:
+            return self.version
+        elapsed = now + seconds - self._changed_at
+        # A version that is overdue counts as one, not as many: trainers
+        # pause, and a long pause must not stop all generation.
+        due = int(elapsed / self._interval) if self._interval > 0 else 0
+        ahead = int(seconds / self._interval) if self._interval > 0 else 0
+        return self.version + min(due, ahead + 1)
+
+
+def may_start(
+    engine_version: int | None, newest: int, expected: int, bound: int
+) -> bool:
+    """Tell whether a sample may start on an engine.
+
+    An engine with the newest weights may always start, because waiting
+    cannot give better ones.
+    """
+    if engine_version is None:
+        return True
+    if newest - engine_version > bound:
+        return False
+    return engine_version >= newest or expected - engine_version <= bound
--- a/src/hibiscussaddle/runtime.py
+++ b/src/hibiscussaddle/runtime.py
@@ -12,7 +12,7 @@
 from hibiscussaddle import lifecycle
 from hibiscussaddle.policy import tickets
 from hibiscussaddle import settings
-from hibiscussaddle import steps
+from hibiscussaddle import step_table
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,5 +30,5 @@
     contracts: contract_cache.ContractCache
     directory: endpoints.Directory
     ledger: tickets.Ledger
-    steps: dict[tuple[str, str], steps.StepSpec]
+    steps: step_table.StepTable
     store: store_lib.StoreClient | None = None
--- a/src/hibiscussaddle/steps.py
+++ b/src/hibiscussaddle/steps.py
@@ -8,8 +8,22 @@
 import result
 
 from hibiscussaddle import codes
+from hibiscussaddle.policy import versions as versions_lib
 
 MAX_SLOTS: typing.Final = 65_536
+MAX_SHARDS: typing.Final = 64
+# A longer poll outlives the idle timeout of common load balancers.
+MAX_WAIT_SECONDS: typing.Final = 60.0
+MAX_NAME_CHARS: typing.Final = 200
+
+
+@dataclasses.dataclass(frozen=True)
+class StepKey:
+    """Name one step; trainers of other customers cannot see it."""
+
+    customer: str
+    trainer: str
+    step: str
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,20 +44,6 @@
         """Return the number of samples of the step."""
         return len(self.groups) * self.samples_per_group
 
-    @property
-    def name(self) -> tuple[str, str]:
-        """Return trainer and step."""
-        return (self.trainer, self.step)
-
-
-@dataclasses.dataclass(frozen=True)
-class VersionRange:
-    """Name the weight version of a range of tokens, ends included."""
-
-    version: int
-    first_token: int
-    last_token: int
-
 
 @dataclasses.dataclass(frozen=True)
 class Sample:
@@ -55,7 +55,7 @@
     index: int
     text: str
     tokens: int
-    versions: tuple[VersionRange, ...]
+    versions: tuple[versions_lib.VersionRange, ...]
     reward: float | None = None
 
 
@@ -94,21 +94,55 @@
         return result.Err(codes.Refusal(codes.Code.BAD_REQUEST, str(exc)))
 
 
+def _refuse(
+    name: str, value: object, allowed: str
+) -> result.Err[codes.Refusal]:
+    return result.Err(
+        codes.Refusal(
+            codes.Code.BAD_REQUEST,
+            f"field {name!r} has value {value!r}; allowed: {allowed}",
+        )
+    )
+
+
+_Limits: typing.TypeAlias = abc.Mapping[
+    str, tuple[int | float, int | float, int | float]
+]
+
+
+def _check_limits(limits: _Limits) -> result.Result[None, codes.Refusal]:
+    for name, (value, low, high) in limits.items():
+        if not low <= value <= high:
+            return _refuse(name, value, f"from {low} to {high}")
+    return result.Ok(None)
+
+
 def check(spec: StepSpec) -> result.Result[StepSpec, codes.Refusal]:
     """Return the spec if it is within the limits."""
-    limits: abc.Mapping[str, tuple[int, int, int]] = {
+    for name in ("trainer", "step"):
+        value = getattr(spec, name)
+        # The names are parts of the pull's path.
+        if not value or "/" in value or len(value) > MAX_NAME_CHARS:
+            return _refuse(
+                name, value, f"1 to {MAX_NAME_CHARS} characters without '/'"
+            )
+    limits: _Limits = {
         "groups": (len(spec.groups), 1, MAX_SLOTS),
         "samples_per_group": (spec.samples_per_group, 1, 1024),
         "max_tokens": (spec.max_tokens, 1, 1 << 20),
         "groups * samples_per_group": (spec.slots, 1, MAX_SLOTS),
     }
-    for name, (value, low, high) in limits.items():
-        if not low <= value <= high:
-            return result.Err(
-                codes.Refusal(
-                    codes.Code.BAD_REQUEST,
-                    f"field {name!r} has value {value}; "
-                    f"allowed: from {low} to {high}",
-                )
-            )
-    return result.Ok(spec)
+    return _check_limits(limits).map(lambda _: spec)
+
+
+def check_pull(pull: PullBody) -> result.Result[PullBody, codes.Refusal]:
+    """Return the pull if it is within the limits."""
+    limits: _Limits = {
+        "pull": (pull.pull, 0, 1 << 53),
+        "newest_version": (pull.newest_version, 0, 1 << 53),
+        "max_samples": (pull.max_samples, 1, MAX_SLOTS),
+        "wait_seconds": (pull.wait_seconds, 0.0, MAX_WAIT_SECONDS),
+        "shards": (pull.shards, 1, MAX_SHARDS),
+        "shard": (pull.shard, 0, pull.shards - 1),
+    }
+    return _check_limits(limits).map(lambda _: pull)
--- a/tools/demo_client.py
+++ b/tools/demo_client.py
@@ -158,7 +158,7 @@
     """Play the trainer who pulls one step."""
     spec = {
         "trainer": "t1",
-        "step": f"step-{int(time.time())}",
+        "step": f"step-{time.time_ns()}",
         "model": "base",
         "groups": [
             [{"role": "user", "content": f"prompt {n}"}] for n in range(4)
