--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -26,6 +26,7 @@
 from hibiscussaddle import serving
 from hibiscussaddle import settings
 from hibiscussaddle import shared_facts
+from hibiscussaddle import step_table
 
 _LOG = logging.getLogger(__name__)
 _MAX_CONNECTIONS: typing.Final = 4000
@@ -53,7 +54,7 @@
         contracts=contract_cache.ContractCache(),
         directory=endpoints.Directory(),
         ledger=tickets.Ledger(cfg.instance, incarnation, cfg.peer_secret),
-        steps={},
+        steps=step_table.StepTable(),
         peers=peers.PeerTransport(
             peers.Sender(cfg.instance, incarnation),
             cfg.peer_secret,
--- a/src/hibiscussaddle/runtime.py
+++ b/src/hibiscussaddle/runtime.py
@@ -15,7 +15,7 @@
 from hibiscussaddle.policy import tickets
 from hibiscussaddle import settings
 from hibiscussaddle import shared_facts
-from hibiscussaddle import steps
+from hibiscussaddle import step_table
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,7 +33,7 @@
     contracts: contract_cache.ContractCache
     directory: endpoints.Directory
     ledger: tickets.Ledger
-    steps: dict[tuple[str, str], steps.StepSpec]
+    steps: step_table.StepTable
     peers: peers_lib.PeerTransport
     members: members_lib.Members
     facts: shared_facts.SharedFacts
