--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,154 @@
+"""Properties of the choice of endpoint."""
+
+import collections
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+
+from hibiscussaddle.policy import routing
+
+_CANDIDATES = st.lists(
+    st.builds(
+        routing.Candidate,
+        id=st.uuids().map(str),
+        zone=st.sampled_from(("zone-a", "zone-b")),
+        slots=st.integers(1, 8),
+        outstanding=st.floats(0, 40),
+        token_seconds=st.none() | st.floats(0.001, 1.0),
+        weight=st.sampled_from((0.0, 0.3, 1.0)),
+        marked=st.booleans(),
+        version=st.none() | st.integers(0, 5),
+        has_prefix=st.booleans(),
+    ),
+    max_size=8,
+    unique_by=lambda item: item.id,
+)
+
+
+@hypothesis.given(
+    _CANDIDATES,
+    st.none() | st.integers(0, 5),
+    st.none() | st.floats(0.1, 1.0),
+    st.integers(),
+)
+def test_filters_hold(
+    candidates: list[routing.Candidate],
+    min_version: int | None,
+    room: float | None,
+    seed: int,
+) -> None:
+    """Guard against work on marked, stale, avoided or slow endpoints."""
+    avoid = frozenset(item.id for item in candidates[:1])
+    wish = routing.Wish(
+        "zone-a", 64, min_version=min_version, room=room, avoid=avoid
+    )
+    chosen = routing.choose(candidates, wish, random.Random(seed))
+    allowed = [
+        item
+        for item in candidates
+        if not item.marked
+        and item.id not in avoid
+        and (min_version is None or (item.version or -1) >= min_version)
+    ]
+    if chosen is None:
+        usable = [
+            item
+            for item in allowed
+            if item.weight == 1.0 and routing.has_room(item, wish)
+        ]
+        assert not usable
+        return
+    assert chosen in allowed
+    assert routing.has_room(chosen, wish)
+    if chosen.weight == 0.0:
+        assert all(item.weight == 0.0 for item in allowed)
+
+
+@hypothesis.given(st.integers(6, 48), st.integers(2, 8), st.integers())
+def test_no_herding_on_one_fresh_report(
+    count: int, instances: int, seed: int
+) -> None:
+    """Guard against every instance sending to the one idle engine."""
+    rng = random.Random(seed)
+    books = [routing.LoadBook() for _ in range(instances)]
+    for book in books:
+        for number in range(count):
+            running = 0 if number == 0 else 8
+            book.hear_report(
+                f"e{number}", routing.LoadReport(10.0, running, 0, 8)
+            )
+    sent: collections.Counter[str] = collections.Counter()
+    wish = routing.Wish("z", 64)
+    rounds = 40
+    for turn in range(rounds * instances):
+        book = books[turn % instances]
+        candidates = [
+            routing.Candidate(f"e{n}", "z", 8, book.outstanding(f"e{n}", 10.5))
+            for n in range(count)
+        ]
+        chosen = routing.choose(candidates, wish, rng)
+        assert chosen is not None
+        book.start(chosen.id, 10.5)
+        sent[chosen.id] += 1
+    # Two random choices name one endpoint with a chance of 2 / count; the
+    # slack is five standard deviations.
+    total = rounds * instances
+    mean = total * 2 / count
+    assert sent["e0"] <= mean + 5 * mean**0.5 + 1
+
+
+@hypothesis.given(
+    st.lists(st.tuples(st.booleans(), st.floats(0.01, 0.5)), max_size=60),
+    st.floats(0, 3),
+    st.integers(0, 5),
+)
+def test_report_is_corrected_by_later_work(
+    steps: list[tuple[bool, float]], lag: float, others: int
+) -> None:
+    """Guard against counting own work twice or forgetting newer work."""
+    book, now, own = routing.LoadBook(), 100.0, 0
+    history = [(0.0, 0)]
+    for starts, pause in steps:
+        now += pause
+        if starts:
+            book.start("e", now)
+            own += 1
+        elif own:
+            book.finish("e", now)
+            own -= 1
+        history.append((now, own))
+    taken = now - lag
+    own_then = [count for at, count in history if at <= taken][-1]
+    report = routing.LoadReport(taken, own_then + others, 0, 8)
+    book.hear_report("e", report)
+    assert book.outstanding("e", now) == own + others
+    # A fresher fact of a peer goes before the report.
+    book.hear_peer("i2", routing.PeerLoad(now + 0.1, {"e": 3}))
+    assert book.outstanding("e", now + 0.1) == own + 3
+
+
+@hypothesis.given(
+    st.lists(st.integers(0, 12), max_size=200), st.randoms(), st.integers(1, 6)
+)
+def test_prefix_mirror_claims_no_evicted_prefix(
+    touched: list[int], rng: random.Random, capacity: int
+) -> None:
+    """Guard against affinity to a prefix that lost events had evicted."""
+    truth: dict[str, None] = {}
+    mirror = routing.PrefixMirror(capacity)
+    heard = 0
+    for number, value in enumerate(touched, 1):
+        prefix = f"p{value}"
+        truth.pop(prefix, None)
+        truth[prefix] = None
+        if len(truth) > capacity:
+            truth.pop(next(iter(truth)))
+        if rng.random() < 0.8:
+            mirror.hear("e", 1, [(number, prefix)])
+            heard = number
+    if heard == len(touched):
+        known = {v for v in range(13) if mirror.has("e", f"p{v}")}
+        assert known <= {v for v in range(13) if f"p{v}" in truth}
+    mirror.hear("e", 2, [])
+    assert not any(mirror.has("e", f"p{v}") for v in range(13))
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,72 @@
+"""Properties of the customers' shares."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from hibiscussaddle.policy import shares
+
+_NAMES = st.sampled_from([f"c{n}" for n in range(6)])
+_GUARANTEES = st.dictionaries(_NAMES, st.floats(0, 1))
+_SLOTS = st.dictionaries(_NAMES, st.floats(0, 500))
+_DEMANDS = st.dictionaries(
+    st.sampled_from([f"i{n}" for n in range(8)]),
+    _SLOTS.map(lambda slots: shares.Demand(0.0, slots)),
+    min_size=1,
+)
+
+
+@hypothesis.given(st.floats(0, 400), _GUARANTEES, _SLOTS)
+def test_allocation_is_bounded_guaranteed_and_lent(
+    capacity: float, guarantees: dict[str, float], demands: dict[str, float]
+) -> None:
+    """Guard against overcommitment, lost guarantees and idle capacity."""
+    given = shares.allocate(capacity, guarantees, demands)
+    total = sum(given.values())
+    assert total <= capacity + 1e-6
+    assert total == pytest.approx(
+        min(capacity, sum(demands.values())), abs=1e-6
+    )
+    asked = sum(guarantees.get(name, 0.0) for name in demands)
+    scale = capacity / max(1.0, asked)
+    for name, slots in given.items():
+        owed = min(demands[name], guarantees.get(name, 0.0) * scale)
+        assert owed - 1e-6 <= slots <= demands[name] + 1e-6
+
+
+@hypothesis.given(st.floats(0, 400), _GUARANTEES, _DEMANDS, st.integers())
+def test_instances_agree_and_stay_within_capacity(
+    capacity: float,
+    guarantees: dict[str, float],
+    demands: dict[str, shares.Demand],
+    seed: int,
+) -> None:
+    """Guard against instances that together exceed the capacity."""
+    items = list(demands.items())
+    random.Random(seed).shuffle(items)
+    shuffled = dict(items)
+    total = 0.0
+    for name in demands:
+        own = shares.own_allocation(capacity, guarantees, demands, name)
+        again = shares.own_allocation(capacity, guarantees, shuffled, name)
+        assert own == again
+        total += sum(own.values())
+    assert total <= capacity + 1e-6
+
+
+@hypothesis.given(st.floats(0, 400), _SLOTS, _GUARANTEES)
+def test_fill_is_max_min_fair(
+    capacity: float, demands: dict[str, float], weights: dict[str, float]
+) -> None:
+    """Guard against taking from a smaller allocation for a larger one."""
+    given = shares.fill(capacity, demands, weights)
+    levels = {
+        name: given[name] / weights[name]
+        for name in given
+        if weights.get(name, 0.0) > 1e-6
+    }
+    for name, level in levels.items():
+        if given[name] < demands[name] - 1e-6:
+            assert level >= max(levels.values()) * (1 - 1e-6) - 1e-6
--- /dev/null
+++ b/tests/test_slowness.py
@@ -0,0 +1,85 @@
+"""Properties of the detection of slow endpoints."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from hibiscussaddle.policy import slowness
+
+_EVENTS = st.lists(
+    st.tuples(
+        st.integers(0, 11),
+        st.floats(0.001, 1.0),
+        st.floats(0.0, 2.0),
+        st.booleans(),
+    ),
+    max_size=150,
+)
+
+
+@hypothesis.given(_EVENTS, st.integers(1, 4))
+def test_at_most_a_third_is_set_aside(
+    events: list[tuple[int, float, float, bool]], zones: int
+) -> None:
+    """Guard against losing a zone's capacity to its own detector."""
+    members = {f"e{n}": f"z{n % zones}" for n in range(12)}
+    detector = slowness.Detector()
+    detector.set_endpoints(members)
+    now = 0.0
+    for number, seconds, pause, is_gap in events:
+        now += pause
+        key = f"e{number}"
+        if is_gap:
+            detector.observe_gap(key, seconds, now)
+        else:
+            detector.observe_first_token(key, seconds, now)
+        for zone in set(members.values()):
+            group = [key for key in members if members[key] == zone]
+            aside = detector.aside() & set(group)
+            assert len(aside) <= len(group) / 3
+        for key in members:
+            assert 0.0 <= detector.weight(key, now) <= 1.0
+
+
+@hypothesis.given(st.integers(3, 24), st.floats(3.5, 50), st.integers(0, 2))
+def test_slow_endpoint_is_noticed_and_returns(
+    count: int, factor: float, relapses: int
+) -> None:
+    """Guard against a missed slowdown and against never returning."""
+    members = {f"e{n}": "z" for n in range(count)}
+    detector = slowness.Detector()
+    detector.set_endpoints(members)
+    now = 0.0
+    for _ in range(3):
+        for key in members:
+            detector.observe_gap(key, 0.002, now)
+    for _ in range(1 + relapses):
+        for _ in range(slowness.WINDOW):
+            now += 0.1
+            detector.observe_gap("e0", 0.002 * factor, now)
+        assert detector.weight("e0", now) == 0.0
+        assert detector.aside() == {"e0"}
+        now += slowness.MAX_ASIDE_SECONDS + 0.1
+        assert detector.weight("e0", now) == slowness.RAMP_START
+    last = 0.0
+    while now < 1000 and last < 1.0:
+        weight = detector.weight("e0", now)
+        assert weight >= last
+        last = weight
+        detector.observe_gap("e0", 0.002, now)
+        now += 0.5
+    assert last == 1.0
+    assert detector.state("e0") is slowness.State.NORMAL
+
+
+@hypothesis.given(
+    st.integers(3, 20), st.lists(st.floats(0.0015, 0.004), min_size=30)
+)
+def test_ordinary_spread_sets_nothing_aside(
+    count: int, values: list[float]
+) -> None:
+    """Guard against reacting to spread below the factor of three."""
+    detector = slowness.Detector()
+    detector.set_endpoints({f"e{n}": "z" for n in range(count)})
+    for turn, value in enumerate(values):
+        detector.observe_gap(f"e{turn % count}", value, turn * 0.01)
+    assert not detector.aside()
