--- /dev/null
+++ b/src/hibiscussaddle/dispatcher.py
@@ -0,0 +1,400 @@
+"""Admit work, queue it and place it on endpoints."""
+
+import collections
+from collections import abc
+import contextlib
+import dataclasses
+import random
+import typing
+
+import anyio
+import result
+
+from hibiscussaddle import codes
+from hibiscussaddle import contract_cache
+from hibiscussaddle import endpoints
+from hibiscussaddle import placement as placement_lib
+from hibiscussaddle.policy import queueing
+from hibiscussaddle.policy import retries
+from hibiscussaddle.policy import routing
+from hibiscussaddle.policy import shares
+from hibiscussaddle.policy import slowness
+
+Placed: typing.TypeAlias = result.Result[
+    placement_lib.Placement, codes.Refusal
+]
+
+# An allocation is computed again after this time, and whenever it would
+# refuse a slot.
+ALLOCATION_SECONDS: typing.Final = 0.25
+# Work that waits is looked at again after this time, in case the room was
+# made by another instance.
+TICK_SECONDS: typing.Final = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """Set the limits of the decisions; the benchmarks vary them."""
+
+    # Outstanding work per slot up to which a class is sent to an endpoint.
+    # Short work may wait at the engine, where it goes first.
+    room: abc.Mapping[queueing.WorkClass, float] = dataclasses.field(
+        default_factory=lambda: {
+            queueing.WorkClass.SHORT: 2.0,
+            queueing.WorkClass.TRAINER: 1.0,
+            queueing.WorkClass.LONG: 0.85,
+        }
+    )
+    max_queued: int = queueing.MAX_QUEUED
+    stall_factor: float = 4.0
+    min_stall_seconds: float = 0.1
+
+
+@dataclasses.dataclass(eq=False)
+class _Waiter:
+    work: placement_lib.Work
+    entry: queueing.Entry
+    done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    placed: placement_lib.Placement | None = None
+
+
+@dataclasses.dataclass
+class _Pool:
+    is_engine: bool
+    target: str
+    queue: queueing.Queue
+    waiters: dict[int, _Waiter] = dataclasses.field(default_factory=dict)
+    running: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    peers: dict[str, shares.Demand] = dataclasses.field(default_factory=dict)
+    allocation: dict[str, float] = dataclasses.field(default_factory=dict)
+    allocated_at: float = -1.0
+
+
+class Dispatcher:
+    """Decide where and when the work of one instance runs."""
+
+    def __init__(
+        self,
+        instance: str,
+        zone: str,
+        directory: endpoints.Directory,
+        contracts: contract_cache.ContractCache,
+        clock: abc.Callable[[], float],
+        rng: random.Random,
+        options: Options | None = None,
+    ) -> None:
+        """Start without observations."""
+        self.clock = clock
+        self.detector = slowness.Detector()
+        self.book = routing.LoadBook()
+        self.prefixes = routing.PrefixMirror()
+        self.budget = retries.Budget()
+        self.lengths = queueing.LengthModel()
+        # Replaced by the component that holds the leave marks.
+        self.is_marked: abc.Callable[[endpoints.Endpoint], bool] = lambda _: (
+            False
+        )
+        self._instance = instance
+        self._zone = zone
+        self._directory = directory
+        self._contracts = contracts
+        self._rng = rng
+        self._options = options or Options()
+        self._pools: dict[tuple[bool, str], _Pool] = {}
+        self._breakers: dict[str, retries.Breaker] = {}
+        # Revision of the directory that the detector follows.
+        self._known = -1
+
+    @contextlib.asynccontextmanager
+    async def place(
+        self, work: placement_lib.Work
+    ) -> abc.AsyncIterator[Placed]:
+        """Wait for an endpoint and hold it; a refusal is always "not run"."""
+        placed = await self._admit(work)
+        if isinstance(placed, result.Err):
+            yield placed
+            return
+        try:
+            yield placed
+        finally:
+            self.release(placed.ok_value)
+
+    def try_place(
+        self, work: placement_lib.Work
+    ) -> placement_lib.Placement | None:
+        """Place work only if it can start at once; release it after use."""
+        pool = self._pool(work)
+        entry = self._entry(work)
+        endpoint = self._choose(pool, work, entry)
+        if endpoint is None:
+            return None
+        return self._start(pool, work, entry, endpoint)
+
+    def pressure(self) -> float:
+        """Return the filled part of the fullest queue."""
+        return max((p.queue.pressure for p in self._pools.values()), default=0)
+
+    def tick(self) -> None:
+        """Look again at all waiting work."""
+        for pool in self._pools.values():
+            self._pump(pool)
+
+    def demands(self) -> dict[str, dict[str, int]]:
+        """Return the slots that could be used, by model and customer."""
+        found: dict[str, dict[str, int]] = {}
+        for pool in self._pools.values():
+            if pool.is_engine:
+                found[pool.target] = self._own_demand(pool)
+        return found
+
+    def hear_demand(
+        self, instance: str, model: str, demand: shares.Demand
+    ) -> None:
+        """Take a peer's demand for a model's engines into account."""
+        self._get_pool(True, model).peers[instance] = demand
+
+    def stall_seconds(self, zone: str, chunk_tokens: int) -> float | None:
+        """Return the longest normal time to the next tokens.
+
+        `chunk_tokens` is the size of the last chunk, 0 before the first.
+        """
+        typical = self.detector.typical(zone, self.clock())
+        if typical is None:
+            return None
+        gap, first = typical
+        seconds = gap * chunk_tokens if chunk_tokens else first
+        opts = self._options
+        return max(opts.min_stall_seconds, opts.stall_factor * seconds)
+
+    def _pool(self, work: placement_lib.Work) -> _Pool:
+        is_engine = work.kind is not placement_lib.WorkKind.SERVICE
+        return self._get_pool(is_engine, work.target)
+
+    def _get_pool(self, is_engine: bool, target: str) -> _Pool:
+        key = (is_engine, target)
+        if key not in self._pools:
+            queue = queueing.Queue(self._options.max_queued)
+            self._pools[key] = _Pool(is_engine, target, queue)
+        return self._pools[key]
+
+    def _endpoints(self, pool: _Pool) -> tuple[endpoints.Endpoint, ...]:
+        if self._directory.revision != self._known:
+            self._known = self._directory.revision
+            known = self._directory.all()
+            self.detector.set_endpoints({ep.id: ep.zone for ep in known})
+        if pool.is_engine:
+            return self._directory.engines(pool.target)
+        return self._directory.services(pool.target)
+
+    def _entry(self, work: placement_lib.Work) -> queueing.Entry:
+        now = self.clock()
+        contract = work.contract
+        is_trainer = work.kind is placement_lib.WorkKind.TRAINER
+        tokens = self.lengths.expect(
+            contract.customer, work.length_kind, work.max_tokens
+        )
+        work_class = queueing.classify(is_trainer, tokens)
+        start_by = work.deadline
+        if work_class is queueing.WorkClass.SHORT:
+            start_by = min(start_by, now + contract.short_wait_seconds)
+        return queueing.Entry(
+            contract.customer,
+            work_class,
+            contract.priority,
+            now,
+            start_by,
+            tokens,
+        )
+
+    async def _admit(self, work: placement_lib.Work) -> Placed:
+        pool = self._pool(work)
+        if not self._endpoints(pool):
+            return _refuse(
+                codes.Code.NO_ENDPOINT, f"{work.target!r} has no endpoint"
+            )
+        if work.is_first:
+            self.budget.earn_request()
+        entry = self._entry(work)
+        wait = pool.queue.predict_wait(entry.customer, entry.work_class)
+        if entry.enqueued_at + wait > entry.start_by:
+            return _refuse(
+                codes.Code.DEADLINE_TOO_SHORT,
+                f"expected wait of {wait:.1f} s exceeds the allowed wait",
+                wait,
+            )
+        waiter = _Waiter(work, entry)
+        pool.waiters[id(entry)] = waiter
+        shed = pool.queue.push(entry)
+        if shed is not None:
+            pool.waiters.pop(id(shed)).done.set()
+        self._pump(pool)
+        try:
+            with anyio.move_on_after(entry.start_by - self.clock()):
+                await waiter.done.wait()
+        except BaseException:
+            if waiter.placed is not None:
+                self.release(waiter.placed)
+            raise
+        finally:
+            pool.queue.remove(entry)
+            pool.waiters.pop(id(entry), None)
+        if waiter.placed is not None:
+            return result.Ok(waiter.placed)
+        if waiter.done.is_set():
+            return _refuse(codes.Code.OVERLOADED, "the queue is full", 1.0)
+        return _refuse(
+            codes.Code.DEADLINE_TOO_SHORT,
+            f"no endpoint of {work.target!r} had room in time",
+            1.0,
+        )
+
+    def _pump(self, pool: _Pool) -> None:
+        blocked: set[tuple[str, queueing.WorkClass]] = set()
+        while True:
+            heads = pool.queue.heads()
+            for entry in heads:
+                lane = (entry.customer, entry.work_class)
+                if lane in blocked:
+                    continue
+                waiter = pool.waiters[id(entry)]
+                endpoint = self._choose(pool, waiter.work, entry)
+                if endpoint is None:
+                    blocked.add(lane)
+                    continue
+                pool.queue.start(entry, self.clock())
+                waiter.placed = self._start(pool, waiter.work, entry, endpoint)
+                waiter.done.set()
+                del pool.waiters[id(entry)]
+                break
+            else:
+                return
+
+    def _choose(
+        self,
+        pool: _Pool,
+        work: placement_lib.Work,
+        entry: queueing.Entry,
+    ) -> endpoints.Endpoint | None:
+        found = self._endpoints(pool)
+        if pool.is_engine and not self._within_share(pool, entry, found):
+            return None
+        now = self.clock()
+        candidates = [self._candidate(ep, work, now) for ep in found]
+        wish = routing.Wish(
+            zone=self._zone,
+            expected_tokens=entry.expected_tokens,
+            min_version=work.min_version,
+            room=self._room(pool, entry),
+            avoid=work.avoid,
+        )
+        chosen = routing.choose(candidates, wish, self._rng)
+        return None if chosen is None else self._directory.get(chosen.id)
+
+    def _room(self, pool: _Pool, entry: queueing.Entry) -> float | None:
+        # Reports of busy engines must not starve a customer: one request
+        # of each is always sent.
+        if not pool.is_engine or pool.running[entry.customer] == 0:
+            return None
+        return self._options.room[entry.work_class]
+
+    def _candidate(
+        self, ep: endpoints.Endpoint, work: placement_lib.Work, now: float
+    ) -> routing.Candidate:
+        breaker = self._breakers.get(ep.id)
+        blocked = breaker is not None and not breaker.allows(now)
+        report = self.book.report(ep.id)
+        return routing.Candidate(
+            id=ep.id,
+            zone=ep.zone,
+            slots=ep.slots,
+            outstanding=self.book.outstanding(ep.id, now),
+            token_seconds=self.detector.token_seconds(ep.id),
+            weight=0.0 if blocked else self.detector.weight(ep.id, now),
+            marked=ep.state is endpoints.EndpointState.LEAVING
+            or self.is_marked(ep),
+            version=report.version if report else None,
+            has_prefix=self.prefixes.has(ep.id, work.prefix),
+        )
+
+    def _own_demand(self, pool: _Pool) -> dict[str, int]:
+        demand = pool.queue.demand()
+        for customer, count in pool.running.items():
+            if count > 0:
+                demand[customer] = demand.get(customer, 0) + count
+        return demand
+
+    def _within_share(
+        self,
+        pool: _Pool,
+        entry: queueing.Entry,
+        found: abc.Sequence[endpoints.Endpoint],
+    ) -> bool:
+        now = self.clock()
+        customer = entry.customer
+        running = pool.running[customer]
+        if now < pool.allocated_at + ALLOCATION_SECONDS:
+            if running < pool.allocation.get(customer, 0.0):
+                return True
+        own = collections.Counter(self._own_demand(pool))
+        # Work that is placed without queueing demands a slot too.
+        own[customer] = max(own[customer], running + 1)
+        horizon = now - shares.MAX_AGE_SECONDS
+        demands = {
+            name: demand
+            for name, demand in pool.peers.items()
+            if demand.taken_at >= horizon
+        }
+        demands[self._instance] = shares.Demand(now, own)
+        guarantees = {
+            record.contract.customer: record.contract.share
+            for record in self._contracts.all()
+        }
+        capacity = float(sum(ep.slots for ep in found))
+        pool.allocation = shares.own_allocation(
+            capacity, guarantees, demands, self._instance
+        )
+        pool.allocated_at = now
+        return running < pool.allocation.get(customer, 0.0)
+
+    def _start(
+        self,
+        pool: _Pool,
+        work: placement_lib.Work,
+        entry: queueing.Entry,
+        endpoint: endpoints.Endpoint,
+    ) -> placement_lib.Placement:
+        now = self.clock()
+        self.book.start(endpoint.id, now)
+        pool.running[entry.customer] += 1
+        self._breakers.setdefault(endpoint.id, retries.Breaker()).sent(now)
+        if work.prefix:
+            self.prefixes.touch(endpoint.id, work.prefix)
+        priority = queueing.engine_priority(entry.work_class, entry.priority)
+        return placement_lib.Placement(self, work, endpoint, priority, now)
+
+    def release(self, placed: placement_lib.Placement) -> None:
+        """Give the endpoint back and learn from the outcome."""
+        now = self.clock()
+        work, endpoint = placed.work, placed.endpoint
+        pool = self._pool(work)
+        self.book.finish(endpoint.id, now)
+        pool.running[work.contract.customer] -= 1
+        breaker = self._breakers[endpoint.id]
+        if placed.succeeded:
+            breaker.succeeded()
+            self.lengths.observe(
+                work.contract.customer, work.length_kind, placed.tokens
+            )
+        elif placed.succeeded is False:
+            breaker.failed(now, self._rng)
+        if work.is_first:
+            self.budget.earn_tokens(placed.tokens)
+        self._pump(pool)
+
+
+def _refuse(
+    code: codes.Code, message: str, retry_after: float | None = None
+) -> result.Err[codes.Refusal]:
+    return result.Err(codes.Refusal(code, message, retry_after))
--- a/src/hibiscussaddle/endpoints.py
+++ b/src/hibiscussaddle/endpoints.py
@@ -60,10 +60,13 @@
     def __init__(self) -> None:
         """Start empty."""
         self._endpoints: dict[str, Endpoint] = {}
+        # Increases with every update.
+        self.revision = 0
 
     def update(self, found: abc.Iterable[Endpoint]) -> None:
         """Replace the endpoints by a newer list."""
         self._endpoints = {ep.id: ep for ep in found}
+        self.revision += 1
 
     def get(self, endpoint_id: str) -> Endpoint | None:
         """Return one endpoint."""
--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -13,6 +13,7 @@
 from hibiscussaddle import caller_app
 from hibiscussaddle import contract_cache
 from hibiscussaddle import controllers
+from hibiscussaddle import dispatcher
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
 from hibiscussaddle import logs
@@ -35,15 +36,21 @@
         max_connections=_MAX_CONNECTIONS, max_keepalive_connections=200
     )
     client = httpx.AsyncClient(limits=limits, trust_env=False)
+    contracts = contract_cache.ContractCache()
+    directory = endpoints.Directory()
+    rng = random.Random()
     return runtime_lib.Runtime(
         cfg=cfg,
         incarnation=incarnation,
         clock=time.monotonic,
-        rng=random.Random(),
+        rng=rng,
         client=client,
         lifecycle=lifecycle.Lifecycle(),
-        contracts=contract_cache.ContractCache(),
-        directory=endpoints.Directory(),
+        contracts=contracts,
+        directory=directory,
+        dispatcher=dispatcher.Dispatcher(
+            cfg.instance, cfg.zone, directory, contracts, time.monotonic, rng
+        ),
         ledger=tickets.Ledger(cfg.instance, incarnation, cfg.peer_secret),
         steps={},
         store=store.StoreClient(client, cfg.store_url)
--- a/src/hibiscussaddle/policy/routing.py
+++ b/src/hibiscussaddle/policy/routing.py
@@ -149,6 +149,8 @@
         self._own: collections.Counter[str] = collections.Counter()
         self._history: dict[str, collections.deque[tuple[float, int]]] = {}
         self._reports: dict[str, LoadReport] = {}
+        # Work of others as each report shows it.
+        self._others: dict[str, float] = {}
         self._peers: dict[str, PeerLoad] = {}
 
     def start(self, endpoint_id: str, now: float) -> None:
@@ -180,8 +182,12 @@
     def hear_report(self, endpoint_id: str, report: LoadReport) -> None:
         """Keep an engine's report unless a newer one is known."""
         current = self._reports.get(endpoint_id)
-        if current is None or report.taken_at >= current.taken_at:
-            self._reports[endpoint_id] = report
+        if current is not None and report.taken_at < current.taken_at:
+            return
+        self._reports[endpoint_id] = report
+        own_then = self._own_at(endpoint_id, report.taken_at)
+        total = report.running + report.waiting
+        self._others[endpoint_id] = max(0.0, float(total - own_then))
 
     def hear_peer(self, instance: str, load: PeerLoad) -> None:
         """Keep a peer's fact unless a newer one is known."""
@@ -200,24 +206,23 @@
     def outstanding(self, endpoint_id: str, now: float) -> float:
         """Return the estimate of everyone's outstanding requests."""
         horizon = now - MAX_AGE_SECONDS
-        peers = [p for p in self._peers.values() if p.taken_at >= horizon]
-        newest_peer = max((p.taken_at for p in peers), default=-1.0)
-        others = float(sum(p.outstanding.get(endpoint_id, 0) for p in peers))
+        newest = -1.0
+        others = 0.0
+        for peer in self._peers.values():
+            if peer.taken_at >= horizon:
+                newest = max(newest, peer.taken_at)
+                others += peer.outstanding.get(endpoint_id, 0)
         report = self._reports.get(endpoint_id)
         if report is not None and report.taken_at >= horizon:
-            if not peers or report.taken_at > newest_peer:
-                total = report.running + report.waiting
-                own_then = self._own_at(endpoint_id, report.taken_at)
-                others = max(0.0, float(total - own_then))
+            if report.taken_at > newest:
+                others = self._others[endpoint_id]
         return self._own[endpoint_id] + others
 
     def _own_at(self, endpoint_id: str, when: float) -> int:
-        count = 0
-        for at, value in self._history.get(endpoint_id, ()):
-            if at > when:
-                break
-            count = value
-        return count
+        for at, value in reversed(self._history.get(endpoint_id, ())):
+            if at <= when:
+                return value
+        return 0
 
 
 class PrefixMirror:
@@ -235,7 +240,8 @@
         cache = self._caches.setdefault(endpoint_id, {})
         cache.pop(prefix, None)
         cache[prefix] = None
-        self._evict(cache, self._capacity)
+        while len(cache) > self._capacity:
+            cache.pop(next(iter(cache)))
 
     def hear(
         self,
@@ -243,7 +249,7 @@
         incarnation: int,
         events: abc.Iterable[tuple[int, str]],
     ) -> None:
-        """Apply numbered events; each lost one may have evicted a prefix."""
+        """Apply numbered events; a lost one counts as an unknown prefix."""
         if self._incarnations.get(endpoint_id) != incarnation:
             self._incarnations[endpoint_id] = incarnation
             self._caches.pop(endpoint_id, None)
@@ -252,9 +258,9 @@
             last = self._last.get(endpoint_id, number - 1)
             if number <= last:
                 continue
-            lost = number - last - 1
-            cache = self._caches.setdefault(endpoint_id, {})
-            self._evict(cache, self._capacity - lost)
+            first_lost = max(last + 1, number - self._capacity)
+            for lost in range(first_lost, number):
+                self.touch(endpoint_id, f"\0lost {lost}")
             self._last[endpoint_id] = number
             self.touch(endpoint_id, prefix)
 
@@ -265,8 +271,3 @@
     def has(self, endpoint_id: str, prefix: str) -> bool:
         """Tell whether the endpoint probably has the prefix."""
         return prefix in self._caches.get(endpoint_id, ())
-
-    @staticmethod
-    def _evict(cache: dict[str, None], size: int) -> None:
-        while len(cache) > max(0, size):
-            cache.pop(next(iter(cache)))
--- a/src/hibiscussaddle/policy/slowness.py
+++ b/src/hibiscussaddle/policy/slowness.py
@@ -21,6 +21,9 @@
 RAMP_START: typing.Final = 0.1
 # First-token times below this are scheduling noise, not slowness.
 MIN_FIRST_TOKEN_SECONDS: typing.Final = 0.05
+# Group medians are computed again after this time: once a chunk would
+# cost more than relaying it.
+MEDIAN_SECONDS: typing.Final = 0.1
 _SMOOTHING = 0.3
 
 
@@ -32,17 +35,43 @@
     RETURNING = "returning"
 
 
-def _window() -> collections.deque[float]:
-    return collections.deque(maxlen=WINDOW)
+class _Window:
+    """Hold the last observations and their median."""
+
+    def __init__(self) -> None:
+        self._values: collections.deque[float] = collections.deque(
+            maxlen=WINDOW
+        )
+        self.median: float | None = None
+
+    def add(self, value: float) -> None:
+        self._values.append(value)
+        self.median = statistics.median(self._values)
+
+    def exceeds(self, typical: float | None) -> bool:
+        if typical is None or self.median is None:
+            return False
+        if len(self._values) < WINDOW:
+            return False
+        return self.median > SLOW_FACTOR * typical
+
+    def clear(self) -> None:
+        self._values.clear()
+        self.median = None
+
+
+@dataclasses.dataclass(frozen=True)
+class _Medians:
+    computed_at: float
+    gap: float | None
+    first: float | None
 
 
 @dataclasses.dataclass
 class _Track:
     zone: str
-    gaps: collections.deque[float] = dataclasses.field(default_factory=_window)
-    firsts: collections.deque[float] = dataclasses.field(
-        default_factory=_window
-    )
+    gaps: _Window = dataclasses.field(default_factory=_Window)
+    firsts: _Window = dataclasses.field(default_factory=_Window)
     token_seconds: float | None = None
     state: State = State.NORMAL
     since: float = 0.0
@@ -55,6 +84,8 @@
     def __init__(self) -> None:
         """Start without observations."""
         self._tracks: dict[str, _Track] = {}
+        self._groups: dict[str, list[_Track]] = {}
+        self._medians: dict[str, _Medians] = {}
 
     def set_endpoints(self, zones: abc.Mapping[str, str]) -> None:
         """Follow exactly these endpoints, given with their zones."""
@@ -63,6 +94,12 @@
         for endpoint_id, zone in zones.items():
             track = self._tracks.setdefault(endpoint_id, _Track(zone))
             track.zone = zone
+        tracks = list(self._tracks.values())
+        self._groups = {}
+        for zone in set(zones.values()):
+            own = [track for track in tracks if track.zone == zone]
+            self._groups[zone] = own if len(own) >= MIN_GROUP else tracks
+        self._medians = {}
 
     def observe_gap(
         self, endpoint_id: str, token_seconds: float, now: float
@@ -71,7 +108,7 @@
         track = self._tracks.get(endpoint_id)
         if track is None:
             return
-        track.gaps.append(token_seconds)
+        track.gaps.add(token_seconds)
         before = track.token_seconds
         if before is None:
             track.token_seconds = token_seconds
@@ -79,7 +116,7 @@
             track.token_seconds = before + _SMOOTHING * (
                 token_seconds - before
             )
-        self._judge(endpoint_id, track, now)
+        self._judge(track, now)
 
     def observe_first_token(
         self, endpoint_id: str, seconds: float, now: float
@@ -88,8 +125,8 @@
         track = self._tracks.get(endpoint_id)
         if track is None:
             return
-        track.firsts.append(max(seconds, MIN_FIRST_TOKEN_SECONDS))
-        self._judge(endpoint_id, track, now)
+        track.firsts.add(max(seconds, MIN_FIRST_TOKEN_SECONDS))
+        self._judge(track, now)
 
     def token_seconds(self, endpoint_id: str) -> float | None:
         """Return the smoothed seconds for each token."""
@@ -125,22 +162,25 @@
             if track.state is State.ASIDE
         )
 
-    def is_slow(self, endpoint_id: str) -> bool:
-        """Tell whether recent observations exceed the group's median."""
-        track = self._tracks.get(endpoint_id)
-        if track is None:
-            return False
-        group = self._group(track.zone)
-        return _exceeds(track.gaps, [t.gaps for t in group]) or _exceeds(
-            track.firsts, [t.firsts for t in group]
-        )
+    def typical(self, zone: str, now: float) -> tuple[float, float] | None:
+        """Return a group's medians of token gap and first-token time."""
+        if zone not in self._groups:
+            return None
+        medians = self._group_medians(zone, now)
+        if medians.gap is None or medians.first is None:
+            return None
+        return medians.gap, medians.first
 
-    def _judge(self, endpoint_id: str, track: _Track, now: float) -> None:
-        if not self.is_slow(endpoint_id):
-            return
+    def _judge(self, track: _Track, now: float) -> None:
         if track.state is State.ASIDE:
             return
-        group = self._group(track.zone)
+        medians = self._group_medians(track.zone, now)
+        is_slow = track.gaps.exceeds(medians.gap) or track.firsts.exceeds(
+            medians.first
+        )
+        if not is_slow:
+            return
+        group = self._groups[track.zone]
         count = sum(t.state is State.ASIDE for t in group)
         if count + 1 > len(group) * MAX_ASIDE:
             return
@@ -151,11 +191,18 @@
         track.state = State.ASIDE
         track.since = now
 
-    def _group(self, zone: str) -> list[_Track]:
-        own = [t for t in self._tracks.values() if t.zone == zone]
-        if len(own) >= MIN_GROUP:
-            return own
-        return list(self._tracks.values())
+    def _group_medians(self, zone: str, now: float) -> _Medians:
+        known = self._medians.get(zone)
+        if known is not None and now < known.computed_at + MEDIAN_SECONDS:
+            return known
+        group = self._groups[zone]
+        medians = _Medians(
+            now,
+            _median([track.gaps.median for track in group]),
+            _median([track.firsts.median for track in group]),
+        )
+        self._medians[zone] = medians
+        return medians
 
     @staticmethod
     def _return(track: _Track, now: float) -> None:
@@ -166,11 +213,6 @@
         track.token_seconds = None
 
 
-def _exceeds(
-    own: abc.Sequence[float], group: abc.Sequence[abc.Sequence[float]]
-) -> bool:
-    if len(own) < WINDOW:
-        return False
-    medians = [statistics.median(values) for values in group if values]
-    limit = SLOW_FACTOR * statistics.median(medians)
-    return statistics.median(own) > limit
+def _median(values: abc.Iterable[float | None]) -> float | None:
+    known = [value for value in values if value is not None]
+    return statistics.median(known) if known else None
--- a/src/hibiscussaddle/runtime.py
+++ b/src/hibiscussaddle/runtime.py
@@ -8,6 +8,7 @@
 
 from hibiscussaddle.adapters import store as store_lib
 from hibiscussaddle import contract_cache
+from hibiscussaddle import dispatcher
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
 from hibiscussaddle.policy import tickets
@@ -29,6 +30,7 @@
     lifecycle: lifecycle.Lifecycle
     contracts: contract_cache.ContractCache
     directory: endpoints.Directory
+    dispatcher: dispatcher.Dispatcher
     ledger: tickets.Ledger
     steps: dict[tuple[str, str], steps.StepSpec]
     store: store_lib.StoreClient | None = None
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -26,6 +26,10 @@
 )
 
 
+def _is_at_least(version: int | None, least: int) -> bool:
+    return version is not None and version >= least
+
+
 @hypothesis.given(
     _CANDIDATES,
     st.none() | st.integers(0, 5),
@@ -49,7 +53,7 @@
         for item in candidates
         if not item.marked
         and item.id not in avoid
-        and (min_version is None or (item.version or -1) >= min_version)
+        and (min_version is None or _is_at_least(item.version, min_version))
     ]
     if chosen is None:
         usable = [
