--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -15,6 +15,7 @@
 from hibiscussaddle import caller_app
 from hibiscussaddle import contract_cache
 from hibiscussaddle import controllers
+from hibiscussaddle import dispatcher
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
 from hibiscussaddle import logs
@@ -44,15 +45,21 @@
     me = members.Member(
         cfg.instance, cfg.zone, cfg.region, address, incarnation
     )
+    contracts = contract_cache.ContractCache()
+    directory = endpoints.Directory()
+    rng = random.Random()
     runtime = runtime_lib.Runtime(
         cfg=cfg,
         incarnation=incarnation,
         clock=time.monotonic,
-        rng=random.Random(),
+        rng=rng,
         client=client,
         lifecycle=lifecycle.Lifecycle(),
-        contracts=contract_cache.ContractCache(),
-        directory=endpoints.Directory(),
+        contracts=contracts,
+        directory=directory,
+        dispatcher=dispatcher.Dispatcher(
+            cfg.instance, cfg.zone, directory, contracts, time.monotonic, rng
+        ),
         ledger=tickets.Ledger(cfg.instance, incarnation, cfg.peer_secret),
         steps=step_table.StepTable(),
         peers=peers.PeerTransport(
