Bound the ticket ledger and add its handover

Cause: an entry could expire in the same instant in which its ticket could still start, results were unbounded, and a stop lost every outcome. Change: one bound of time for start and expiry, bounds of entries and bytes, close, handover in parts and a successor that says 'not started' only when the whole list has arrived and the ticket could not have been forgotten. A random number of the process covers a wall clock that is set back, and a digest covers a ticket reused for a different request.

--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+import secrets
 import signal
 import time
 import typing
@@ -44,7 +45,9 @@
         lifecycle=lifecycle.Lifecycle(),
         contracts=contract_cache.ContractCache(),
         directory=endpoints.Directory(),
-        ledger=tickets.Ledger(cfg.instance, incarnation, cfg.peer_secret),
+        ledger=tickets.Ledger(
+            cfg.instance, incarnation, cfg.peer_secret, secrets.randbits(62)
+        ),
         steps={},
         store=store.StoreClient(client, cfg.store_url)
         if cfg.store_url
--- a/src/hibiscussaddle/policy/tickets.py
+++ b/src/hibiscussaddle/policy/tickets.py
@@ -2,8 +2,11 @@
 
 import base64
 import binascii
+from collections import abc
 import dataclasses
 import enum
+import hashlib
+import heapq
 import random
 import typing
 
@@ -12,19 +15,35 @@
 
 from hibiscussaddle import auth
 
+# A ticket can start a call this long after its issue.
 START_SECONDS: typing.Final = 600.0
+# A result is kept this long after its call ended.
 KEEP_SECONDS: typing.Final = 600.0
 MAX_ENTRIES: typing.Final = 100_000
 MAX_RESULT_BYTES: typing.Final = 64 << 20
+# Below the 1 MiB limit of a peer frame, with room for its envelope.
+MAX_PART_BYTES: typing.Final = 512 << 10
 _SIGNATURE_BYTES: typing.Final = 16
+_DIGEST_BYTES: typing.Final = 16
+# Upper bound of an encoded entry without its result.
+_ENTRY_BYTES: typing.Final = 64
 
 
 @dataclasses.dataclass(frozen=True)
-class Ticket:
-    """Name one call for all its repeats."""
+class Issuer:
+    """Name one process that issues tickets."""
 
     instance: str
     incarnation: int
+    # Random, since a wall clock set back can repeat an incarnation.
+    boot: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Ticket:
+    """Name one call for all its repeats."""
+
+    issuer: Issuer
     nonce: int
     # Seconds on the issuer's monotonic clock.
     issued_at: float
@@ -39,18 +58,32 @@
     body: bytes
     media_type: str
 
+    @property
+    def size(self) -> int:
+        """Return the bytes that count against the bound of results."""
+        return len(self.body) + len(self.media_type)
+
 
 class Verdict(enum.Enum):
-    """List what the issuer says about a ticket."""
+    """List what the issuer or its successor says about a ticket."""
 
     RUN = "run"
     BUSY = "busy"
     KEPT = "kept"
     UNKNOWN = "unknown"
+    # The request differs from the one that the ticket started.
+    DIFFERENT = "different"
+    # The remaining verdicts promise that the call never ran.
     NOT_STARTED = "not_started"
+    CLOSED = "closed"
     FULL = "full"
 
 
+NOT_RUN: typing.Final = frozenset(
+    (Verdict.NOT_STARTED, Verdict.CLOSED, Verdict.FULL)
+)
+
+
 @dataclasses.dataclass(frozen=True)
 class Decision:
     """Carry the verdict and the kept result, if there is one."""
@@ -59,33 +92,73 @@
     kept: KeptResult | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class HandedEntry:
+    """Describe one started call to the successor."""
+
+    nonce: int
+    digest: bytes
+    # None when the outcome is unknown or the result was too large.
+    kept: KeptResult | None
+
+
+@dataclasses.dataclass(frozen=True)
+class HandoverPart:
+    """Carry some of the started calls of a closed ledger."""
+
+    issuer: Issuer
+    # Seconds on the issuer's monotonic clock.
+    closed_at: float
+    index: int
+    parts: int
+    entries: tuple[HandedEntry, ...]
+
+
+class _State(enum.Enum):
+    RUNNING = "running"
+    ENDED = "ended"
+
+
 @dataclasses.dataclass
 class _Entry:
     ends_at: float
+    digest: bytes
+    state: _State = _State.RUNNING
     kept: KeptResult | None = None
-    lost: bool = False
 
 
 class Ledger:
     """Decide which calls of one incarnation may run."""
 
-    def __init__(self, instance: str, incarnation: int, secret: str) -> None:
+    def __init__(
+        self,
+        instance: str,
+        incarnation: int,
+        secret: str,
+        boot: int = 0,
+        max_entries: int = MAX_ENTRIES,
+        max_result_bytes: int = MAX_RESULT_BYTES,
+    ) -> None:
         """Start with no calls."""
-        self.instance = instance
-        self.incarnation = incarnation
+        self.issuer = Issuer(instance, incarnation, boot)
+        self.result_bytes = 0
+        self.closed_at: float | None = None
         self._secret = secret
+        self._max_entries = max_entries
+        self._max_result_bytes = max_result_bytes
         self._entries: dict[int, _Entry] = {}
-        self._bytes = 0
+        self._ended: list[tuple[float, int]] = []
+        self._now = float("-inf")
+
+    def __len__(self) -> int:
+        """Return the number of started calls that are remembered."""
+        return len(self._entries)
 
     def issue(self, customer: str, now: float, rng: random.Random) -> str:
-        """Return a new ticket."""
-        ticket = Ticket(
-            self.instance,
-            self.incarnation,
-            rng.getrandbits(62),
-            now,
-            customer,
-        )
+        """Return a new ticket; it needs no memory until it is used."""
+        self._advance(now)
+        nonce = rng.getrandbits(62)
+        ticket = Ticket(self.issuer, nonce, self._now, customer)
         return encode(ticket, self._secret)
 
     def parse(self, text: str) -> result.Result[Ticket, str]:
@@ -93,55 +166,212 @@
         return decode(text, self._secret)
 
     def is_own(self, ticket: Ticket) -> bool:
-        """Tell whether this incarnation issued the ticket."""
-        return (ticket.instance, ticket.incarnation) == (
-            self.instance,
-            self.incarnation,
-        )
-
-    def start(self, ticket: Ticket, now: float) -> Decision:
-        """Decide on a call; RUN is given once a ticket."""
-        self._expire(now)
+        """Tell whether this process issued the ticket."""
+        return ticket.issuer == self.issuer
+
+    def start(
+        self, ticket: Ticket, now: float, digest: bytes = b""
+    ) -> Decision:
+        """Decide on a call; RUN is given once a ticket, until release."""
+        assert self.is_own(ticket)
+        self._advance(now)
         entry = self._entries.get(ticket.nonce)
         if entry is not None:
-            return _repeat(entry)
-        if now > ticket.issued_at + START_SECONDS:
+            return _repeat(entry, digest)
+        # An entry is forgotten at this time at the earliest, so a ticket
+        # without an entry may have run only from here on.
+        ends_at = ticket.issued_at + START_SECONDS
+        if self._now >= ends_at:
             return Decision(Verdict.UNKNOWN)
-        if len(self._entries) >= MAX_ENTRIES:
+        if self.closed_at is not None:
+            return Decision(Verdict.CLOSED)
+        if (
+            len(self._entries) >= self._max_entries
+            or self.result_bytes >= self._max_result_bytes
+        ):
             return Decision(Verdict.FULL)
-        ends_at = ticket.issued_at + START_SECONDS
-        self._entries[ticket.nonce] = _Entry(ends_at)
+        self._entries[ticket.nonce] = _Entry(ends_at, digest)
         return Decision(Verdict.RUN)
 
+    def has_run(self, ticket: Ticket, now: float) -> bool:
+        """Tell whether the call of an own ticket may have run."""
+        self._advance(now)
+        return (
+            ticket.nonce in self._entries
+            or self._now >= ticket.issued_at + START_SECONDS
+        )
+
     def finish(
         self, ticket: Ticket, kept: KeptResult | None, now: float
     ) -> None:
-        """Keep the result of a call; None when the outcome is unknown."""
-        entry = self._entries[ticket.nonce]
-        entry.kept = kept
-        entry.lost = kept is None
-        entry.ends_at = max(entry.ends_at, now + KEEP_SECONDS)
+        """End a call; None when its outcome is unknown.
+
+        A result beyond the bound of bytes is not kept, and repeats of its
+        call get UNKNOWN.
+        """
+        self._advance(now)
+        entry = self._entries.get(ticket.nonce)
+        if entry is None or entry.state is _State.ENDED:
+            return
+        if kept is not None:
+            total = self.result_bytes + kept.size
+            if total > self._max_result_bytes:
+                kept = None
+            else:
+                self.result_bytes = total
+        entry.state, entry.kept = _State.ENDED, kept
+        entry.ends_at = max(entry.ends_at, self._now + KEEP_SECONDS)
+        heapq.heappush(self._ended, (entry.ends_at, ticket.nonce))
 
     def release(self, ticket: Ticket) -> None:
         """Allow another start, for a call that provably never ran."""
-        self._entries.pop(ticket.nonce, None)
-
-    def _expire(self, now: float) -> None:
-        done = [
-            nonce
+        entry = self._entries.get(ticket.nonce)
+        if entry is not None and entry.state is _State.RUNNING:
+            del self._entries[ticket.nonce]
+
+    def close(self, now: float) -> None:
+        """Start no call from now on; started ones may still finish."""
+        self._advance(now)
+        if self.closed_at is None:
+            self.closed_at = self._now
+
+    def hand_over(
+        self, now: float, max_bytes: int = MAX_PART_BYTES
+    ) -> tuple[HandoverPart, ...]:
+        """Return all started calls of the closed ledger in bounded parts."""
+        self._advance(now)
+        assert self.closed_at is not None
+        entries = [
+            HandedEntry(nonce, entry.digest, entry.kept)
             for nonce, entry in self._entries.items()
-            if entry.ends_at <= now and (entry.kept or entry.lost)
         ]
-        for nonce in done:
-            del self._entries[nonce]
+        return _split(self.issuer, self.closed_at, entries, max_bytes)
+
+    def _advance(self, now: float) -> None:
+        self._now = max(self._now, now)
+        while self._ended and self._ended[0][0] <= self._now:
+            _, nonce = heapq.heappop(self._ended)
+            entry = self._entries.pop(nonce)
+            if entry.kept is not None:
+                self.result_bytes -= entry.kept.size
+
+
+def _repeat(entry: _Entry, digest: bytes) -> Decision:
+    if entry.digest != digest:
+        return Decision(Verdict.DIFFERENT)
+    if entry.state is _State.RUNNING:
+        return Decision(Verdict.BUSY)
+    if entry.kept is None:
+        return Decision(Verdict.UNKNOWN)
+    return Decision(Verdict.KEPT, entry.kept)
+
+
+def _split(
+    issuer: Issuer,
+    closed_at: float,
+    entries: abc.Iterable[HandedEntry],
+    max_bytes: int,
+) -> tuple[HandoverPart, ...]:
+    groups: list[list[HandedEntry]] = [[]]
+    used = 0
+    for entry in entries:
+        size = _ENTRY_BYTES + (entry.kept.size if entry.kept else 0)
+        if size > max_bytes:
+            entry = dataclasses.replace(entry, kept=None)
+            size = _ENTRY_BYTES
+        if used + size > max_bytes and groups[-1]:
+            groups.append([])
+            used = 0
+        groups[-1].append(entry)
+        used += size
+    return tuple(
+        HandoverPart(issuer, closed_at, index, len(groups), tuple(group))
+        for index, group in enumerate(groups)
+    )
 
 
-def _repeat(entry: _Entry) -> Decision:
-    if entry.kept is not None:
-        return Decision(Verdict.KEPT, entry.kept)
-    if entry.lost:
+@dataclasses.dataclass
+class _Book:
+    parts: int
+    closed_at: float
+    # Seconds on the successor's monotonic clock.
+    expires_at: float
+    received: dict[int, tuple[HandedEntry, ...]]
+    calls: dict[int, HandedEntry] = dataclasses.field(default_factory=dict)
+    entries: int = 0
+    bytes: int = 0
+
+
+class Successor:
+    """Answer for closed ledgers of other processes."""
+
+    def __init__(
+        self,
+        max_entries: int = MAX_ENTRIES,
+        max_result_bytes: int = MAX_RESULT_BYTES,
+    ) -> None:
+        """Start with no ledgers."""
+        self._max_entries = max_entries
+        self._max_result_bytes = max_result_bytes
+        self._books: dict[Issuer, _Book] = {}
+
+    def accept(self, part: HandoverPart, now: float) -> bool:
+        """Take one part, in any order and repeatedly; tell if it fits."""
+        self._expire(now)
+        book = self._books.get(part.issuer)
+        if book is not None and part.index in book.received:
+            return True
+        size = sum(entry.kept.size for entry in part.entries if entry.kept)
+        books = self._books.values()
+        entries = sum(known.entries for known in books) + len(part.entries)
+        total = sum(known.bytes for known in books) + size
+        if entries > self._max_entries or total > self._max_result_bytes:
+            return False
+        if book is None:
+            expires_at = now + KEEP_SECONDS
+            book = _Book(part.parts, part.closed_at, expires_at, {})
+            self._books[part.issuer] = book
+        book.received[part.index] = part.entries
+        book.calls.update((entry.nonce, entry) for entry in part.entries)
+        book.entries += len(part.entries)
+        book.bytes += size
+        return True
+
+    def answer(
+        self, ticket: Ticket, now: float, digest: bytes = b""
+    ) -> Decision:
+        """Answer a repeat; nothing is ever run for a closed ledger."""
+        self._expire(now)
+        book = self._books.get(ticket.issuer)
+        if book is None:
+            return Decision(Verdict.UNKNOWN)
+        entry = book.calls.get(ticket.nonce)
+        if entry is not None:
+            if entry.digest != digest:
+                return Decision(Verdict.DIFFERENT)
+            if entry.kept is None:
+                return Decision(Verdict.UNKNOWN)
+            return Decision(Verdict.KEPT, entry.kept)
+        # The issuer may have started and forgotten an older ticket, and a
+        # missing part may hold this one.
+        whole = len(book.received) == book.parts
+        if whole and ticket.issued_at + START_SECONDS > book.closed_at:
+            return Decision(Verdict.NOT_STARTED)
         return Decision(Verdict.UNKNOWN)
-    return Decision(Verdict.BUSY)
+
+    def _expire(self, now: float) -> None:
+        for issuer in [
+            issuer
+            for issuer, book in self._books.items()
+            if book.expires_at <= now
+        ]:
+            del self._books[issuer]
+
+
+def digest(method: str, path: str, body: bytes) -> bytes:
+    """Return a digest that tells different requests of a ticket apart."""
+    head = f"{method} {path}\n".encode()
+    return hashlib.sha256(head + body).digest()[:_DIGEST_BYTES]
 
 
 def encode(ticket: Ticket, secret: str) -> str:
@@ -161,4 +391,7 @@
     expected = auth.sign(secret, body)[:_SIGNATURE_BYTES]
     if not auth.matches(signature.hex(), expected.hex()):
         return result.Err("wrong signature")
-    return result.Ok(msgspec.msgpack.decode(body, type=Ticket))
+    try:
+        return result.Ok(msgspec.msgpack.decode(body, type=Ticket))
+    except msgspec.MsgspecError:
+        return result.Err("ticket of another release")
--- /dev/null
+++ b/tests/test_tickets.py
@@ -0,0 +1,284 @@
+"""Check at-most-once runs of tickets over crashes and handovers."""
+
+import dataclasses
+import random
+
+import hypothesis
+from hypothesis import settings as hypothesis_settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+import builders
+from hibiscussaddle.policy import tickets
+
+NAMES = ("a", "b")
+OUTCOMES = st.sampled_from(("answered", "lost", "refused", "slow"))
+MAX_ENTRIES = 4
+MAX_BYTES = 40
+# Both bounds of expiry, hit exactly and passed.
+STEPS = st.sampled_from((0.0, 300.0, 600.0, 1500.0))
+
+
+@dataclasses.dataclass
+class Call:
+    """Hold what truly happened to the call of one ticket."""
+
+    ticket: tickets.Ticket
+    runs: int = 0
+    result: tickets.KeptResult | None = None
+    never: bool = False
+
+
+class TicketMachine(stateful.RuleBasedStateMachine):
+    """Send calls through several instances that crash and stop."""
+
+    ledger_type: type[tickets.Ledger] = tickets.Ledger
+    successor_type: type[tickets.Successor] = tickets.Successor
+
+    def __init__(self) -> None:
+        """Start one process for each instance."""
+        super().__init__()
+        self.rng = random.Random(0)
+        self.now = 1000.0
+        self.calls: list[Call] = []
+        self.heirs: dict[tickets.Issuer, str] = {}
+        self.running: list[tuple[tickets.Ledger, Call]] = []
+        self.ledgers = {name: self.boot(name, 1) for name in NAMES}
+        self.successors = {name: self.successor_type() for name in NAMES}
+
+    def boot(self, name: str, incarnation: int) -> tickets.Ledger:
+        """Return the ledger of a new process."""
+        return self.ledger_type(
+            name,
+            incarnation,
+            builders.SECRET,
+            self.rng.getrandbits(62),
+            MAX_ENTRIES,
+            MAX_BYTES,
+        )
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def issue(self, name: str) -> None:
+        """Issue a ticket."""
+        ledger = self.ledgers[name]
+        text = ledger.issue("cereza", self.now, self.rng)
+        self.calls.append(Call(ledger.parse(text).unwrap()))
+
+    @stateful.precondition(lambda self: self.calls)
+    @stateful.rule(data=st.data(), size=st.integers(0, 30), outcome=OUTCOMES)
+    def send(self, data: st.DataObject, size: int, outcome: str) -> None:
+        """Send a call or a repeat to its issuer or the successor."""
+        call = data.draw(st.sampled_from(self.calls[-3:]))
+        issuer = self.ledgers[call.ticket.issuer.instance]
+        if issuer.is_own(call.ticket):
+            decision = issuer.start(call.ticket, self.now)
+        else:
+            heir = self.heirs.get(call.ticket.issuer, "a")
+            decision = self.successors[heir].answer(call.ticket, self.now)
+        self.check(call, decision)
+        if decision.verdict is tickets.Verdict.RUN:
+            self.running.append((issuer, call))
+            if outcome != "slow":
+                self.end(len(self.running) - 1, size, outcome)
+
+    def check(self, call: Call, decision: tickets.Decision) -> None:
+        """Compare a decision with what truly happened."""
+        if decision.verdict in tickets.NOT_RUN:
+            assert call.runs == 0, "refused 'not run' after a run"
+            assert not any(c is call for _, c in self.running)
+            if decision.verdict is not tickets.Verdict.FULL:
+                call.never = True
+        if decision.verdict is tickets.Verdict.KEPT:
+            assert decision.kept == call.result, "answer of another call"
+
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(size=st.integers(0, 30), outcome=OUTCOMES)
+    def end_slow(self, size: int, outcome: str) -> None:
+        """End the oldest running call."""
+        self.end(0, size, outcome)
+
+    def end(self, index: int, size: int, outcome: str) -> None:
+        """End a running call at its back end."""
+        ledger, call = self.running.pop(index)
+        if outcome == "refused":
+            ledger.release(call.ticket)
+            return
+        call.runs += 1
+        assert call.runs == 1, "ran twice"
+        assert not call.never, "ran after a refusal 'not run'"
+        if outcome == "lost":
+            ledger.finish(call.ticket, None, self.now)
+            return
+        body = bytes([call.ticket.nonce % 256]) * size
+        call.result = tickets.KeptResult(200, body, "")
+        ledger.finish(call.ticket, call.result, self.now)
+
+    @stateful.rule(seconds=st.sampled_from((300.0, 600.0, 1500.0)))
+    def wait(self, seconds: float) -> None:
+        """Let time pass; a jump is a suspended machine."""
+        self.now += seconds
+
+    @stateful.rule(seconds=STEPS)
+    def clock_step_back(self, seconds: float) -> None:
+        """Present an earlier time to every ledger once."""
+        for ledger in self.ledgers.values():
+            ledger.issue("cereza", self.now - seconds, self.rng)
+
+    @stateful.rule(name=st.sampled_from(NAMES), back=st.booleans())
+    def crash(self, name: str, back: bool) -> None:
+        """Restart a process; a wall clock set back repeats its number."""
+        self.restart(name, back)
+
+    def restart(self, name: str, back: bool) -> None:
+        """Replace the process; its back-end calls still take effect."""
+        incarnation = self.ledgers[name].issuer.incarnation
+        self.ledgers[name] = self.boot(name, incarnation + (not back))
+        self.successors[name] = self.successor_type()
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def close(self, name: str) -> None:
+        """Begin a planned stop."""
+        self.ledgers[name].close(self.now)
+
+    @stateful.rule(
+        name=st.sampled_from(NAMES),
+        to=st.sampled_from(NAMES),
+        lost=st.sets(st.integers(0, 3), max_size=1),
+        room=st.sampled_from((100, 200)),
+        late=STEPS,
+    )
+    def hand_over(
+        self, name: str, to: str, lost: set[int], room: int, late: float
+    ) -> None:
+        """End a planned stop; parts come in reverse, twice or not at all."""
+        if name == to:
+            return
+        ledger = self.ledgers[name]
+        ledger.close(self.now)
+        parts = ledger.hand_over(self.now, room)
+        self.heirs[ledger.issuer] = to
+        self.now += late
+        for part in [*reversed(parts), *parts]:
+            if part.index not in lost:
+                self.successors[to].accept(part, self.now)
+        self.restart(name, False)
+
+    @stateful.invariant()
+    def bounds_hold(self) -> None:
+        """Fails when a ledger grows past its bounds."""
+        for ledger in self.ledgers.values():
+            assert len(ledger) <= MAX_ENTRIES
+            assert 0 <= ledger.result_bytes <= MAX_BYTES
+
+
+class ForgetfulLedger(tickets.Ledger):
+    """Start a ticket again when its entry has expired."""
+
+    def start(
+        self, ticket: tickets.Ticket, now: float, digest: bytes = b""
+    ) -> tickets.Decision:
+        """Treat every unknown ticket as fresh."""
+        self._advance(now)
+        fresh = dataclasses.replace(ticket, issued_at=now)
+        return super().start(fresh, now, digest)
+
+
+class CredulousSuccessor(tickets.Successor):
+    """Take a ticket that is missing from the list as never started."""
+
+    def answer(
+        self, ticket: tickets.Ticket, now: float, digest: bytes = b""
+    ) -> tickets.Decision:
+        """Skip the tests of age and of missing parts."""
+        decision = super().answer(ticket, now, digest)
+        book = self._books.get(ticket.issuer)
+        if book is not None and ticket.nonce not in book.calls:
+            return tickets.Decision(tickets.Verdict.NOT_STARTED)
+        return decision
+
+
+class ReusingLedger(tickets.Ledger):
+    """Recognise own tickets by name and incarnation alone."""
+
+    def is_own(self, ticket: tickets.Ticket) -> bool:
+        """Ignore the random number of the process."""
+        own, other = self.issuer, ticket.issuer
+        return (own.instance, own.incarnation) == (
+            other.instance,
+            other.incarnation,
+        )
+
+
+class ForgetfulMachine(TicketMachine):
+    """Use the ledger that forgets."""
+
+    ledger_type = ForgetfulLedger
+
+
+class CredulousMachine(TicketMachine):
+    """Use the successor that takes absence as proof."""
+
+    successor_type = CredulousSuccessor
+
+
+class ReusingMachine(TicketMachine):
+    """Use the ledger that trusts the wall clock."""
+
+    ledger_type = ReusingLedger
+
+
+def _profile(examples: int) -> hypothesis_settings:
+    return hypothesis_settings(
+        hypothesis_settings.default,
+        max_examples=examples,
+        stateful_step_count=40,
+    )
+
+
+def test_a_ticket_runs_once_and_refusals_are_true() -> None:
+    """Fails on a second run, a false 'not run' or a foreign answer."""
+    stateful.run_state_machine_as_test(TicketMachine, settings=_profile(200))
+
+
+@pytest.mark.parametrize(
+    "broken", [ForgetfulMachine, CredulousMachine, ReusingMachine]
+)
+def test_the_property_catches_a_broken_ledger(
+    broken: type[TicketMachine],
+) -> None:
+    """Fails when the property above has become too weak."""
+    searched = hypothesis_settings(
+        _profile(2000),
+        derandomize=True,
+        database=None,
+        phases=[hypothesis.Phase.generate],
+        report_multiple_bugs=False,
+    )
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(broken, settings=searched)
+
+
+def test_a_ticket_answers_only_its_own_request() -> None:
+    """Fails when a reused ticket yields the answer of another request."""
+    ledger = tickets.Ledger("a", 1, builders.SECRET)
+    text = ledger.issue("cereza", 0.0, random.Random(0))
+    ticket = ledger.parse(text).unwrap()
+    one = tickets.digest("POST", "/orders", b"net 7")
+    two = tickets.digest("POST", "/orders", b"net 8")
+    assert ledger.start(ticket, 0.0, one).verdict is tickets.Verdict.RUN
+    ledger.finish(ticket, tickets.KeptResult(200, b"7", ""), 0.0)
+    repeat = ledger.start(ticket, 0.0, two)
+    assert repeat.verdict is tickets.Verdict.DIFFERENT
+    assert ledger.start(ticket, 0.0, one).kept is not None
+
+
+def test_a_changed_ticket_is_refused() -> None:
+    """Fails when a caller can forge or alter a ticket."""
+    ledger = tickets.Ledger("a", 1, builders.SECRET)
+    text = ledger.issue("cereza", 0.0, random.Random(0))
+    middle = len(text) // 2
+    swapped = "A" if text[middle] != "A" else "B"
+    changed = text[:middle] + swapped + text[middle + 1 :]
+    for wrong in (changed, "", "?", "é", text[:20]):
+        assert ledger.parse(wrong).is_err()
