--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -23,6 +23,7 @@
 from hibiscussaddle.policy import facts
 from hibiscussaddle.policy import shares
 from hibiscussaddle.policy import tickets
+from hibiscussaddle.policy import versions
 from hibiscussaddle import step_table
 from hibiscussaddle import steps
 
@@ -225,7 +226,7 @@
                 attempt.slot % 8,
                 "x" * 800,
                 200,
-                (steps.VersionRange(1, 0, 199),),
+                (versions.VersionRange(1, 0, 199),),
             )
             run.keep(attempt, sample, 0.0)
         return run
--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+import secrets
 import signal
 import time
 import typing
@@ -60,7 +61,9 @@
         dispatcher=dispatcher.Dispatcher(
             cfg.instance, cfg.zone, directory, contracts, time.monotonic, rng
         ),
-        ledger=tickets.Ledger(cfg.instance, incarnation, cfg.peer_secret),
+        ledger=tickets.Ledger(
+            cfg.instance, incarnation, cfg.peer_secret, secrets.randbits(62)
+        ),
         steps=step_table.StepTable(),
         peers=peers.PeerTransport(
             peers.Sender(cfg.instance, incarnation),
