Test delivery with a state machine and broken variants

Cause: exactly-once delivery, staleness and first answer wins had no test. Change: a hypothesis state machine of two owners and a trainer with lost, repeated, concurrent and reordered pulls, crashes, restarts, changed readers, duplicates and new versions; ten broken variants must be found. Fault found by it: a delayed pull of a former number of shards refused the present readers for good. Positions are now kept by reader.

--- a/src/hibiscussaddle/policy/cursor.py
+++ b/src/hibiscussaddle/policy/cursor.py
@@ -4,6 +4,11 @@
 from collections import abc
 import dataclasses
 import enum
+import typing
+
+# Positions kept a step; the one that moved longest ago goes first, and
+# costs a new answer for a repeat of its pull.
+MAX_READERS: typing.Final = 256
 
 
 @dataclasses.dataclass(frozen=True)
@@ -95,44 +100,32 @@
         self.size = size
         self.seen = Bitmap(size)
         self._per_group = samples_per_group
-        self._shards = 0
-        self._replaced: set[int] = set()
-        self._positions: dict[int, _Position] = {}
+        self._positions: dict[Reader, _Position] = {}
 
     def begin(self, reader: Reader, pull: int, have: Bitmap) -> Verdict:
         """Note a pull and its bits; an older one changes only the bits."""
         # Bits only ever mean "received", so those of an old pull are true.
         self.seen = self.seen.union(have)
-        if not self._use_layout(reader.shards):
-            return Verdict.OLD
-        position = self._positions.get(reader.shard)
+        position = self._positions.get(reader)
         if position is None or pull > position.pull:
-            self._positions[reader.shard] = _Position(pull)
+            self._set_position(reader, _Position(pull))
             return Verdict.NEW
         if pull < position.pull:
             return Verdict.OLD
         return Verdict.NEW if position.batch is None else Verdict.REPEAT
 
-    def _use_layout(self, shards: int) -> bool:
-        if shards in self._replaced:
-            return False
-        if shards != self._shards:
-            # The trainer restarted with another number of readers. The old
-            # ones are refused, so no slot is owed to two readers.
-            if self._shards:
-                self._replaced.add(self._shards)
-            self._shards = shards
-            self._positions.clear()
-        return True
+    def _set_position(self, reader: Reader, position: _Position) -> None:
+        # Readers of another number of shards keep their own positions: a
+        # delayed pull of the old ones must not refuse the new ones.
+        self._positions.pop(reader, None)
+        self._positions[reader] = position
+        if len(self._positions) > MAX_READERS:
+            del self._positions[next(iter(self._positions))]
 
     def is_current(self, reader: Reader, pull: int) -> bool:
         """Tell whether no later pull of the reader has begun."""
-        position = self._positions.get(reader.shard)
-        return (
-            reader.shards == self._shards
-            and position is not None
-            and position.pull == pull
-        )
+        position = self._positions.get(reader)
+        return position is not None and position.pull == pull
 
     def owed(self, reader: Reader) -> list[int]:
         """Return the slots of the reader whose bits were never seen."""
@@ -146,7 +139,7 @@
         """Return the fixed answer of the pull, without bits seen since."""
         if not self.is_current(reader, pull):
             return None
-        fixed = self._positions[reader.shard].batch
+        fixed = self._positions[reader].batch
         if fixed is None:
             return None
         return tuple(slot for slot in fixed if not self.seen.has(slot))
@@ -160,7 +153,7 @@
         """
         if not self.is_current(reader, pull):
             return None
-        position = self._positions[reader.shard]
+        position = self._positions[reader]
         if position.batch is None:
             allowed = set(self.owed(reader))
             position.batch = tuple(s for s in slots if s in allowed)
@@ -170,7 +163,7 @@
         """Take stale slots out of a fixed answer; repeats lack them."""
         if not self.is_current(reader, pull):
             return
-        position = self._positions[reader.shard]
+        position = self._positions[reader]
         if position.batch is not None:
             position.batch = tuple(
                 slot for slot in position.batch if slot not in slots
--- /dev/null
+++ b/tests/delivery_machine.py
@@ -0,0 +1,306 @@
+"""State machine of a trainer, two owners of its step and the faults."""
+
+import base64
+import dataclasses
+import typing
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from hibiscussaddle.policy import cursor
+from hibiscussaddle.policy import groups
+from hibiscussaddle.policy import versions
+from hibiscussaddle import step_table
+from hibiscussaddle import steps
+
+GROUPS, PER_GROUP, BOUND, OWNERS = 3, 2, 1, 2
+SLOTS = GROUPS * PER_GROUP
+INDEX = st.integers(0, 99)
+OWNER = st.integers(0, OWNERS - 1)
+KEY = steps.StepKey("cereza", "t1", "s1")
+
+
+@dataclasses.dataclass(frozen=True)
+class Wire:
+    """Hold a pull on its way, with the bits the trainer had."""
+
+    reader: cursor.Reader
+    body: steps.PullBody
+    have: cursor.Bitmap
+
+
+class Owner:
+    """Run the code under test, with an independent record beside it."""
+
+    def __init__(self, run: step_table.StepRun, known: int) -> None:
+        self.run = run
+        self.known = known
+        self.budget = groups.ExtraBudget(1.0)
+        self.seen = 0
+        self.latest: dict[cursor.Reader, int] = {}
+        self.answers: dict[tuple[cursor.Reader, int], set[int]] = {}
+        self.winners: dict[int, str] = {}
+
+
+class DeliveryMachine(stateful.RuleBasedStateMachine):
+    """Check what every answer and every accepted sample may be."""
+
+    run_type: type[step_table.StepRun] = step_table.StepRun
+
+    @stateful.initialize(scored=st.booleans(), shards=st.sampled_from([1, 2]))
+    def open(self, scored: bool, shards: int) -> None:
+        self.spec = steps.StepSpec(
+            trainer="t1",
+            step="s1",
+            model="base",
+            groups=tuple(({"content": str(n)},) for n in range(GROUPS)),
+            samples_per_group=PER_GROUP,
+            reward="judge" if scored else None,
+        )
+        self.published = 1
+        self.now = 0.0
+        self.owners = [self._create_owner() for _ in range(OWNERS)]
+        self.requests: list[tuple[int, Wire]] = []
+        self.replies: list[tuple[Wire, steps.PullAnswer]] = []
+        self.have = cursor.Bitmap(SLOTS)
+        self.shards = shards
+        self.next_pull = dict.fromkeys(range(shards), 1)
+        self.retired = {shards}
+
+    def _create_owner(self) -> Owner:
+        return Owner(self.run_type(KEY, self.spec, 0.0), 1)
+
+    @stateful.rule(told=st.booleans())
+    def publish(self, told: bool) -> None:
+        self.published += 1
+        if told:
+            for owner in range(OWNERS):
+                self.learn(owner)
+
+    @stateful.rule(
+        owner=OWNER, count=st.integers(1, SLOTS), lag=st.integers(0, 2)
+    )
+    def work(self, owner: int, count: int, lag: int) -> None:
+        """Make some samples without faults, which other rules add."""
+        self.start(owner, count)
+        for _ in range(count):
+            self.finish(owner, 0, lag)
+        for _ in range(GROUPS):
+            self.score(owner, True)
+
+    @stateful.rule(owner=OWNER)
+    def learn(self, owner: int) -> None:
+        self.owners[owner].known = self.published
+        self.owners[owner].run.drop_stale(self.published, BOUND)
+
+    @stateful.rule(owner=OWNER, count=st.integers(1, SLOTS))
+    def start(self, owner: int, count: int) -> None:
+        progress = self.owners[owner].run.progress
+        for _ in range(count):
+            slot = progress.next_slot()
+            if slot is not None:
+                progress.start(slot, self.now)
+
+    @stateful.rule(owner=OWNER, index=INDEX)
+    def duplicate(self, owner: int, index: int) -> None:
+        own = self.owners[owner]
+        own.budget.add(1)
+        running = own.run.progress.attempts()
+        if running:
+            slot = running[index % len(running)].slot
+            own.run.progress.duplicate(slot, self.now, 1, own.budget)
+
+    @stateful.rule(owner=OWNER, index=INDEX, lag=st.integers(0, 3))
+    def finish(self, owner: int, index: int, lag: int) -> None:
+        own = self.owners[owner]
+        running = own.run.progress.attempts()
+        if not running:
+            return
+        attempt = running[index % len(running)]
+        # The same attempt may also be reported after it lost.
+        rivals = [item for item in running if item.slot == attempt.slot]
+        for item in (attempt, *rivals):
+            sample = self._sample(item, max(1, self.published - lag))
+            if own.run.progress.samples.get(item.slot) is None:
+                own.winners[item.slot] = sample.text
+            own.run.keep(item, sample, self.now)
+
+    def _sample(self, attempt: groups.Attempt, version: int) -> steps.Sample:
+        group, index = divmod(attempt.slot, PER_GROUP)
+        return steps.Sample(
+            trainer="t1",
+            step="s1",
+            group=group,
+            index=index,
+            text=f"{attempt.slot}/{attempt.number}",
+            tokens=1,
+            versions=(versions.VersionRange(version, 0, 0),),
+        )
+
+    @stateful.rule(owner=OWNER, index=INDEX)
+    def lose_attempt(self, owner: int, index: int) -> None:
+        progress = self.owners[owner].run.progress
+        running = progress.attempts()
+        if running:
+            progress.fail(running[index % len(running)])
+
+    @stateful.rule(owner=OWNER, answered=st.booleans())
+    def score(self, owner: int, answered: bool) -> None:
+        progress = self.owners[owner].run.progress
+        taken = progress.next_unscored()
+        if taken is None:
+            return
+        group, found = taken
+        if not answered:
+            progress.unscored(group)
+            return
+        progress.score(
+            group,
+            {
+                slot: (item, dataclasses.replace(item, reward=1.0))
+                for slot, item in found.items()
+            },
+        )
+
+    @stateful.rule(
+        owner=OWNER,
+        shard=INDEX,
+        size=st.integers(1, SLOTS),
+        served=st.booleans(),
+    )
+    def send_pull(
+        self, owner: int, shard: int, size: int, served: bool
+    ) -> None:
+        wire = self._wire(shard % self.shards, size)
+        self.requests.append((owner, wire))
+        if served:
+            self._serve(self.owners[owner], wire, True)
+
+    def _wire(self, shard: int, size: int) -> Wire:
+        reader = cursor.Reader(shard, self.shards)
+        body = steps.PullBody(
+            pull=self.next_pull[shard],
+            have=self.have.encode(),
+            newest_version=self.published,
+            max_samples=size,
+            shard=shard,
+            shards=self.shards,
+        )
+        return Wire(reader, body, self.have)
+
+    @stateful.precondition(lambda self: self.requests)
+    @stateful.rule(index=INDEX, final=st.booleans())
+    def serve_pull(self, index: int, final: bool) -> None:
+        """Serve any request on its way; it may also be served twice."""
+        owner, wire = self.requests[index % len(self.requests)]
+        self._serve(self.owners[owner], wire, final)
+
+    def _serve(self, own: Owner, wire: Wire, final: bool) -> None:
+        verdict = own.run.begin(wire.reader, wire.body, wire.have, self.now)
+        own.seen |= wire.have.bits
+        late = wire.body.pull < own.latest.get(wire.reader, 0)
+        if late:
+            assert verdict is cursor.Verdict.OLD, "older pull was answered"
+        if verdict is cursor.Verdict.OLD:
+            return
+        own.latest[wire.reader] = wire.body.pull
+        newest = max(own.known, own.run.newest)
+        reply = own.run.answer(wire.reader, wire.body, newest, BOUND, final)
+        if reply is not None:
+            self._check_reply(own, wire, reply)
+            self.replies.append((wire, reply))
+
+    def _check_reply(
+        self, own: Owner, wire: Wire, reply: steps.PullAnswer
+    ) -> None:
+        slots = {s.group * PER_GROUP + s.index for s in reply.samples}
+        assert len(slots) == len(reply.samples), "slot twice in one answer"
+        newest = max(own.known, wire.body.newest_version)
+        first = own.answers.setdefault((wire.reader, reply.pull), slots)
+        assert slots <= first, "repeated pull got another batch"
+        for sample in reply.samples:
+            slot = sample.group * PER_GROUP + sample.index
+            assert not own.seen >> slot & 1, "slot whose bit was seen"
+            assert sample.group % wire.reader.shards == wire.reader.shard, (
+                "slot of another shard"
+            )
+            oldest = min(part.version for part in sample.versions)
+            assert newest - oldest <= BOUND, "stale sample"
+            assert sample.text == own.winners[slot], "loser delivered"
+            if self.spec.reward:
+                assert sample.reward is not None, "sample without reward"
+
+    @stateful.precondition(lambda self: len(self.requests) > 4)
+    @stateful.rule(index=INDEX)
+    def lose_request(self, index: int) -> None:
+        self.requests.pop(index % len(self.requests))
+
+    @stateful.precondition(lambda self: self.replies)
+    @stateful.rule(index=INDEX)
+    def lose_reply(self, index: int) -> None:
+        self.replies.pop(index % len(self.replies))
+
+    @stateful.precondition(lambda self: self.replies)
+    @stateful.rule(index=INDEX)
+    def receive_reply(self, index: int) -> None:
+        """Accept one answer a pull number, in any order of arrival."""
+        wire, reply = self.replies.pop(index % len(self.replies))
+        shard = wire.reader.shard
+        if wire.reader.shards != self.shards:
+            return
+        if reply.pull != self.next_pull[shard]:
+            return
+        for sample in reply.samples:
+            slot = sample.group * PER_GROUP + sample.index
+            assert not self.have.has(slot), "slot delivered twice"
+            self.have = self.have.with_slot(slot)
+        self.next_pull[shard] += 1
+
+    @stateful.rule(owner=OWNER)
+    def crash_owner(self, owner: int) -> None:
+        self.owners[owner] = self._create_owner()
+
+    @stateful.precondition(lambda self: self.replies)
+    @stateful.rule()
+    def restart_trainer(self) -> None:
+        """Lose what is on its way back; samples and numbers are kept."""
+        self.replies.clear()
+
+    @stateful.precondition(lambda self: len(self.retired) < GROUPS)
+    @stateful.rule(shards=st.integers(1, GROUPS))
+    def change_readers(self, shards: int) -> None:
+        if shards not in self.retired:
+            self.retired.add(shards)
+            self.replies.clear()
+            self.shards = shards
+            self.next_pull = dict.fromkeys(range(shards), 1)
+
+    def teardown(self) -> None:
+        """Without faults every slot arrives: none is lost for good."""
+        if not hasattr(self, "owners"):
+            return
+        own = self.owners[0]
+        for _ in range(2 * SLOTS):
+            if self.have.count() == SLOTS:
+                break
+            self.learn(0)
+            self._finish_all(own)
+            for shard in range(self.shards):
+                self.replies.clear()
+                self._serve(own, self._wire(shard, SLOTS), final=True)
+                if self.replies:
+                    self.receive_reply(0)
+        full = base64.b64encode(bytes([(1 << SLOTS) - 1])).decode()
+        assert self.have.encode() == full, "slots never delivered"
+
+    def _finish_all(self, own: Owner) -> None:
+        self.start(0, SLOTS)
+        while own.run.progress.attempts():
+            self.finish(0, 0, 0)
+        for _ in range(GROUPS):
+            self.score(0, True)
+
+
+def broken(run_type: type[step_table.StepRun]) -> type[typing.Any]:
+    """Return the machine for a broken variant of the code."""
+    return type("Broken", (DeliveryMachine,), {"run_type": run_type})
--- /dev/null
+++ b/tests/test_step_delivery.py
@@ -0,0 +1,165 @@
+"""Guard exactly-once delivery, staleness and first answer wins."""
+
+import dataclasses
+import typing
+
+import hypothesis
+from hypothesis import stateful
+import pytest
+
+import delivery_machine
+from hibiscussaddle.policy import cursor
+from hibiscussaddle import step_table
+from hibiscussaddle import steps
+
+TestDelivery = delivery_machine.DeliveryMachine.TestCase
+TestDelivery.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=50
+)
+
+
+class RepeatsOtherBatch(step_table.StepRun):
+    """Choose a new batch for a repeated pull number."""
+
+    def answer(self, reader, pull, *rest, **more):  # type: ignore
+        position = self.cursor._positions.get(reader)
+        if position is not None and position.pull == pull.pull:
+            position.batch = None
+        return super().answer(reader, pull, *rest, **more)
+
+
+class ForgetsBits(step_table.StepRun):
+    """Ignore the bits of a pull."""
+
+    def begin(self, reader, pull, have, now):  # type: ignore
+        none = cursor.Bitmap(have.size)
+        return super().begin(reader, pull, none, now)
+
+
+class AnswersOldPulls(step_table.StepRun):
+    """Answer a pull older than the latest one."""
+
+    def begin(self, reader, pull, have, now):  # type: ignore
+        position = self.cursor._positions.get(reader)
+        if position is not None and pull.pull < position.pull:
+            position.pull, position.batch = pull.pull, None
+        return super().begin(reader, pull, have, now)
+
+
+class IgnoresStaleness(step_table.StepRun):
+    """Deliver samples without the staleness test."""
+
+    def _fresh(self, slots, newest, bound):  # type: ignore
+        return super()._fresh(slots, 0, bound)
+
+
+class IgnoresTrainerVersion(step_table.StepRun):
+    """Trust only the instance's own newest version."""
+
+    def begin(self, reader, pull, have, now):  # type: ignore
+        old = dataclasses.replace(pull, newest_version=0)
+        return super().begin(reader, old, have, now)
+
+
+class RepeatsStale(step_table.StepRun):
+    """Test staleness only when the answer is first chosen."""
+
+    def answer(self, reader, pull, newest, bound, final):  # type: ignore
+        if self.cursor.batch(reader, pull.pull) is not None:
+            bound = 1000
+        return super().answer(reader, pull, newest, bound, final)
+
+
+class LaterAnswerWins(step_table.StepRun):
+    """Keep the last complete answer of a slot."""
+
+    def keep(self, attempt, sample, now):  # type: ignore
+        super().keep(attempt, sample, now)
+        if self.progress.samples.get(attempt.slot) is not None:
+            self.progress.samples[attempt.slot] = sample
+
+
+class IgnoresShards(step_table.StepRun):
+    """Offer every slot to every reader."""
+
+    def answer(self, reader, pull, *rest, **more):  # type: ignore
+        self.cursor.owed = lambda _: self.cursor.seen.missing()
+        return super().answer(reader, pull, *rest, **more)
+
+
+class DeliversUnscored(step_table.StepRun):
+    """Deliver a finished sample before its group is scored."""
+
+    def keep(self, attempt, sample, now):  # type: ignore
+        super().keep(attempt, sample, now)
+        if attempt.slot in self.progress.samples:
+            self.progress._ready.add(attempt.slot)
+
+
+class LosesSlots(step_table.StepRun):
+    """Never make a stale sample again."""
+
+    def drop(self, slot: int) -> None:
+        self.progress.samples.pop(slot, None)
+
+
+@pytest.mark.parametrize(
+    ("variant", "failure"),
+    [
+        (RepeatsOtherBatch, "repeated pull got another batch"),
+        (ForgetsBits, "slot whose bit was seen"),
+        (AnswersOldPulls, "older pull was answered"),
+        (IgnoresStaleness, "stale sample"),
+        (IgnoresTrainerVersion, "stale sample"),
+        (RepeatsStale, "stale sample"),
+        (LaterAnswerWins, "loser delivered"),
+        (IgnoresShards, "slot of another shard"),
+        (DeliversUnscored, "sample without reward"),
+        (LosesSlots, "slots never delivered"),
+    ],
+)
+def test_broken_variant_is_found(
+    variant: type[step_table.StepRun], failure: str
+) -> None:
+    """Fails when the state machine does not see a broken variant."""
+    settings = hypothesis.settings(
+        max_examples=1500,
+        stateful_step_count=50,
+        derandomize=True,
+        database=None,
+        print_blob=False,
+        report_multiple_bugs=False,
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    machine = delivery_machine.broken(variant)
+    with pytest.raises(AssertionError, match=failure):
+        stateful.run_state_machine_as_test(machine, settings=settings)
+
+
+def _step(**changes: typing.Any) -> steps.StepSpec:
+    values: dict[str, typing.Any] = {
+        "trainer": "t1",
+        "step": "s1",
+        "model": "base",
+        "groups": (({"content": "x"},),),
+        "samples_per_group": 2,
+    }
+    values.update(changes)
+    return steps.StepSpec(**values)
+
+
+def test_table_keeps_customers_apart_and_is_bounded() -> None:
+    """Fails when a step leaks to another customer or the table grows."""
+    table = step_table.StepTable(max_steps=2, idle_seconds=10.0)
+    first = table.open("a", _step(), 0.0).ok_value
+    assert table.open("a", _step(), 1.0).ok_value is first
+    assert table.open("a", _step(max_tokens=3), 1.0).is_err()
+    assert table.open("b", _step(max_tokens=3), 1.0).is_ok()
+    assert table.open("c", _step(), 2.0).is_err()
+    table.sweep(11.5)
+    assert not table.runs
+    large = _step(groups=(({"content": "x" * 600},),))
+    small = step_table.StepTable(max_bytes=1000)
+    assert small.open("a", large, 0.0).is_ok()
+    assert small.open("b", large, 1.0).is_err()
