Show open steps and what their trainers wait for

Cause: an operator could not see why a trainer is idle. Conclusion: the reason is derived from the counts and the last refusal to start work.

--- a/src/hibiscussaddle/cli.py
+++ b/src/hibiscussaddle/cli.py
@@ -10,6 +10,7 @@
 from hibiscussaddle import codes as result_codes
 from hibiscussaddle.commands import console
 from hibiscussaddle.commands import contract
+from hibiscussaddle.commands import step
 from hibiscussaddle import entry as entry_lib
 from hibiscussaddle import logs
 from hibiscussaddle import settings as settings_lib
@@ -21,6 +22,7 @@
     def __init__(self) -> None:
         """Group the operators' commands."""
         self.contract = contract.ContractCommands()
+        self.step = step.StepCommands()
 
     def entry(self, **flags: object) -> None:
         """Run an entry instance; flags are the settings."""
--- /dev/null
+++ b/src/hibiscussaddle/operations/steps.py
@@ -0,0 +1,101 @@
+"""Report the open steps and why a trainer waits."""
+
+import dataclasses
+import typing
+
+import result
+from starlette import requests
+
+from hibiscussaddle import codes
+from hibiscussaddle import operations
+from hibiscussaddle.policy import groups
+from hibiscussaddle import runtime as runtime_lib
+from hibiscussaddle import step_table
+from hibiscussaddle import steps
+
+
+@operations.operation("GET", "/v1/steps")
+async def list_steps(
+    runtime: runtime_lib.Runtime, _: requests.Request
+) -> operations.Answer:
+    """Return the steps that are open here."""
+    found = [summarize(runtime, run) for run in runtime.steps.runs.values()]
+    return result.Ok({"steps": found})
+
+
+@operations.operation("GET", "/v1/steps/{customer}/{trainer}/{step}")
+async def show_step(
+    runtime: runtime_lib.Runtime, req: requests.Request
+) -> operations.Answer:
+    """Return one step with its counts and the engines' versions."""
+    key = steps.StepKey(**req.path_params)
+    run = runtime.steps.get(key)
+    if run is None:
+        return result.Err(
+            codes.Refusal(
+                codes.Code.STEP_UNKNOWN,
+                f"step {key.step!r} of trainer {key.trainer!r} is not open on "
+                f"instance {runtime.cfg.instance!r}",
+            )
+        )
+    known = {
+        ep.id: _version_of(runtime, ep.id)
+        for ep in runtime.directory.engines(run.spec.model)
+    }
+    return result.Ok(
+        {
+            **summarize(runtime, run),
+            "model": run.spec.model,
+            "groups": len(run.spec.groups),
+            "samples_per_group": run.spec.samples_per_group,
+            "reward": run.spec.reward,
+            "newest_version": runtime.steps.newest(run),
+            "engine_versions": known,
+            "scorer_error": run.scorer_error,
+            "samples_made": run.made,
+            "made_again": run.made_again,
+            "held_bytes": run.spec_bytes + run.sample_bytes,
+        }
+    )
+
+
+def _version_of(runtime: runtime_lib.Runtime, endpoint_id: str) -> int | None:
+    known = runtime.steps.engines.get(endpoint_id)
+    return known.version if known else None
+
+
+def summarize(
+    runtime: runtime_lib.Runtime, run: step_table.StepRun
+) -> dict[str, typing.Any]:
+    """Return the state of a step as one row."""
+    counts = run.progress.counts()
+    pulled_at = run.pulled_at
+    return {
+        "customer": run.key.customer,
+        "trainer": run.key.trainer,
+        "step": run.key.step,
+        **dataclasses.asdict(counts),
+        "last_pull_seconds": None
+        if pulled_at is None
+        else round(runtime.clock() - pulled_at, 1),
+        "waits_for": explain(run, counts),
+    }
+
+
+def explain(run: step_table.StepRun, counts: groups.Counts) -> str:
+    """Tell what the trainer of a step waits for."""
+    if counts.received == run.spec.slots:
+        return "nothing: the trainer has every sample"
+    if not run.active:
+        return f"owner: {step_table.Blocked.NOT_OWNER.value}"
+    if counts.ready:
+        return "trainer: samples are ready for its next pull"
+    if run.scorer_error:
+        return f"scorer: {run.scorer_error}"
+    if run.blocked is not step_table.Blocked.NOTHING:
+        return f"engines: {run.blocked.value}"
+    if counts.running:
+        return "engines: samples are being generated"
+    if counts.finished:
+        return "scorer: finished groups are being scored"
+    return "engines: samples are about to start"
