--- a/src/hibiscussaddle/standins/engine.py
+++ b/src/hibiscussaddle/standins/engine.py
@@ -172,13 +172,19 @@
             self._maybe_crash(count)
             if gen.cancelled:
                 return
-            text = "".join(f"t{index + i} " for i in range(count))
+            text = "".join(
+                self.token_text(prompt, index + i) for i in range(count)
+            )
             gen.text.append(text)
             gen.versions.extend([self.version] * count)
             yield self._chunk(request_id, text, index, count)
             index += count
         gen.finished = True
 
+    def token_text(self, prompt: str, number: int) -> str:
+        """Return the text of one token; checkers override it."""
+        return f"t{number} "
+
     async def _compute(self, tokens: int) -> None:
         seconds = self.cfg.token_seconds * tokens * self.slow_factor
         async with contextlib.AsyncExitStack() as stack:
