--- a/src/hibiscussaddle/runtime.py
+++ b/src/hibiscussaddle/runtime.py
@@ -9,6 +9,7 @@
 from hibiscussaddle.adapters import peers as peers_lib
 from hibiscussaddle.adapters import store as store_lib
 from hibiscussaddle import contract_cache
+from hibiscussaddle import dispatcher
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
 from hibiscussaddle import members as members_lib
@@ -32,6 +33,7 @@
     lifecycle: lifecycle.Lifecycle
     contracts: contract_cache.ContractCache
     directory: endpoints.Directory
+    dispatcher: dispatcher.Dispatcher
     ledger: tickets.Ledger
     steps: step_table.StepTable
     peers: peers_lib.PeerTransport
