--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+import secrets
 import signal
 import time
 import typing
@@ -16,6 +17,7 @@
 from hibiscussaddle import contract_cache
 from hibiscussaddle import controllers
 from hibiscussaddle.controllers import endpoints as endpoint_list
+from hibiscussaddle import dispatcher
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
 from hibiscussaddle import logs
@@ -28,6 +30,7 @@
 from hibiscussaddle import serving
 from hibiscussaddle import settings
 from hibiscussaddle import shared_facts
+from hibiscussaddle import step_table
 
 _LOG = logging.getLogger(__name__)
 _MAX_CONNECTIONS: typing.Final = 4000
@@ -45,7 +48,10 @@
     me = members.Member(
         cfg.instance, cfg.zone, cfg.region, address, incarnation
     )
-    known, rng = members.Members(me), random.Random()
+    known = members.Members(me)
+    contracts = contract_cache.ContractCache()
+    directory = endpoints.Directory()
+    rng = random.Random()
     runtime = runtime_lib.Runtime(
         cfg=cfg,
         incarnation=incarnation,
@@ -53,10 +59,15 @@
         rng=rng,
         client=client,
         lifecycle=lifecycle.Lifecycle(endpoint_list.holds(cfg)),
-        contracts=contract_cache.ContractCache(),
-        directory=endpoints.Directory(),
-        ledger=tickets.Ledger(cfg.instance, incarnation, cfg.peer_secret),
-        steps={},
+        contracts=contracts,
+        directory=directory,
+        dispatcher=dispatcher.Dispatcher(
+            cfg.instance, cfg.zone, directory, contracts, time.monotonic, rng
+        ),
+        ledger=tickets.Ledger(
+            cfg.instance, incarnation, cfg.peer_secret, secrets.randbits(62)
+        ),
+        steps=step_table.StepTable(),
         peers=peers.PeerTransport(
             peers.Sender(cfg.instance, incarnation),
             cfg.peer_secret,
