Add leave marks of endpoints and instances, and the order to stop

Cause: nothing told all instances to stop sending work to an endpoint. Change: marks are facts ordered by incarnation and counter, in which a leave wins over a clear of the same counter. Directory.engines and services leave marked endpoints out at the moment of choice. The platform's state 'leaving' becomes a mark.

--- a/src/hibiscussaddle/cli.py
+++ b/src/hibiscussaddle/cli.py
@@ -10,6 +10,8 @@
 from hibiscussaddle import codes as result_codes
 from hibiscussaddle.commands import console
 from hibiscussaddle.commands import contract
+from hibiscussaddle.commands import endpoint
+from hibiscussaddle.commands import instance
 from hibiscussaddle.commands import step
 from hibiscussaddle import entry as entry_lib
 from hibiscussaddle import logs
@@ -22,6 +24,8 @@
     def __init__(self) -> None:
         """Group the operators' commands."""
         self.contract = contract.ContractCommands()
+        self.endpoint = endpoint.EndpointCommands()
+        self.instance = instance.InstanceCommands()
         self.step = step.StepCommands()
 
     def entry(self, **flags: object) -> None:
--- a/src/hibiscussaddle/controllers/endpoints.py
+++ b/src/hibiscussaddle/controllers/endpoints.py
@@ -16,8 +16,10 @@
 
 from hibiscussaddle import controllers
 from hibiscussaddle import endpoints
+from hibiscussaddle import leave_marks
 from hibiscussaddle import logs
 from hibiscussaddle.policy import facts
+from hibiscussaddle.policy import marks
 from hibiscussaddle.policy import readers
 from hibiscussaddle import runtime as runtime_lib
 from hibiscussaddle import settings
@@ -83,6 +85,7 @@
             if found is not None:
                 due = now + IDLE_POLL_SECONDS * (0.8 + 0.4 * _random(runtime))
                 runtime.directory.update(found)
+                mark_leaving(runtime, found)
                 if not starting:
                     publish(runtime, found)
         pause = START_POLL_SECONDS if starting else POLL_SECONDS
@@ -139,6 +142,23 @@
         )
 
 
+def mark_leaving(
+    runtime: runtime_lib.Runtime, found: abc.Iterable[endpoints.Endpoint]
+) -> None:
+    """Mark the endpoints that the platform lists as leaving."""
+    board = runtime.directory.marks
+    for ep in found:
+        if ep.state is not endpoints.EndpointState.LEAVING:
+            continue
+        current = board.get(ep.id)
+        # An operator's clear stays in force for its incarnation.
+        if current is None or current.incarnation < ep.incarnation:
+            mark = board.next(
+                ep.id, ep.incarnation, True, marks.Source.PLATFORM
+            )
+            leave_marks.publish(runtime, mark)
+
+
 @shared_facts.applies(KIND)
 def apply(runtime: runtime_lib.Runtime, fact: facts.Fact) -> None:
     """Put one listed endpoint in the directory, or take it out."""
--- /dev/null
+++ b/src/hibiscussaddle/controllers/marks.py
@@ -0,0 +1,147 @@
+"""Keep leave marks in the store while it answers."""
+
+import logging
+import typing
+
+import anyio
+import msgspec
+import result
+
+from hibiscussaddle.adapters import store
+from hibiscussaddle import controllers
+from hibiscussaddle import leave_marks
+from hibiscussaddle import logs
+from hibiscussaddle.policy import facts
+from hibiscussaddle.policy import marks
+from hibiscussaddle.policy import readers
+from hibiscussaddle import runtime as runtime_lib
+from hibiscussaddle import settings
+
+_LOG = logging.getLogger(__name__)
+HOLD: typing.Final = "marks"
+PREFIX: typing.Final = "mark/"
+SAVE_SECONDS: typing.Final = 1.0
+# Readers save what instances that died could not, at two scans a zone.
+REPAIR_SECONDS: typing.Final = 30.0
+# With the store down, peers tell the marks within this time.
+FIRST_MARKS_SECONDS: typing.Final = 3.0
+
+
+def holds(cfg: settings.Settings) -> tuple[str, ...]:
+    """Return what an instance needs before it is ready."""
+    return (HOLD,) if cfg.store_url else ()
+
+
+@controllers.controller("marks")
+async def run(runtime: runtime_lib.Runtime) -> None:
+    """Read the marks once, then save new ones."""
+    runtime.dispatcher.is_marked = runtime.directory.is_marked
+    if runtime.store is None:
+        return
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_release, runtime)
+        tasks.start_soon(_keep, runtime, runtime.store)
+
+
+async def _release(runtime: runtime_lib.Runtime) -> None:
+    await anyio.sleep(FIRST_MARKS_SECONDS)
+    runtime.lifecycle.release(HOLD)
+
+
+async def _keep(
+    runtime: runtime_lib.Runtime, client: store.StoreClient
+) -> None:
+    backoff = store.Backoff(runtime.rng, longest=5.0)
+    while not await _load(runtime, client):
+        await anyio.sleep(backoff.next())
+    runtime.lifecycle.release(HOLD)
+    due = _next_repair(runtime)
+    while True:
+        await anyio.sleep(SAVE_SECONDS)
+        if runtime.clock() >= due:
+            due = _next_repair(runtime)
+            if _is_reader(runtime):
+                await _load(runtime, client)
+        for target in sorted(runtime.directory.marks.unsaved):
+            if not await _save(runtime, client, target):
+                await anyio.sleep(backoff.next())
+                break
+            backoff.reset()
+
+
+def _next_repair(runtime: runtime_lib.Runtime) -> float:
+    return runtime.clock() + REPAIR_SECONDS * runtime.rng.uniform(0.8, 1.2)
+
+
+def _is_reader(runtime: runtime_lib.Runtime) -> bool:
+    chosen = readers.choose(runtime.members.live(), runtime.cfg.zone, "marks")
+    return runtime.cfg.instance in chosen
+
+
+async def _load(
+    runtime: runtime_lib.Runtime, client: store.StoreClient
+) -> bool:
+    answer = await client.scan(PREFIX)
+    if isinstance(answer, result.Err):
+        return False
+    entries, _ = answer.ok_value
+    stored: dict[str, int] = {}
+    for entry in entries:
+        mark = _parse(entry)
+        if mark is None:
+            continue
+        stored[mark.target] = mark.version
+        origin = str(entry.value.get("origin", ""))
+        runtime.facts.publish(leave_marks.to_fact(mark, origin))
+    board = runtime.directory.marks
+    board.unsaved.update(
+        mark.target
+        for mark in board.all()
+        if stored.get(mark.target, -1) < mark.version
+    )
+    return True
+
+
+def _parse(entry: store.StoreEntry) -> marks.Mark | None:
+    if entry.value is None:
+        return None
+    try:
+        return msgspec.convert(entry.value, marks.Mark)
+    except (msgspec.ValidationError, TypeError):
+        logs.event(_LOG, "mark_malformed", key=entry.key)
+        return None
+
+
+async def _save(
+    runtime: runtime_lib.Runtime, client: store.StoreClient, target: str
+) -> bool:
+    """Write one mark; tell whether the store has it or a newer one."""
+    board = runtime.directory.marks
+    fact = runtime.facts.get(leave_marks.KIND, target)
+    if fact is None:
+        board.unsaved.discard(target)
+        return True
+    found = await client.get(PREFIX + target)
+    revision = 0
+    if isinstance(found, result.Ok):
+        stored = _parse(found.ok_value)
+        revision = found.ok_value.revision
+        if stored is not None and stored.version >= fact.version:
+            board.unsaved.discard(target)
+            return True
+    elif found.err_value.failure is not store.StoreFailure.MISSING:
+        return False
+    value = _to_value(fact)
+    written = await client.put(PREFIX + target, value, revision)
+    if isinstance(written, result.Err):
+        # A conflict or a lost answer is settled by the next read.
+        return False
+    newest = runtime.facts.get(leave_marks.KIND, target)
+    if newest is fact:
+        board.unsaved.discard(target)
+    logs.event(_LOG, "mark_saved", target=target, version=fact.version)
+    return True
+
+
+def _to_value(fact: facts.Fact) -> dict[str, typing.Any]:
+    return {**fact.value, "origin": fact.origin}
--- a/src/hibiscussaddle/endpoints.py
+++ b/src/hibiscussaddle/endpoints.py
@@ -5,6 +5,8 @@
 import enum
 import typing
 
+from hibiscussaddle.policy import marks as marks_policy
+
 
 class EndpointKind(enum.Enum):
     """Tell model engines from plain services."""
@@ -60,6 +62,7 @@
     def __init__(self) -> None:
         """Start empty."""
         self._endpoints: dict[str, Endpoint] = {}
+        self.marks = marks_policy.Board()
         # Raised by every change.
         self.revision = 0
 
@@ -89,17 +92,34 @@
         """Return every endpoint, ordered by id."""
         return tuple(self._endpoints[key] for key in sorted(self._endpoints))
 
+    def put_mark(self, mark: marks_policy.Mark) -> bool:
+        """Keep a leave mark if it is newer; tell whether it was."""
+        if not self.marks.put(mark):
+            return False
+        self.revision += 1
+        return True
+
+    def is_marked(self, endpoint: Endpoint) -> bool:
+        """Tell whether an endpoint gets no new work."""
+        if endpoint.state is EndpointState.LEAVING:
+            return True
+        return self.marks.holds(endpoint.id, endpoint.incarnation)
+
+    def routable(self, found: abc.Iterable[Endpoint]) -> tuple[Endpoint, ...]:
+        """Return the endpoints that may get new work at this moment."""
+        return tuple(ep for ep in found if not self.is_marked(ep))
+
     def engines(self, model: str) -> tuple[Endpoint, ...]:
-        """Return the engines that serve a model."""
-        return tuple(
+        """Return the engines that may get work of a model now."""
+        return self.routable(
             ep
             for ep in self._endpoints.values()
             if ep.kind is EndpointKind.ENGINE and model in ep.models
         )
 
     def services(self, service: str) -> tuple[Endpoint, ...]:
-        """Return the servers of a plain service."""
-        return tuple(
+        """Return the servers that may get calls of a service now."""
+        return self.routable(
             ep
             for ep in self._endpoints.values()
             if ep.kind is EndpointKind.SERVICE and ep.service == service
--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -17,6 +17,7 @@
 from hibiscussaddle import contract_cache
 from hibiscussaddle import controllers
 from hibiscussaddle.controllers import endpoints as endpoint_list
+from hibiscussaddle.controllers import marks as saved_marks
 from hibiscussaddle import dispatcher
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
@@ -58,7 +59,9 @@
         clock=time.monotonic,
         rng=rng,
         client=client,
-        lifecycle=lifecycle.Lifecycle(endpoint_list.holds(cfg)),
+        lifecycle=lifecycle.Lifecycle(
+            (*endpoint_list.holds(cfg), *saved_marks.holds(cfg))
+        ),
         contracts=contracts,
         directory=directory,
         dispatcher=dispatcher.Dispatcher(
--- /dev/null
+++ b/tests/test_marks.py
@@ -0,0 +1,241 @@
+"""Leave marks over several instances with cut links."""
+
+import dataclasses
+import pathlib
+
+import anyio
+import builders
+import fleet as fleet_lib
+import httpx
+import hypothesis
+from hypothesis import strategies as st
+import loopback
+
+from hibiscussaddle.adapters import peers
+from hibiscussaddle.adapters import store as store_client
+from hibiscussaddle.controllers import endpoints as endpoint_list
+from hibiscussaddle import endpoints
+from hibiscussaddle import gossip
+from hibiscussaddle import leave_marks
+from hibiscussaddle import lifecycle
+from hibiscussaddle import operator_app
+from hibiscussaddle.policy import marks
+from hibiscussaddle.standins import store
+
+TLS = pathlib.Path(__file__).parent / "data" / "tls"
+# Nothing listens at port 1.
+NO_STORE = "http://127.0.0.1:1"
+LIMIT_SECONDS = 3.0
+ENGINE = fleet_lib.ENGINE
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(st.integers(0, 2), st.integers(1, 3), st.booleans()),
+        max_size=12,
+    ),
+    st.randoms(use_true_random=False),
+)
+def test_boards_agree_in_any_order_and_leave_wins(
+    orders: list[tuple[int, int, bool]], rng: object
+) -> None:
+    """Guards against a mark that depends on the order of arrival."""
+    boards = [marks.Board() for _ in range(3)]
+    made = []
+    for number, incarnation, left in orders:
+        mark = boards[number].next("engine-1", incarnation, left)
+        boards[number].put(mark)
+        made.append(mark)
+        assert boards[number].holds("engine-1", incarnation) is left
+        # A restarted endpoint is no longer the one that was marked.
+        assert not boards[number].holds("engine-1", 9)
+    for board in boards:
+        shuffled = list(made)
+        rng.shuffle(shuffled)  # type: ignore[attr-defined]
+        for mark in shuffled:
+            board.put(mark)
+    newest = {board.get("engine-1") for board in boards}
+    assert len(newest) <= 1
+    for mark in made:
+        found = boards[0].get("engine-1")
+        assert found is not None and found.version >= mark.version
+
+
+def test_mark_reaches_all_in_time_with_the_store_down() -> None:
+    """Guards against work sent to a leaving endpoint after 3 s."""
+
+    async def job() -> None:
+        async with fleet_lib.fleet(8, store_url=NO_STORE) as fleet:
+            # The direct message to one instance and back is lost.
+            fleet.separate([0], [5])
+            taker = fleet.runtimes["entry-0"]
+            app = operator_app.create_app(taker)
+            client = httpx.AsyncClient(
+                transport=httpx.ASGITransport(app=app), base_url="http://op"
+            )
+            headers = {"authorization": f"Bearer {builders.SECRET}"}
+            answers = []
+
+            async def order(verb: str) -> None:
+                path = f"/v1/endpoints/engine-1/{verb}"
+                resp = await client.post(path, headers=headers)
+                answers.append(resp.json())
+
+            for verb, count in (("leave", 8), ("clear", 0)):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(order, verb)
+                    await fleet_lib.until(
+                        lambda count=count: len(fleet.marked()) == count,
+                        LIMIT_SECONDS,
+                    )
+            for answer in answers:
+                assert [i["instance"] for i in answer["not_reached"]] == [
+                    "entry-5"
+                ]
+                assert answer["name"] == "partly_reached"
+                assert len(answer["known_on"]) == 7
+                assert not answer["in_store"]
+            listed = await client.get("/v1/endpoints", headers=headers)
+            assert [e["leaving"] for e in listed.json()["endpoints"]] == [
+                False
+            ]
+            missing = await client.post(
+                "/v1/endpoints/engine-9/leave", headers=headers
+            )
+            assert missing.status_code == 404
+
+    anyio.run(job)
+
+
+def test_mark_survives_its_taker_and_a_partition() -> None:
+    """Guards against marks and members lost by restarts and partitions."""
+
+    async def job() -> None:
+        async with fleet_lib.fleet(4, store_url=NO_STORE) as fleet:
+            fleet.separate([0, 1], [2, 3])
+            await fleet_lib.until(
+                lambda: fleet.live_counts() == [2, 2, 2, 2], 15
+            )
+            await leave_marks.change(
+                fleet.runtimes["entry-0"], "engine-1", 7, True
+            )
+            assert fleet.marked() == ["entry-0", "entry-1"]
+            await fleet.stop(0)
+            fleet.start(0, store_url=NO_STORE)
+            # Nobody but a peer can tell the restarted taker.
+            await fleet_lib.until(lambda: "entry-0" in fleet.marked(), 5)
+            assert fleet.marked() == ["entry-0", "entry-1"]
+            fleet.cut.clear()
+            await fleet_lib.until(
+                lambda: fleet.live_counts() == [4, 4, 4, 4], 15
+            )
+            await fleet_lib.until(lambda: len(fleet.marked()) == 4, 5)
+            renewed = dataclasses.replace(ENGINE, incarnation=8)
+            for runtime in fleet.runtimes.values():
+                runtime.directory.put(renewed)
+            assert fleet.marked() == []
+
+    anyio.run(job)
+
+
+def test_mark_is_saved_and_read_back_by_a_new_fleet() -> None:
+    """Guards against marks lost when every instance is replaced."""
+
+    async def job() -> None:
+        fake = store.Store()
+        async with loopback.serve(store.create_app(fake)) as url:
+            async with fleet_lib.fleet(2, store_url=url) as fleet:
+                taker = fleet.runtimes["entry-0"]
+                await leave_marks.change(taker, "engine-1", 7, True)
+                await fleet_lib.until(
+                    lambda: not taker.directory.marks.unsaved, 10
+                )
+            async with fleet_lib.fleet(1, store_url=url) as fleet:
+                await fleet_lib.until(lambda: len(fleet.marked()) == 1, 5)
+            async with httpx.AsyncClient(trust_env=False) as client:
+                saved = store_client.StoreClient(client, url)
+                entry = (await saved.get("mark/engine-1")).unwrap()
+                assert entry.value["left"]
+
+    anyio.run(job)
+
+
+def test_one_bad_link_evicts_nobody_over_sockets() -> None:
+    """Guards against indirect probes that do not work between processes."""
+
+    async def job() -> None:
+        async with fleet_lib.fleet(4) as fleet:
+            fleet.separate([0], [1])
+            with anyio.move_on_after(8):
+                while True:
+                    assert fleet.live_counts() == [4, 4, 4, 4]
+                    await anyio.sleep(0.05)
+
+    anyio.run(job)
+
+
+def test_peers_with_tls_refuse_a_peer_without() -> None:
+    """Guards against plain traffic on ports that should be encrypted."""
+
+    async def job() -> None:
+        tls = {
+            "tls_ca": str(TLS / "ca.pem"),
+            "tls_cert": str(TLS / "peer.pem"),
+            "tls_key": str(TLS / "peer.key"),
+        }
+        async with fleet_lib.fleet(3, **tls) as fleet:
+            port = fleet.ports[0]
+            sockets = peers.peer_sockets.SocketCache(None)
+            plain = peers.PeerTransport(
+                peers.Sender("plain", 1), builders.SECRET, "", sockets
+            )
+            ping = gossip.Ping("zone-a", (), {})
+            answer = await plain.ask(f"127.0.0.1:{port}", ping, 1.0)
+            assert answer.is_err()
+            plain.close()
+
+    anyio.run(job)
+
+
+def test_readiness_waits_for_the_first_list() -> None:
+    """Guards against calls refused because no endpoint is known yet."""
+    life = lifecycle.Lifecycle(["endpoints", "marks"])
+    life.set_ready()
+    life.release("marks")
+    assert life.phase is lifecycle.Phase.STARTING
+    life.release("endpoints")
+    assert life.phase is lifecycle.Phase.READY
+    stopping = lifecycle.Lifecycle(["endpoints"])
+    stopping.set_ready()
+    stopping.request_stop()
+    stopping.release("endpoints")
+    assert stopping.phase is lifecycle.Phase.STOPPING
+
+
+def test_readers_pass_the_list_to_their_zone() -> None:
+    """Guards against endpoints unknown to instances that do not poll."""
+
+    async def job() -> None:
+        async with fleet_lib.fleet(4) as fleet:
+            reader = fleet.runtimes["entry-0"]
+            listed = dataclasses.replace(ENGINE, id="engine-2")
+            leaving = dataclasses.replace(
+                ENGINE, id="engine-3", state=endpoints.EndpointState.LEAVING
+            )
+            endpoint_list.publish(reader, [listed, leaving])
+            endpoint_list.mark_leaving(reader, [listed, leaving])
+            near, far = fleet.runtimes["entry-2"], fleet.runtimes["entry-3"]
+            await fleet_lib.until(
+                lambda: near.directory.get("engine-3") is not None, 5
+            )
+            # The list stays in its zone, and the mark does not.
+            await fleet_lib.until(
+                lambda: far.directory.marks.holds("engine-3", 7), 3
+            )
+            assert far.directory.get("engine-2") is None
+            endpoint_list.publish(reader, [listed])
+            await fleet_lib.until(
+                lambda: near.directory.get("engine-3") is None, 5
+            )
+
+    anyio.run(job)
