--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -16,6 +16,8 @@
 from hibiscussaddle import caller_app
 from hibiscussaddle import contract_cache
 from hibiscussaddle import controllers
+from hibiscussaddle.controllers import endpoints as endpoint_list
+from hibiscussaddle.controllers import marks as saved_marks
 from hibiscussaddle import dispatcher
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
@@ -23,6 +25,7 @@
 from hibiscussaddle import members
 from hibiscussaddle import operator_app
 from hibiscussaddle import plugins
+from hibiscussaddle.policy import membership
 from hibiscussaddle.policy import tickets
 from hibiscussaddle import runtime as runtime_lib
 from hibiscussaddle import serving
@@ -46,6 +49,7 @@
     me = members.Member(
         cfg.instance, cfg.zone, cfg.region, address, incarnation
     )
+    known = members.Members(me)
     contracts = contract_cache.ContractCache()
     directory = endpoints.Directory()
     rng = random.Random()
@@ -55,7 +59,9 @@
         clock=time.monotonic,
         rng=rng,
         client=client,
-        lifecycle=lifecycle.Lifecycle(),
+        lifecycle=lifecycle.Lifecycle(
+            (*endpoint_list.holds(cfg), *saved_marks.holds(cfg))
+        ),
         contracts=contracts,
         directory=directory,
         dispatcher=dispatcher.Dispatcher(
@@ -71,7 +77,8 @@
             address,
             peer_sockets.create_socket_cache(cfg),
         ),
-        members=members.Members(me),
+        members=known,
+        detector=membership.Detector(known, rng),
         facts=shared_facts.SharedFacts(),
         store=store.StoreClient(
             client,
--- a/src/hibiscussaddle/runtime.py
+++ b/src/hibiscussaddle/runtime.py
@@ -13,6 +13,7 @@
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
 from hibiscussaddle import members as members_lib
+from hibiscussaddle.policy import membership
 from hibiscussaddle.policy import tickets
 from hibiscussaddle import settings
 from hibiscussaddle import shared_facts
@@ -38,5 +39,6 @@
     steps: step_table.StepTable
     peers: peers_lib.PeerTransport
     members: members_lib.Members
+    detector: membership.Detector
     facts: shared_facts.SharedFacts
     store: store_lib.StoreClient | None = None
