Add the lease state machine with fencing and successor wait

Cause: weight orders need one holder per zone that stays safe when it is paused, when answers are lost and when the store forgets a lease early. Change: policy/lease.py names the next store call and takes its outcome. Conclusion: the deadline, the wait, the check of lost answers and the order of numbers are each covered by a test that can fail.

--- /dev/null
+++ b/src/hibiscussaddle/policy/lease.py
@@ -0,0 +1,290 @@
+"""State machine of a lease in the key-value service.
+
+The machine names the next store call and is told its outcome. It does no
+I/O and takes monotonic seconds; the clock must go on while the machine
+is suspended (CLOCK_BOOTTIME), since a lease lapses meanwhile.
+"""
+
+import dataclasses
+import enum
+import typing
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseConfig:
+    """Set the times of a lease, in seconds."""
+
+    ttl: float = 10.0
+    # Covers clocks that run at rates up to 20 % apart.
+    margin: float = 2.0
+    # Longest time that one guarded effect is in flight.
+    effect_seconds: float = 4.0
+    # Part of the ttl after which the lease is renewed.
+    renew_part: float = 0.3
+    # Shortest and longest wait before a failed call is repeated.
+    retry_seconds: float = 0.5
+    claim_seconds: float = 2.0
+
+
+class Step(enum.Enum):
+    """List the store calls that the machine asks for."""
+
+    READ_KEY = "read_key"
+    GRANT = "grant"
+    PUT_KEY = "put_key"
+    CHECK_KEY = "check_key"
+    READ_FENCE = "read_fence"
+    PUT_FENCE = "put_fence"
+    RENEW = "renew"
+
+
+class Outcome(enum.Enum):
+    """Tell how a store call ended."""
+
+    OK = "ok"
+    # No effect.
+    FAILED = "failed"
+    # Compare-and-swap lost, or the lease is gone.
+    LOST = "lost"
+    # May have taken effect.
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True)
+class Fence:
+    """Record the newest fencing number, kept without a lease."""
+
+    number: int = 0
+    holder: str = ""
+    # The holder ended its lease with no effect in flight.
+    released: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """Describe one store call and when its sender started it."""
+
+    step: Step
+    holder: str
+    lease: str = ""
+    expected_revision: int = 0
+    number: int = 0
+    released: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """Carry what a store call returned; unused fields keep defaults."""
+
+    outcome: Outcome
+    lease: str = ""
+    revision: int = 0
+    # Holder that the key names; empty when the key is absent.
+    holder: str = ""
+    fence: Fence = Fence()
+
+
+class Lease:
+    """Hold one contender's view of the lease."""
+
+    def __init__(self, cfg: LeaseConfig, name: str) -> None:
+        """Contend under a name that no other process ever has."""
+        self.cfg = cfg
+        self._name = name
+        self._attempt = 0
+        self._stopped = False
+        self._reset(0.0)
+
+    def _reset(self, retry_at: float) -> None:
+        self._step = Step.READ_KEY
+        self._retry_at = retry_at
+        self._lease = ""
+        self._key_revision = 0
+        self._claimed_at = 0.0
+        self._fence_revision = 0
+        self._number = 0
+        self._held = False
+        self._deadline: float | None = None
+        self._unguarded_from = float("inf")
+
+    @property
+    def holder(self) -> str:
+        """Return the unique id of the current attempt."""
+        return f"{self._name}/{self._attempt}"
+
+    @property
+    def lease(self) -> str:
+        """Return the store's id of the lease, empty without one."""
+        return self._lease
+
+    @property
+    def deadline(self) -> float | None:
+        """Return until when the lease is surely held, once granted."""
+        return self._deadline
+
+    def next_call(self, now: float) -> Call | None:
+        """Return the store call that is due, if any."""
+        if self._stopped:
+            return None
+        if self._deadline is not None and now >= self._deadline:
+            self._reset(now)
+        if now < self._retry_at:
+            return None
+        if self._step is Step.READ_KEY:
+            return Call(Step.READ_KEY, self.holder)
+        if self._step is Step.GRANT:
+            self._attempt += 1
+        return Call(
+            self._step,
+            self.holder,
+            self._lease,
+            self._fence_revision if self._step is Step.PUT_FENCE else 0,
+            self._number,
+        )
+
+    def wait_seconds(self, now: float) -> float:
+        """Return how long no call is due, at most the claim interval."""
+        return min(max(0.0, self._retry_at - now), self.cfg.claim_seconds)
+
+    def on_reply(
+        self, call: Call, reply: Reply, sent_at: float, now: float
+    ) -> None:
+        """Take the outcome of a call that was sent at sent_at."""
+        if self._stopped or call.holder != self.holder:
+            return
+        if call.step is not self._step:
+            return
+        if reply.outcome is Outcome.FAILED:
+            self._retry_at = now + self.cfg.retry_seconds
+            return
+        handle = _HANDLERS[call.step]
+        handle(self, reply, sent_at, now)
+
+    def release(self, now: float) -> Call | None:
+        """Stop for good; return the write that spares the next its wait.
+
+        To be called only when no effect is in flight. The caller revokes
+        the lease after the write, whatever its outcome.
+        """
+        held = self._held
+        held = held and self._deadline is not None and now < self._deadline
+        self._stopped = True
+        self._held = False
+        if not held:
+            return None
+        return Call(
+            Step.PUT_FENCE,
+            self.holder,
+            self._lease,
+            self._fence_revision,
+            self._number,
+            released=True,
+        )
+
+    def fencing_number(self, now: float, guarded: bool) -> int | None:
+        """Return the number for an effect that starts now, if allowed.
+
+        The effect must end within effect_seconds. An endpoint that checks
+        fencing numbers is guarded; any other needs the successor wait.
+        """
+        if not self._held or self._deadline is None:
+            return None
+        if now + self.cfg.effect_seconds > self._deadline:
+            return None
+        if not guarded and now < self._unguarded_from:
+            return None
+        return self._number
+
+    def _on_read_key(self, reply: Reply, sent_at: float, now: float) -> None:
+        if reply.outcome is Outcome.OK and not reply.holder:
+            self._step = Step.GRANT
+            return
+        self._retry_at = now + self.cfg.claim_seconds
+
+    def _on_grant(self, reply: Reply, sent_at: float, now: float) -> None:
+        if reply.outcome is not Outcome.OK:
+            # A lease whose id was lost has no key and lapses by itself.
+            self._retry_at = now + self.cfg.retry_seconds
+            return
+        self._lease = reply.lease
+        # From before the call: the store counts from a later moment.
+        self._deadline = sent_at + self.cfg.ttl - self.cfg.margin
+        self._step = Step.PUT_KEY
+
+    def _on_put_key(self, reply: Reply, sent_at: float, now: float) -> None:
+        if reply.outcome is Outcome.OK:
+            self._claim(reply.revision, now)
+        elif reply.outcome is Outcome.LOST:
+            self._reset(now + self.cfg.claim_seconds)
+        else:
+            self._step = Step.CHECK_KEY
+
+    def _on_check_key(self, reply: Reply, sent_at: float, now: float) -> None:
+        if reply.outcome is not Outcome.OK:
+            self._retry_at = now + self.cfg.retry_seconds
+        elif reply.holder == self.holder:
+            self._claim(reply.revision, now)
+        elif reply.holder:
+            self._reset(now + self.cfg.claim_seconds)
+        else:
+            # The write may still arrive; writing again under the same id
+            # is safe, since the key is swapped from absent.
+            self._step = Step.PUT_KEY
+
+    def _claim(self, revision: int, now: float) -> None:
+        self._key_revision = revision
+        self._claimed_at = now
+        self._step = Step.READ_FENCE
+
+    def _on_read_fence(self, reply: Reply, sent_at: float, now: float) -> None:
+        if reply.outcome is not Outcome.OK:
+            self._retry_at = now + self.cfg.retry_seconds
+            return
+        fence = reply.fence
+        if fence.holder == self.holder and not fence.released:
+            self._number = fence.number
+            self._hold(reply.revision, now)
+            return
+        self._fence_revision = reply.revision
+        # Above the old number even if the store's revisions started over.
+        self._number = max(self._key_revision, fence.number + 1)
+        wait = self.cfg.ttl + self.cfg.effect_seconds
+        if not fence.holder or fence.released:
+            wait = 0.0
+        self._unguarded_from = self._claimed_at + wait
+        self._step = Step.PUT_FENCE
+
+    def _on_put_fence(self, reply: Reply, sent_at: float, now: float) -> None:
+        if reply.outcome is Outcome.OK:
+            self._hold(reply.revision, now)
+        else:
+            self._step = Step.READ_FENCE
+
+    def _hold(self, fence_revision: int, now: float) -> None:
+        self._fence_revision = fence_revision
+        self._held = True
+        self._step = Step.RENEW
+        self._retry_at = now
+
+    def _on_renew(self, reply: Reply, sent_at: float, now: float) -> None:
+        if reply.outcome is Outcome.LOST:
+            self._reset(now + self.cfg.retry_seconds)
+        elif reply.outcome is Outcome.UNKNOWN:
+            self._retry_at = now + self.cfg.retry_seconds
+        else:
+            self._deadline = sent_at + self.cfg.ttl - self.cfg.margin
+            self._retry_at = sent_at + self.cfg.ttl * self.cfg.renew_part
+
+
+_Handler: typing.TypeAlias = typing.Callable[
+    [Lease, Reply, float, float], None
+]
+_HANDLERS: typing.Final[dict[Step, _Handler]] = {
+    Step.READ_KEY: Lease._on_read_key,
+    Step.GRANT: Lease._on_grant,
+    Step.PUT_KEY: Lease._on_put_key,
+    Step.CHECK_KEY: Lease._on_check_key,
+    Step.READ_FENCE: Lease._on_read_fence,
+    Step.PUT_FENCE: Lease._on_put_fence,
+    Step.RENEW: Lease._on_renew,
+}
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,297 @@
+"""Guard lease safety under pauses, lost answers, lapses and clock jumps."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from hibiscussaddle.policy import lease
+
+CFG = lease.LeaseConfig()
+# Clock rates lie within 10 % of true time, the margin covers 20 %.
+RATES = (0.9, 1.1)
+# Longest pause between the test of the deadline and the effect's start.
+LONGEST_PAUSE = 3.0
+CONTENDERS = strategies.integers(0, len(RATES) - 1)
+
+
+@dataclasses.dataclass
+class Contender:
+    """Hold one contender with its clock and its call in flight."""
+
+    machine: lease.Lease
+    rate: float
+    jumped: float = 0.0
+    call: lease.Call | None = None
+    sent_at: float = 0.0
+    reply: lease.Reply | None = None
+
+
+class Store:
+    """Keep the key, the fence and the leases by true time."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.now = 0.0
+        self.revision = 0
+        self.granted = 0
+        self.leases: dict[str, float] = {}
+        self.key: tuple[str, str, int] | None = None
+        self.fence = lease.Fence()
+        self.fence_revision = 0
+        self.acquired: list[str] = []
+
+    def lapse(self) -> None:
+        """Delete lapsed leases and the key that hangs on one."""
+        self.leases = {k: v for k, v in self.leases.items() if v > self.now}
+        if self.key is not None and self.key[1] not in self.leases:
+            self.key = None
+
+    def apply(self, call: lease.Call) -> lease.Reply:
+        """Execute one call."""
+        self.lapse()
+        step, outcome = lease.Step, lease.Outcome
+        holder, _, revision = self.key or ("", "", 0)
+        if call.step in (step.READ_KEY, step.CHECK_KEY):
+            return lease.Reply(outcome.OK, holder=holder, revision=revision)
+        if call.step is step.READ_FENCE:
+            return lease.Reply(
+                outcome.OK, revision=self.fence_revision, fence=self.fence
+            )
+        if call.step is step.GRANT:
+            self.granted += 1
+            name = f"lease-{self.granted}"
+            self.leases[name] = self.now + CFG.ttl
+            return lease.Reply(outcome.OK, lease=name)
+        if call.step is step.RENEW:
+            if call.lease not in self.leases:
+                return lease.Reply(outcome.LOST)
+            self.leases[call.lease] = self.now + CFG.ttl
+            return lease.Reply(outcome.OK)
+        if call.step is step.PUT_KEY:
+            if self.key is not None or call.lease not in self.leases:
+                return lease.Reply(outcome.LOST)
+            self.revision += 1
+            self.key = (call.holder, call.lease, self.revision)
+            self.acquired.append(call.holder)
+            return lease.Reply(outcome.OK, revision=self.revision)
+        if call.expected_revision != self.fence_revision:
+            return lease.Reply(outcome.LOST)
+        self.revision += 1
+        self.fence_revision = self.revision
+        self.fence = lease.Fence(call.number, call.holder, call.released)
+        return lease.Reply(outcome.OK, revision=self.revision)
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Let contenders race for one lease over a faulty store."""
+
+    def __init__(self) -> None:
+        """Start contenders with different clocks."""
+        super().__init__()
+        self.store = Store()
+        self.contenders = [
+            Contender(lease.Lease(CFG, f"c{number}"), rate)
+            for number, rate in enumerate(RATES)
+        ]
+        self.restarts = 0
+        self.late: list[lease.Call] = []
+        # Latest end of an effect on an unguarded endpoint, by holder.
+        self.effects: dict[str, float] = {}
+        self.lapsed_early: set[str] = set()
+        self.numbers: dict[str, int] = {}
+
+    def clock(self, contender: Contender) -> float:
+        """Return a contender's monotonic time."""
+        return 100.0 + self.store.now * contender.rate + contender.jumped
+
+    def send(self, contender: Contender) -> None:
+        """Start the call that is due."""
+        if contender.call is None:
+            now = self.clock(contender)
+            contender.call = contender.machine.next_call(now)
+            contender.sent_at = now
+
+    def arrive(self, contender: Contender, fault: str) -> None:
+        """Let the call in flight reach the store or a fault."""
+        call = contender.call
+        if call is None or contender.reply is not None:
+            return
+        if fault == "fails":
+            contender.reply = lease.Reply(lease.Outcome.FAILED)
+            return
+        if fault == "late":
+            self.late.append(call)
+        else:
+            contender.reply = self.store.apply(call)
+        if fault != "none":
+            contender.reply = lease.Reply(lease.Outcome.UNKNOWN)
+
+    def answer(self, contender: Contender) -> None:
+        """Hand the answer to the contender."""
+        if contender.call is not None and contender.reply is not None:
+            contender.machine.on_reply(
+                contender.call,
+                contender.reply,
+                contender.sent_at,
+                self.clock(contender),
+            )
+            contender.call = contender.reply = None
+
+    def run(self, number: int, calls: int) -> None:
+        """Run several calls of one contender without a fault."""
+        for _ in range(calls):
+            self.send(self.contenders[number])
+            self.arrive(self.contenders[number], "none")
+            self.answer(self.contenders[number])
+
+    @stateful.rule(
+        number=CONTENDERS,
+        calls=strategies.integers(0, 8),
+        fault=strategies.sampled_from(("none", "fails", "lost", "late")),
+    )
+    def rule_call(self, number: int, calls: int, fault: str) -> None:
+        """Run some calls, then leave one without its answer."""
+        self.run(number, calls)
+        self.send(self.contenders[number])
+        self.arrive(self.contenders[number], fault)
+
+    @stateful.rule(number=CONTENDERS)
+    def rule_send(self, number: int) -> None:
+        """Send a call that has not reached the store yet."""
+        self.send(self.contenders[number])
+
+    @stateful.rule(number=CONTENDERS, calls=strategies.integers(0, 8))
+    def rule_answer(self, number: int, calls: int) -> None:
+        """Receive the answer, possibly long after it was sent."""
+        self.answer(self.contenders[number])
+        self.run(number, calls)
+
+    @stateful.rule(seconds=strategies.sampled_from((0.3, 2.0, 5.0, 12.0)))
+    def rule_pause(self, seconds: float) -> None:
+        """Let true time pass while every contender is paused."""
+        self.store.now += seconds
+
+    @stateful.rule(
+        number=CONTENDERS, seconds=strategies.sampled_from((2.0, 6.0, 14.0))
+    )
+    def rule_run_one(self, number: int, seconds: float) -> None:
+        """Let one contender run while the others are paused."""
+        until = self.store.now + seconds
+        while self.store.now < until:
+            self.run(number, 2)
+            self.check()
+            self.store.now += 0.5
+
+    @stateful.rule(number=CONTENDERS, seconds=strategies.floats(0, 12))
+    def rule_jump(self, number: int, seconds: float) -> None:
+        """Let one contender's clock jump forward."""
+        self.contenders[number].jumped += seconds
+
+    @stateful.precondition(lambda self: self.late)
+    @stateful.rule()
+    def rule_late_call(self) -> None:
+        """Let a call take effect whose sender stopped waiting for it."""
+        self.store.apply(self.late.pop(0))
+
+    @stateful.rule()
+    def rule_lapse_early(self) -> None:
+        """Let the store forget every lease before its time."""
+        if self.store.key is not None:
+            self.lapsed_early.add(self.store.key[0])
+        self.store.leases.clear()
+        self.store.lapse()
+
+    @stateful.rule(number=CONTENDERS)
+    def rule_release(self, number: int) -> None:
+        """Release the lease when idle, then come back as a new process."""
+        contender = self.contenders[number]
+        if contender.call is not None:
+            return
+        idle_at = self.store.now + LONGEST_PAUSE + CFG.effect_seconds
+        while self.store.now < idle_at:
+            self.run(number, 2)
+            self.store.now += 0.5
+        call = contender.machine.release(self.clock(contender))
+        if call is not None:
+            self.store.apply(call)
+            self.store.leases.pop(call.lease, None)
+        self.restarts += 1
+        contender.machine = lease.Lease(CFG, f"c{number}-{self.restarts}")
+
+    @stateful.invariant()
+    def check(self) -> None:
+        """Start an effect wherever one is allowed, and check them all."""
+        guarded = []
+        for contender in self.contenders:
+            holder = contender.machine.holder
+            now = self.clock(contender)
+            number = contender.machine.fencing_number(now, guarded=True)
+            if number is None:
+                continue
+            assert holder in self.store.acquired, "held without the key"
+            assert self.numbers.setdefault(holder, number) == number
+            if holder not in self.lapsed_early:
+                guarded.append(holder)
+            if contender.machine.fencing_number(now, guarded=False):
+                self.start_unguarded(holder)
+        assert len(guarded) <= 1, "two holders at once"
+        order = [h for h in self.store.acquired if h in self.numbers]
+        numbers = [self.numbers[holder] for holder in order]
+        assert numbers == sorted(set(numbers)), "fencing went back"
+
+    def start_unguarded(self, holder: str) -> None:
+        """Start an effect on an endpoint that ignores fencing numbers."""
+        for other, ends_at in self.effects.items():
+            if other != holder:
+                assert ends_at <= self.store.now, "effects overlap"
+        ends_at = self.store.now + LONGEST_PAUSE + CFG.effect_seconds
+        self.effects[holder] = ends_at
+
+
+TestLease = LeaseMachine.TestCase
+TestLease.settings = hypothesis.settings(
+    max_examples=300, stateful_step_count=30, deadline=None
+)
+
+
+def test_holder_takes_over_after_a_crash() -> None:
+    """Fails when safety is kept by never holding the lease again."""
+    machine = LeaseMachine()
+    first, second = machine.contenders[:2]
+    machine.run(0, 8)
+    number = first.machine.fencing_number(machine.clock(first), True)
+    assert number is not None
+    machine.store.now += CFG.ttl
+    for _ in range(60):
+        machine.store.now += 0.5
+        machine.run(1, 2)
+    successor = second.machine.fencing_number(machine.clock(second), False)
+    assert successor is not None and successor > number
+
+
+def test_release_spares_the_wait() -> None:
+    """Fails when a planned stop delays weight orders by the full wait."""
+    machine = LeaseMachine()
+    machine.run(0, 8)
+    machine.rule_release(0)
+    machine.run(1, 8)
+    second = machine.contenders[1]
+    now = machine.clock(second)
+    assert second.machine.fencing_number(now, False) is not None
+
+
+def test_deadline_counts_from_before_the_call() -> None:
+    """Fails when a renewal whose answer came late extends the deadline.
+
+    The holder is paused in the middle of a renewal until the store has
+    given the lease to another one.
+    """
+    machine = LeaseMachine()
+    machine.rule_call(0, 5, "none")
+    call = machine.contenders[0].call
+    assert call is not None and call.step is lease.Step.RENEW
+    machine.rule_run_one(1, 14.0)
+    machine.rule_answer(0, 0)
+    machine.check()
