--- a/src/hibiscussaddle/runtime.py
+++ b/src/hibiscussaddle/runtime.py
@@ -6,13 +6,17 @@
 
 import httpx
 
+from hibiscussaddle.adapters import peers as peers_lib
 from hibiscussaddle.adapters import store as store_lib
 from hibiscussaddle import contract_cache
+from hibiscussaddle import dispatcher
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
+from hibiscussaddle import members as members_lib
 from hibiscussaddle.policy import tickets
 from hibiscussaddle import settings
-from hibiscussaddle import steps
+from hibiscussaddle import shared_facts
+from hibiscussaddle import step_table
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,6 +33,10 @@
     lifecycle: lifecycle.Lifecycle
     contracts: contract_cache.ContractCache
     directory: endpoints.Directory
+    dispatcher: dispatcher.Dispatcher
     ledger: tickets.Ledger
-    steps: dict[tuple[str, str], steps.StepSpec]
+    steps: step_table.StepTable
+    peers: peers_lib.PeerTransport
+    members: members_lib.Members
+    facts: shared_facts.SharedFacts
     store: store_lib.StoreClient | None = None
