Plan weight orders in waves and keep uncertain engines out of service

Cause: engines were never told to load a version; a swap that failed partway, was lost or ended in a crash left no record of what they hold. Change: policy/rollout.py limits orders by the weight store's rate and by the engines kept serving, marks each engine with the version it reports, and keeps it out while the outcome is unknown and after a restart until it holds the newest version. No order follows one that may still be in flight: the property test found an older order overtaking a newer one. Figures: 119 engines at 8 orders/s and 3 s a swap are updated within the 23 s of the goal (test_zone_is_updated_in_time); the property test over failed, lost, late and refused orders, crashes and lagging reports passes. Conclusion: a serving engine's version is known in these schedules.

--- /dev/null
+++ b/src/hibiscussaddle/policy/rollout.py
@@ -0,0 +1,225 @@
+"""Plan of the weight orders of one model in one zone."""
+
+from collections import abc
+import dataclasses
+import typing
+
+# Waits before an order to the same engine is repeated, in seconds.
+_FIRST_RETRY: typing.Final = 1.0
+_LONGEST_RETRY: typing.Final = 30.0
+# Part of a second whose orders may be sent at once.
+_BURST_SECONDS: typing.Final = 0.25
+
+
+@dataclasses.dataclass(frozen=True)
+class RolloutConfig:
+    """Set the limits of a rollout."""
+
+    # This zone's part of the weight store's rate.
+    orders_per_second: float = 10.0
+    # Largest part of the engines out of service for a swap.
+    out_part: float = 1 / 3
+    # Longest time that an order is in flight, in seconds.
+    order_seconds: float = 4.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """Hold what an engine said of itself, and since when it is true."""
+
+    endpoint_id: str
+    incarnation: int
+    # None while the engine holds mixed or no weights.
+    version: int | None
+    taken_at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Order:
+    """Tell one engine to load a version."""
+
+    endpoint_id: str
+    version: int
+
+
+@dataclasses.dataclass
+class EngineState:
+    """Hold what is known of one engine."""
+
+    incarnation: int
+    version: int | None
+    # False from the start of a swap until its outcome is known, and from a
+    # restart until the engine holds the newest version.
+    serving: bool
+    in_flight: bool = False
+    # Whether the engine served when its order started.
+    served_before: bool = False
+    # The engine restarted and has not held the newest version since.
+    restarted: bool = False
+    # Reports taken before this moment may predate an order's effect.
+    trusted_from: float = 0.0
+    failures: int = 0
+    retry_at: float = 0.0
+
+
+class Rollout:
+    """Decide which engines swap next, and which ones may serve."""
+
+    def __init__(self, cfg: RolloutConfig, now: float) -> None:
+        """Start without engines."""
+        self.newest = 0
+        self.engines: dict[str, EngineState] = {}
+        self._cfg = cfg
+        self._burst = max(1.0, cfg.orders_per_second * _BURST_SECONDS)
+        self._tokens = self._burst
+        self._at = now
+
+    def note_newest(self, version: int) -> bool:
+        """Take a published version; tell whether it is new."""
+        if version <= self.newest:
+            return False
+        self.newest = version
+        for state in self.engines.values():
+            # Waits were for the version before.
+            state.failures, state.retry_at = 0, 0.0
+        return True
+
+    def keep(self, endpoint_ids: abc.Collection[str]) -> None:
+        """Forget the engines that are gone."""
+        for endpoint_id in self.engines.keys() - set(endpoint_ids):
+            del self.engines[endpoint_id]
+
+    def adopt(self, endpoint_id: str, incarnation: int, serving: bool) -> None:
+        """Take over what the holder before knew of an engine."""
+        self.engines.setdefault(
+            endpoint_id, EngineState(incarnation, None, serving)
+        )
+
+    def observe(self, report: Report) -> None:
+        """Take an engine's own report."""
+        state = self.engines.get(report.endpoint_id)
+        if state is None:
+            state = EngineState(report.incarnation, report.version, True)
+            self.engines[report.endpoint_id] = state
+        if report.incarnation < state.incarnation:
+            return
+        if report.incarnation > state.incarnation:
+            self._restart(state, report)
+        elif state.in_flight or report.taken_at < state.trusted_from:
+            return
+        state.version = report.version
+        if report.version is None:
+            state.serving = False
+        elif report.version >= self.newest:
+            state.serving = True
+            state.restarted = False
+            state.failures = 0
+
+    def _restart(self, state: EngineState, report: Report) -> None:
+        # An order in flight may still reach the new process.
+        trusted_from = report.taken_at
+        if state.in_flight:
+            trusted_from += self._cfg.order_seconds
+        state.incarnation = report.incarnation
+        state.version = None
+        state.serving = state.served_before = False
+        state.restarted = True
+        state.trusted_from = max(state.trusted_from, trusted_from)
+        state.failures, state.retry_at = 0, 0.0
+
+    def due(self, now: float, can: abc.Callable[[str], bool]) -> list[Order]:
+        """Return the orders to send now; each must be started.
+
+        The callable tells whether the lease allows an order to an engine.
+        Engines that serve nothing go first, since their swap costs nothing.
+        """
+        refill = max(0.0, now - self._at) * self._cfg.orders_per_second
+        self._tokens = min(self._burst, self._tokens + refill)
+        self._at = now
+        waiting = [
+            (state.serving, endpoint_id)
+            for endpoint_id, state in self.engines.items()
+            if self._wants(state, now) and can(endpoint_id)
+        ]
+        orders: list[Order] = []
+        taken_out = 0
+        for serving, endpoint_id in sorted(waiting):
+            if len(orders) + 1 > self._tokens:
+                break
+            if serving and not self._spare(taken_out, bool(orders)):
+                break
+            taken_out += serving
+            orders.append(Order(endpoint_id, self.newest))
+        return orders
+
+    def _wants(self, state: EngineState, now: float) -> bool:
+        if state.in_flight or now < state.retry_at:
+            return False
+        if now < state.trusted_from:
+            # An earlier order could overtake this one and undo it.
+            return False
+        if state.serving and state.version is None:
+            # Not heard from yet.
+            return False
+        return state.version is None or state.version < self.newest
+
+    def _spare(self, taken_out: int, ordering: bool) -> bool:
+        """Tell whether one more serving engine may go out of service."""
+        states = self.engines.values()
+        out = sum(not state.serving for state in states) + taken_out
+        if out < max(1, int(len(self.engines) * self._cfg.out_part)):
+            return True
+        # Broken engines must not stop the update of the others.
+        return not ordering and not any(state.in_flight for state in states)
+
+    def start(self, order: Order) -> None:
+        """Take an engine out of service, right before its order."""
+        state = self.engines[order.endpoint_id]
+        state.in_flight = True
+        state.served_before = state.serving
+        state.serving = False
+        self._tokens -= 1.0
+
+    def refuse(self, order: Order, now: float) -> None:
+        """Note that an order surely had no effect."""
+        state = self.engines.get(order.endpoint_id)
+        if state is None:
+            return
+        state.in_flight = False
+        self._wait(state, now)
+        state.serving = state.served_before and state.version is not None
+
+    def finish(
+        self, order: Order, report: Report | None, sent_at: float, now: float
+    ) -> None:
+        """Note an order's answer; None when the outcome is unknown."""
+        state = self.engines.get(order.endpoint_id)
+        if state is None:
+            return
+        state.in_flight = False
+        if report is None:
+            state.version = None
+            state.trusted_from = max(
+                state.trusted_from, sent_at + self._cfg.order_seconds
+            )
+            self._wait(state, now)
+            return
+        if report.incarnation < state.incarnation:
+            # The answer of a process that has ended since.
+            return
+        if report.incarnation > state.incarnation:
+            state.incarnation = report.incarnation
+            state.restarted = True
+        state.version = report.version
+        state.trusted_from = max(state.trusted_from, now)
+        if report.version == order.version:
+            state.failures, state.retry_at = 0, 0.0
+            state.restarted &= order.version < self.newest
+            state.serving = not state.restarted
+        else:
+            self._wait(state, now)
+
+    def _wait(self, state: EngineState, now: float) -> None:
+        wait = min(_LONGEST_RETRY, _FIRST_RETRY * 2**state.failures)
+        state.failures += 1
+        state.retry_at = now + wait
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,182 @@
+"""Guard the plan of weight orders against faults of engines."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+
+from hibiscussaddle.policy import rollout
+
+CFG = rollout.RolloutConfig(orders_per_second=4.0)
+TICK = 0.25
+FAULTS = ("none", "none", "fails", "lost", "late", "refused", "crash")
+
+
+@dataclasses.dataclass
+class Engine:
+    """Hold the true state of one engine."""
+
+    id: str
+    version: int | None = 1
+    incarnation: int = 1
+    order: rollout.Order | None = None
+    sent_at: float = 0.0
+    ends_at: float = 0.0
+    fault: str = "none"
+    # Versions that arrive after their sender stopped waiting.
+    history: list[rollout.Report] = dataclasses.field(default_factory=list)
+    late: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+
+    def report(self, now: float) -> rollout.Report:
+        """Return the engine's own report."""
+        return rollout.Report(self.id, self.incarnation, self.version, now)
+
+
+class World:
+    """Run a rollout against engines with faults."""
+
+    def __init__(self, count: int) -> None:
+        """Start with engines on version 1."""
+        self.now = 0.0
+        self.plan = rollout.Rollout(CFG, 0.0)
+        self.engines = [Engine(f"e{number}") for number in range(count)]
+        self.sent: list[float] = []
+        self.crashed: set[str] = set()
+        self.faulty = False
+        for engine in self.engines:
+            self.plan.observe(engine.report(0.0))
+        self.plan.note_newest(1)
+
+    def tick(self, fault: str, lag: float) -> None:
+        """Send what is due, end what is done, then check."""
+        for order in self.plan.due(self.now, lambda _: True):
+            engine = next(e for e in self.engines if e.id == order.endpoint_id)
+            self.plan.start(order)
+            engine.order, engine.sent_at = order, self.now
+            engine.ends_at = self.now + 0.5
+            engine.fault = fault
+            self.faulty |= fault not in ("none", "refused")
+            self.sent.append(self.now)
+        self.check()
+        self.now += TICK
+        for engine in self.engines:
+            self.arrive_late(engine)
+            if engine.order is not None and self.now >= engine.ends_at:
+                self.end(engine)
+            self.report(engine, lag)
+        self.check()
+
+    def arrive_late(self, engine: Engine) -> None:
+        """Let an order take effect whose sender gave up on it."""
+        while engine.late and engine.late[0][0] <= self.now:
+            engine.version = engine.late.pop(0)[1]
+
+    def report(self, engine: Engine, lag: float) -> None:
+        """Let the plan hear a report that may lag."""
+        engine.history.append(engine.report(self.now))
+        heard = [
+            report
+            for report in engine.history
+            if report.taken_at <= self.now - lag
+        ]
+        if heard:
+            self.plan.observe(heard[-1])
+
+    def end(self, engine: Engine) -> None:
+        """End an order the way its fault says."""
+        order, engine.order = engine.order, None
+        assert order is not None
+        if engine.fault == "refused":
+            self.plan.refuse(order, self.now)
+            return
+        if engine.fault == "crash":
+            engine.incarnation += 1
+            engine.version = 1
+            self.crashed.add(engine.id)
+        elif engine.fault == "fails":
+            engine.version = None
+        elif engine.fault == "late":
+            # Within the longest time that an order is in flight.
+            engine.late.append((engine.sent_at + 3.5, order.version))
+        else:
+            engine.version = order.version
+        report = engine.report(self.now)
+        if engine.fault in ("lost", "late", "crash"):
+            self.plan.finish(order, None, engine.sent_at, self.now)
+        else:
+            self.plan.finish(order, report, engine.sent_at, self.now)
+
+    def check(self) -> None:
+        """Check every engine that may serve, and the limits."""
+        serving = 0
+        for engine in self.engines:
+            state = self.plan.engines[engine.id]
+            if not state.serving:
+                continue
+            serving += 1
+            assert engine.order is None, "serves during its swap"
+            assert engine.version is not None, "serves mixed weights"
+            assert not engine.late, "serves before its order's outcome"
+            assert engine.version == state.version, "wrong version marked"
+            if engine.id in self.crashed:
+                assert engine.version == self.plan.newest, "serves old weights"
+                self.crashed.discard(engine.id)
+        count = len(self.engines)
+        if not self.faulty:
+            assert serving >= count - max(1, count // 3), "too many out"
+        burst = max(1.0, CFG.orders_per_second * 0.25)
+        for first, start in enumerate(self.sent):
+            span = self.sent[-1] - start
+            sent = len(self.sent) - first
+            assert sent <= burst + CFG.orders_per_second * span + 1e-6
+
+
+@hypothesis.given(
+    strategies.integers(1, 9),
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(FAULTS),
+            strategies.sampled_from((0.0, 0.0, 1.0)),
+            strategies.booleans(),
+        ),
+        max_size=60,
+    ),
+)
+def test_engines_serve_only_known_weights(
+    count: int, events: list[tuple[str, float, bool]]
+) -> None:
+    """Fails when an engine serves unknown weights or too many are out.
+
+    Also fails when a rollout does not end after the faults have ended.
+    """
+    world = World(count)
+    for number, (fault, lag, publish) in enumerate(events):
+        if publish and number % 2 == 0:
+            world.plan.note_newest(world.plan.newest + 1)
+        world.tick(fault, lag)
+    world.plan.note_newest(world.plan.newest + 1)
+    for _ in range(400):
+        world.tick("none", 0.0)
+    for engine in world.engines:
+        assert engine.version == world.plan.newest, "never updated"
+        assert world.plan.engines[engine.id].serving, "never serves again"
+
+
+def test_zone_is_updated_in_time() -> None:
+    """Fails when a zone at target size needs more than 23 s in waves."""
+    cfg = rollout.RolloutConfig(orders_per_second=8.0)
+    plan = rollout.Rollout(cfg, 0.0)
+    for number in range(119):
+        plan.observe(rollout.Report(f"e{number}", 1, 1, 0.0))
+    plan.note_newest(2)
+    now, ends = 0.0, []
+    while any(s.version != 2 for s in plan.engines.values()):
+        for order in plan.due(now, lambda _: True):
+            plan.start(order)
+            ends.append((now, order))
+        for sent_at, order in [e for e in ends if e[0] + 3.0 <= now]:
+            ends.remove((sent_at, order))
+            report = rollout.Report(order.endpoint_id, 1, 2, now)
+            plan.finish(order, report, sent_at, now)
+        now += 0.1
+    assert now <= 23.0
