Answer service calls truthfully and count work to its last byte

Cause: connect timeouts counted as runs, a lost caller cancelled started work, a repeat could be refused 'not run' after its run, '..' segments passed the contract's rule of another path, queries were dropped, and 'nan' passed as a deadline. The service fake answered 500 where it should lose an answer. Change: a client that tells unsent from lost work, detached runs, the filter 'repeats' in front of all others, retries within a budget of 10%, one ASGI endpoint that counts, answers and logs; metrics and the log line; streams resume on another engine; a planned stop waits for the last byte.

--- a/src/hibiscussaddle/adapters/engines.py
+++ b/src/hibiscussaddle/adapters/engines.py
@@ -1,20 +1,25 @@
 """Client of model engines: streams of tokens with their versions."""
 
 from collections import abc
-import dataclasses
-import json
+import contextlib
 import typing
 
+import anyio
 import httpx
+import msgspec
 
 from hibiscussaddle import endpoints
 
-_DATA: typing.Final = "data: "
-_DONE: typing.Final = "[DONE]"
+CONNECT_SECONDS: typing.Final = 2.0
+# Longest silence after the first tokens before a stream counts as broken.
+IDLE_SECONDS: typing.Final = 30.0
+CANCEL_SECONDS: typing.Final = 2.0
+MAX_EVENT_BYTES: typing.Final = 1 << 20
+_DATA: typing.Final = b"data: "
+_DONE: typing.Final = b"[DONE]"
 
 
-@dataclasses.dataclass(frozen=True)
-class Chunk:
+class Chunk(msgspec.Struct, frozen=True):
     """Hold some tokens and the weight version that made them."""
 
     text: str
@@ -23,7 +28,8 @@
     # None while the engine does not know which weights it serves.
     version: int | None
     incarnation: int
-    raw: str
+    raw: bytes
+    request_id: str = ""
 
 
 class StreamBroken(Exception):
@@ -34,6 +40,26 @@
     """Report work that the engine reliably refused before it started."""
 
 
+class _Delta(msgspec.Struct):
+    content: str = ""
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta
+
+
+class _Event(msgspec.Struct):
+    first_token: int
+    tokens: int
+    weight_version: int | None
+    incarnation: int
+    choices: list[_Choice]
+    id: str = ""
+
+
+_EVENTS: typing.Final = msgspec.json.Decoder(_Event)
+
+
 class EngineClient:
     """Call model engines."""
 
@@ -46,52 +72,109 @@
         endpoint: endpoints.Endpoint,
         body: abc.Mapping[str, typing.Any],
         timeout: float,
-    ) -> abc.AsyncIterator[Chunk]:
+    ) -> abc.AsyncGenerator[Chunk, None]:
         """Yield chunks until the end mark; raise when it does not come."""
+        batches = self.stream_batches(endpoint, body, timeout)
+        async with contextlib.aclosing(batches):
+            async for batch in batches:
+                for chunk in batch:
+                    yield chunk
+
+    async def stream_batches(
+        self,
+        endpoint: endpoints.Endpoint,
+        body: abc.Mapping[str, typing.Any],
+        timeout: float,
+    ) -> abc.AsyncGenerator[list[Chunk], None]:
+        """Yield the chunks of each network read together.
+
+        Raises:
+            NotRun: the engine never started the work.
+            StreamBroken: the end mark did not come.
+        """
         request = self._client.stream(
             "POST",
             endpoint.address + "/v1/chat/completions",
-            json={**body, "stream": True},
-            timeout=httpx.Timeout(timeout),
+            content=msgspec.json.encode({**body, "stream": True}),
+            headers={"content-type": "application/json"},
+            timeout=httpx.Timeout(
+                timeout,
+                connect=min(timeout, CONNECT_SECONDS),
+                pool=min(timeout, CONNECT_SECONDS),
+            ),
         )
         try:
             async with request as resp:
                 if resp.headers.get("x-not-run"):
-                    raise NotRun(endpoint.id)
+                    raise NotRun(f"endpoint {endpoint.id} refused the work")
                 if resp.status_code != httpx.codes.OK:
-                    raise StreamBroken(f"status {resp.status_code}")
-                async for line in resp.aiter_lines():
-                    if not line.startswith(_DATA):
-                        continue
-                    data = line[len(_DATA) :]
-                    if data == _DONE:
+                    raise StreamBroken(
+                        f"endpoint {endpoint.id}: status {resp.status_code}"
+                    )
+                async for batch in _read(resp):
+                    if batch is None:
                         return
-                    yield _to_chunk(data)
-        except httpx.ConnectError as exc:
-            raise NotRun(str(exc)) from exc
-        except httpx.HTTPError as exc:
-            raise StreamBroken(str(exc)) from exc
-        raise StreamBroken("stream ended without its end mark")
+                    yield batch
+        except (
+            httpx.ConnectError,
+            httpx.ConnectTimeout,
+            httpx.PoolTimeout,
+        ) as exc:
+            raise NotRun(_describe(endpoint, exc)) from exc
+        except (httpx.HTTPError, msgspec.MsgspecError) as exc:
+            raise StreamBroken(_describe(endpoint, exc)) from exc
+        raise StreamBroken(f"endpoint {endpoint.id}: no end mark")
 
     async def cancel(
         self, endpoint: endpoints.Endpoint, request_id: str
     ) -> None:
         """Cancel a stream at the engine; failures are ignored."""
-        try:
-            await self._client.post(
-                f"{endpoint.address}/v1/cancel/{request_id}", timeout=2.0
-            )
-        except httpx.HTTPError:
+        url = f"{endpoint.address}/v1/cancel/{request_id}"
+        with (
+            contextlib.suppress(httpx.HTTPError),
+            anyio.move_on_after(CANCEL_SECONDS, shield=True),
+        ):
+            await self._client.post(url, timeout=CANCEL_SECONDS)
+
+
+async def _read(
+    resp: httpx.Response,
+) -> abc.AsyncGenerator[list[Chunk] | None, None]:
+    """Yield batches of chunks, then None at the end mark."""
+    rest = b""
+    async for part in resp.aiter_raw():
+        *lines, rest = (rest + part).split(b"\n")
+        if len(rest) > MAX_EVENT_BYTES:
+            raise StreamBroken(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+        chunks: list[Chunk] = []
+        is_done = False
+        for line in lines:
+            if not line.startswith(_DATA):
+                continue
+            data = line[len(_DATA) :].rstrip(b"\r")
+            if data == _DONE:
+                is_done = True
+                break
+            chunks.append(_to_chunk(data))
+        if chunks:
+            yield chunks
+        if is_done:
+            yield None
             return
 
 
-def _to_chunk(data: str) -> Chunk:
-    body = json.loads(data)
+def _describe(endpoint: endpoints.Endpoint, exc: Exception) -> str:
+    return f"endpoint {endpoint.id}: {exc or type(exc).__name__}"
+
+
+def _to_chunk(data: bytes) -> Chunk:
+    event = _EVENTS.decode(data)
     return Chunk(
-        text=body["choices"][0]["delta"].get("content", ""),
-        first_token=int(body["first_token"]),
-        tokens=int(body["tokens"]),
-        version=body["weight_version"],
-        incarnation=int(body["incarnation"]),
-        raw=data,
+        event.choices[0].delta.content if event.choices else "",
+        event.first_token,
+        event.tokens,
+        event.weight_version,
+        event.incarnation,
+        data,
+        event.id,
     )
--- a/src/hibiscussaddle/caller_app.py
+++ b/src/hibiscussaddle/caller_app.py
@@ -1,24 +1,36 @@
 """HTTP interface for callers, trainers and the load balancer."""
 
-import json
+from collections import abc
+import contextlib
+import dataclasses
+import logging
+import math
+import re
 import secrets
 import typing
 
+import anyio
+import msgspec
 import result
 from starlette import applications
 from starlette import requests
 from starlette import responses
 from starlette import routing
+from starlette import types
 
 from hibiscussaddle import codes
 from hibiscussaddle import exchange
 from hibiscussaddle import filters
 from hibiscussaddle import handlers
 from hibiscussaddle import lifecycle
+from hibiscussaddle import logs
 from hibiscussaddle import runtime as runtime_lib
 
+_LOG = logging.getLogger(__name__)
 DEFAULT_DEADLINE_SECONDS: typing.Final = 600.0
-_METHODS: typing.Final = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+MAX_DEADLINE_SECONDS: typing.Final = 86_400.0
+_METHODS: typing.Final = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
+_REQUEST_ID: typing.Final = re.compile(r"[A-Za-z0-9._:@/+-]{1,128}")
 
 
 def create_app(runtime: runtime_lib.Runtime) -> applications.Starlette:
@@ -26,17 +38,10 @@
     chain = filters.create_chain(runtime, handlers.create_dispatch(runtime))
 
     def route(
-        path: str, kind: exchange.Kind, methods: list[str]
+        path: str, kind: exchange.Kind, methods: abc.Sequence[str]
     ) -> routing.Route:
-        async def endpoint(http_req: requests.Request) -> responses.Response:
-            parsed = await _read(http_req, kind, runtime)
-            if isinstance(parsed, result.Err):
-                return to_refusal_response(parsed.err_value, "")
-            req = parsed.ok_value
-            outcome = await chain(req)
-            return _to_response(outcome, req.request_id)
-
-        return routing.Route(path, endpoint, methods=methods)
+        endpoint = _Endpoint(runtime, chain, kind)
+        return routing.Route(path, endpoint, methods=list(methods))
 
     async def health(_: requests.Request) -> responses.Response:
         return responses.PlainTextResponse("ok\n")
@@ -47,6 +52,12 @@
             f"{runtime.lifecycle.phase.value}\n", 200 if is_ready else 503
         )
 
+    async def show_metrics(req: requests.Request) -> responses.Response:
+        body, headers = runtime.callers.metrics.render(
+            runtime.lifecycle.running, req.headers.getlist("accept")
+        )
+        return responses.Response(body, headers=headers)
+
     kind = exchange.Kind
     return applications.Starlette(
         routes=[
@@ -59,63 +70,201 @@
             route("/v1/steps/{trainer}/{step}/pull", kind.STEP_PULL, ["POST"]),
             routing.Route("/healthz", health),
             routing.Route("/readyz", ready),
+            routing.Route("/metrics", show_metrics),
         ]
     )
 
 
-async def _read(
-    http_req: requests.Request,
-    kind: exchange.Kind,
-    runtime: runtime_lib.Runtime,
-) -> result.Result[exchange.Request, codes.Refusal]:
-    now = runtime.clock()
-    body = bytearray()
-    async for part in http_req.stream():
-        body += part
-        if len(body) > runtime.cfg.max_body_bytes:
+@dataclasses.dataclass
+class _Head:
+    """Hold what the answer and the log line need before the body is read."""
+
+    request_id: str
+    received_at: float
+    trace: exchange.Trace = dataclasses.field(default_factory=exchange.Trace)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Endpoint:
+    """Serve one kind of request as an ASGI app."""
+
+    runtime: runtime_lib.Runtime
+    chain: exchange.Handler
+    kind: exchange.Kind
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        """Count, answer and log one request."""
+        life, kind = self.runtime.lifecycle, self.kind.value
+        head = _Head(secrets.token_hex(8), self.runtime.clock())
+        # Counted until the last byte is written, so that a planned stop
+        # waits for it.
+        life.enter(kind)
+        is_whole = False
+        try:
+            req = await self._read(scope, receive, head)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_watch, receive, tasks.cancel_scope)
+                await self._answer(req, head, send)
+                is_whole = True
+                tasks.cancel_scope.cancel()
+        except _Disconnected:
+            pass
+        finally:
+            life.leave(kind)
+            self._note(head, is_whole)
+
+    async def _answer(
+        self,
+        req: result.Result[exchange.Request, codes.Refusal],
+        head: _Head,
+        send: types.Send,
+    ) -> None:
+        outcome: exchange.Outcome
+        if isinstance(req, result.Err):
+            outcome = req
+        else:
+            try:
+                outcome = await self.chain(req.ok_value)
+            except Exception as exc:
+                _LOG.exception("event=failed request_id=%s", head.request_id)
+                outcome = exchange.refuse(
+                    codes.Code.INTERNAL, type(exc).__name__
+                )
+        if isinstance(outcome, result.Err):
+            refusal = outcome.err_value
+            head.trace.code = refusal.code
+            await _send_refusal(refusal, head.request_id, send)
+            return
+        head.trace.code = outcome.ok_value.code
+        await _send_response(outcome.ok_value, head.request_id, send)
+
+    def _note(self, head: _Head, is_whole: bool) -> None:
+        seconds = self.runtime.clock() - head.received_at
+        code = head.trace.code.value.number
+        self.runtime.callers.metrics.count(self.kind.value, code, seconds)
+        logs.event(
+            _LOG,
+            "request",
+            request_id=head.request_id,
+            customer=head.trace.customer or "-",
+            kind=self.kind.value,
+            code=code,
+            whole=is_whole,
+            seconds=seconds,
+        )
+
+    async def _read(
+        self, scope: types.Scope, receive: types.Receive, head: _Head
+    ) -> result.Result[exchange.Request, codes.Refusal]:
+        headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
+        given = headers.get("x-request-id")
+        if given is not None and not _REQUEST_ID.fullmatch(given):
+            return exchange.refuse(
+                codes.Code.BAD_REQUEST,
+                f"X-Request-Id does not match {_REQUEST_ID.pattern}",
+            )
+        head.request_id = given or head.request_id
+        seconds = _parse_deadline(headers.get("x-deadline-seconds"))
+        if seconds is None:
             return exchange.refuse(
-                codes.Code.TOO_LARGE,
-                f"body exceeds {runtime.cfg.max_body_bytes} bytes",
+                codes.Code.BAD_REQUEST,
+                "X-Deadline-Seconds is not a number above 0 and up to "
+                f"{MAX_DEADLINE_SECONDS:.0f}",
             )
-    allowed = http_req.headers.get("x-deadline-seconds")
+        body = await _read_body(receive, self.runtime.cfg.max_body_bytes)
+        if isinstance(body, result.Err):
+            return body
+        return result.Ok(
+            exchange.Request(
+                kind=self.kind,
+                request_id=head.request_id,
+                method=scope["method"],
+                path=scope["path"],
+                headers=headers,
+                body=body.ok_value,
+                received_at=head.received_at,
+                deadline=head.received_at + seconds,
+                params=scope["path_params"],
+                query=scope["query_string"].decode("latin-1"),
+                trace=head.trace,
+            )
+        )
+
+
+class _Disconnected(Exception):
+    """Report a caller that closed the connection."""
+
+
+async def _watch(receive: types.Receive, scope: anyio.CancelScope) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
+
+
+def _parse_deadline(text: str | None) -> float | None:
+    if text is None:
+        return DEFAULT_DEADLINE_SECONDS
     try:
-        seconds = float(allowed) if allowed else DEFAULT_DEADLINE_SECONDS
+        seconds = float(text)
     except ValueError:
-        return exchange.refuse(
-            codes.Code.BAD_REQUEST, "X-Deadline-Seconds is not a number"
-        )
-    request_id = http_req.headers.get("x-request-id") or secrets.token_hex(8)
-    return result.Ok(
-        exchange.Request(
-            kind=kind,
-            request_id=request_id,
-            method=http_req.method,
-            path=http_req.url.path,
-            headers=http_req.headers,
-            body=bytes(body),
-            received_at=now,
-            deadline=now + seconds,
-            params=http_req.path_params,
-        )
-    )
+        return None
+    if not math.isfinite(seconds) or not 0 < seconds <= MAX_DEADLINE_SECONDS:
+        return None
+    return seconds
 
 
-def _to_response(
-    outcome: exchange.Outcome, request_id: str
-) -> responses.Response:
-    if isinstance(outcome, result.Err):
-        return to_refusal_response(outcome.err_value, request_id)
-    resp = outcome.ok_value
-    headers = dict(resp.headers)
-    headers["x-request-id"] = request_id
-    headers["x-result-code"] = str(resp.code.value.number)
+async def _read_body(
+    receive: types.Receive, limit: int
+) -> result.Result[bytes, codes.Refusal]:
+    body = bytearray()
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise _Disconnected
+        body += message.get("body", b"")
+        if len(body) > limit:
+            return exchange.refuse(
+                codes.Code.TOO_LARGE, f"body exceeds {limit} bytes"
+            )
+        if not message.get("more_body", False):
+            return result.Ok(bytes(body))
+
+
+async def _send_response(
+    resp: exchange.Response, request_id: str, send: types.Send
+) -> None:
+    headers = [
+        (b"content-type", resp.media_type.encode("latin-1")),
+        (b"x-request-id", request_id.encode()),
+        (b"x-result-code", str(resp.code.value.number).encode()),
+        *((name.encode(), val.encode()) for name, val in resp.headers),
+    ]
     if isinstance(resp.body, bytes):
-        return responses.Response(
-            resp.body, resp.status, headers, resp.media_type
-        )
-    return responses.StreamingResponse(
-        resp.body, resp.status, headers, resp.media_type
-    )
+        headers.append((b"content-length", str(len(resp.body)).encode()))
+        await _start(send, resp.status, headers)
+        await send({"type": "http.response.body", "body": resp.body})
+        return
+    generator = typing.cast(abc.AsyncGenerator[bytes, None], resp.body)
+    async with contextlib.aclosing(generator) as parts:
+        await _start(send, resp.status, headers)
+        async for part in parts:
+            await send(
+                {"type": "http.response.body", "body": part, "more_body": True}
+            )
+    await send({"type": "http.response.body", "body": b""})
+
+
+async def _send_refusal(
+    refusal: codes.Refusal, request_id: str, send: types.Send
+) -> None:
+    answer = to_refusal_response(refusal, request_id)
+    await _start(send, answer.status_code, answer.raw_headers)
+    await send({"type": "http.response.body", "body": bytes(answer.body)})
 
 
 def to_refusal_response(
@@ -129,8 +278,16 @@
     if refusal.retry_after is not None:
         headers["retry-after"] = str(max(1, round(refusal.retry_after)))
     return responses.Response(
-        json.dumps(refusal.to_dict()).encode(),
+        msgspec.json.encode(refusal.to_dict()),
         info.http_status,
         headers,
         "application/json",
     )
+
+
+async def _start(
+    send: types.Send, status: int, headers: list[tuple[bytes, bytes]]
+) -> None:
+    await send(
+        {"type": "http.response.start", "status": status, "headers": headers}
+    )
--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -3,7 +3,6 @@
 import logging
 import random
 import secrets
-import signal
 import time
 import typing
 
@@ -16,6 +15,7 @@
 from hibiscussaddle import caller_app
 from hibiscussaddle import contract_cache
 from hibiscussaddle import controllers
+from hibiscussaddle import draining
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
 from hibiscussaddle import logs
@@ -77,7 +77,7 @@
     """Run an instance until a signal stops it."""
     runtime = create_runtime(cfg)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_handle_signals, runtime)
+        tasks.start_soon(draining.handle_signals, runtime)
         await run_until_stopped(runtime)
         tasks.cancel_scope.cancel()
 
@@ -86,35 +86,27 @@
     """Serve and control until a stop is requested and work is done."""
     cfg = runtime.cfg
     drained = anyio.Event()
+    servers: list[serving.Server] = []
     logs.event(_LOG, "started", incarnation=runtime.incarnation)
     async with anyio.create_task_group() as tasks:
+        runtime.lifecycle.attach(tasks)
         for loop in controllers.REGISTRY.values():
             tasks.start_soon(loop, runtime)
         for app, port in (
             (caller_app.create_app(runtime), cfg.caller_port),
             (operator_app.create_app(runtime), cfg.operator_port),
         ):
-            tasks.start_soon(
-                serving.serve,
-                app,
-                cfg.host,
-                port,
-                drained.wait,
-                cfg.tls_cert,
-                cfg.tls_key,
-            )
+            server = serving.Server(app, cfg.host, port, drained.wait)
+            servers.append(server)
+            tasks.start_soon(server.serve, cfg.tls_cert, cfg.tls_key)
         await runtime.lifecycle.stop_requested.wait()
-        logs.event(_LOG, "stopping", running=runtime.lifecycle.total())
-        with anyio.move_on_after(cfg.drain_seconds):
-            await runtime.lifecycle.wait_idle()
-        drained.set()
+
+        async def close_sockets() -> None:
+            drained.set()
+            for server in servers:
+                await server.wait()
+
+        await draining.drain(runtime, close_sockets)
         tasks.cancel_scope.cancel()
     await runtime.client.aclose()
     logs.event(_LOG, "stopped")
-
-
-async def _handle_signals(runtime: runtime_lib.Runtime) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for signum in signals:
-            logs.event(_LOG, "signal", number=int(signum))
-            runtime.lifecycle.request_stop()
--- a/src/hibiscussaddle/exchange.py
+++ b/src/hibiscussaddle/exchange.py
@@ -22,6 +22,14 @@
     STEP_STATUS = "step_status"
 
 
+@dataclasses.dataclass
+class Trace:
+    """Collect what the log line of a request reports."""
+
+    customer: str = ""
+    code: codes.Code = codes.Code.OK
+
+
 @dataclasses.dataclass(frozen=True)
 class Request:
     """Carry one request through the filter chain."""
@@ -36,6 +44,8 @@
     received_at: float
     deadline: float
     params: abc.Mapping[str, str] = dataclasses.field(default_factory=dict)
+    query: str = ""
+    trace: Trace = dataclasses.field(default_factory=Trace)
     # Set by the authenticate filter.
     record: contracts.ContractRecord | None = None
 
--- a/src/hibiscussaddle/filters/__init__.py
+++ b/src/hibiscussaddle/filters/__init__.py
@@ -12,7 +12,7 @@
 Factory: typing.TypeAlias = abc.Callable[[runtime_lib.Runtime], Filter]
 
 # The order in which a request passes the filters.
-ORDER: typing.Final = ("lifecycle", "authenticate")
+ORDER: typing.Final = ("repeats", "lifecycle", "authenticate")
 
 _FACTORIES: dict[str, Factory] = {}
 
--- a/src/hibiscussaddle/filters/authenticate.py
+++ b/src/hibiscussaddle/filters/authenticate.py
@@ -22,6 +22,7 @@
             return exchange.refuse(
                 codes.Code.UNAUTHORIZED, "no customer has this key"
             )
+        req.trace.customer = record.contract.customer
         return await following(dataclasses.replace(req, record=record))
 
     return call
--- a/src/hibiscussaddle/runtime.py
+++ b/src/hibiscussaddle/runtime.py
@@ -8,6 +8,7 @@
 
 from hibiscussaddle.adapters import peers as peers_lib
 from hibiscussaddle.adapters import store as store_lib
+from hibiscussaddle import callers as callers_lib
 from hibiscussaddle import contract_cache
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
@@ -38,3 +39,6 @@
     members: members_lib.Members
     facts: shared_facts.SharedFacts
     store: store_lib.StoreClient | None = None
+    callers: callers_lib.CallerState = dataclasses.field(
+        default_factory=callers_lib.CallerState
+    )
--- a/src/hibiscussaddle/serving.py
+++ b/src/hibiscussaddle/serving.py
@@ -10,27 +10,65 @@
 # Streams may run long after a stop was requested; the caller of serve()
 # ends them by cancelling it.
 _GRACEFUL_SECONDS: typing.Final = 3600.0
+# Lets idle connections close before the others are cut.
+_CANCEL_SECONDS: typing.Final = 0.2
 
 
-async def serve(
-    app: typing.Any,
-    host: str,
-    port: int,
-    stop: abc.Callable[[], abc.Awaitable[None]],
-    cert: str = "",
-    key: str = "",
-) -> None:
-    """Serve until stop() returns."""
-    cfg = hypercorn_config.Config()
-    cfg.bind = [f"{host}:{port}"]
-    cfg.loglevel = "WARNING"
-    cfg.graceful_timeout = _GRACEFUL_SECONDS
-    cfg.keep_alive_timeout = 75.0
-    if cert:
-        cfg.certfile, cfg.keyfile = cert, key
-    await hypercorn_asyncio.serve(app, cfg, shutdown_trigger=stop)
+class Server:
+    """Serve one ASGI app until stop() returns."""
+
+    def __init__(
+        self,
+        app: typing.Any,
+        host: str,
+        port: int,
+        stop: abc.Callable[[], abc.Awaitable[None]],
+    ) -> None:
+        """Prepare; serve() opens the socket."""
+        self._app = app
+        self._stop = stop
+        self._ending = anyio.Event()
+        self._closed = anyio.Event()
+        self._cfg = hypercorn_config.Config()
+        self._cfg.bind = [f"{host}:{port}"]
+        self._cfg.loglevel = "WARNING"
+        self._cfg.graceful_timeout = _GRACEFUL_SECONDS
+        self._cfg.keep_alive_timeout = 75.0
+
+    async def serve(self, cert: str = "", key: str = "") -> None:
+        """Return when the connections are closed after stop()."""
+        if cert:
+            self._cfg.certfile, self._cfg.keyfile = cert, key
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._run)
+            tasks.start_soon(self._await_stop)
+            try:
+                await self._closed.wait()
+                tasks.cancel_scope.cancel()
+            finally:
+                self._cfg.graceful_timeout = _CANCEL_SECONDS
+                self._ending.set()
+
+    # hypercorn raises InvalidStateError when it is cancelled, so it is only
+    # ever ended by its trigger.
+    async def _run(self) -> None:
+        with anyio.CancelScope(shield=True):
+            try:
+                await hypercorn_asyncio.serve(
+                    self._app, self._cfg, shutdown_trigger=self._ending.wait
+                )
+            finally:
+                self._closed.set()
+
+    async def _await_stop(self) -> None:
+        await self._stop()
+        self._ending.set()
+
+    async def wait(self) -> None:
+        """Wait until serve() has ended."""
+        await self._closed.wait()
 
 
 async def serve_forever(app: typing.Any, host: str, port: int) -> None:
     """Serve until cancelled."""
-    await serve(app, host, port, anyio.sleep_forever)
+    await Server(app, host, port, anyio.sleep_forever).serve()
--- a/src/hibiscussaddle/standins/service.py
+++ b/src/hibiscussaddle/standins/service.py
@@ -8,6 +8,7 @@
 from starlette import requests
 from starlette import responses
 from starlette import routing
+from starlette import types
 
 from hibiscussaddle.standins import faults as faults_lib
 
@@ -23,6 +24,7 @@
     path: str
     key: str
     body: str
+    deadline: str
 
 
 class Service:
@@ -35,24 +37,55 @@
         self.faults = faults_lib.Faults()
         self._numbers = itertools.count(1)
 
-    def execute(self, method: str, path: str, key: str, body: str) -> int:
+    def execute(self, req: requests.Request, body: str) -> int:
         """Run one call; it is never deduplicated here."""
         number = next(self._numbers)
-        self.executions.append(Execution(number, method, path, key, body))
+        target = req.url.path
+        if req.url.query:
+            target += f"?{req.url.query}"
+        self.executions.append(
+            Execution(
+                number,
+                req.method,
+                target,
+                req.headers.get("idempotency-key", ""),
+                body,
+                req.headers.get("x-deadline-seconds", ""),
+            )
+        )
         return number
 
 
+class _CutResponse(responses.Response):
+    """End the connection before the answer is whole."""
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        """Announce a longer body than is sent."""
+        headers = [(b"content-length", b"100")]
+        await send(
+            {"type": "http.response.start", "status": 200, "headers": headers}
+        )
+        await send(
+            {"type": "http.response.body", "body": b"{", "more_body": True}
+        )
+
+
 def create_app(service: Service) -> applications.Starlette:
     """Return the HTTP interface of the fake."""
 
     async def call(req: requests.Request) -> responses.Response:
         refused = await faults_lib.apply_before(service.faults)
         if refused is not None:
+            refused.headers["x-not-run"] = "1"
             return refused
         body = (await req.body()).decode()
-        key = req.headers.get("idempotency-key", "")
-        number = service.execute(req.method, req.url.path, key, body)
-        await faults_lib.apply_after(service.faults)
+        number = service.execute(req, body)
+        try:
+            await faults_lib.apply_after(service.faults)
+        except faults_lib.AnswerLost:
+            return _CutResponse()
         return responses.JSONResponse(
             {"service": service.name, "number": number, "echo": body}
         )
--- /dev/null
+++ b/tests/test_service_calls.py
@@ -0,0 +1,224 @@
+"""Check the answers to service calls against what truly ran."""
+
+import random
+
+import anyio
+import httpx
+import pytest
+
+from hibiscussaddle import endpoints
+from hibiscussaddle.policy import tickets
+from hibiscussaddle.standins import service as service_lib
+import stack as stack_lib
+
+CALLS = 60
+REPEATS = 4
+
+
+def _runs(services: list[service_lib.Service], key: str) -> int:
+    return sum(
+        item.key == key for found in services for item in found.executions
+    )
+
+
+async def _break(
+    rng: random.Random, services: list[service_lib.Service]
+) -> None:
+    while True:
+        faults = rng.choice(services).faults
+        faults.update(
+            {
+                "fail_calls": rng.choice((0, 1, 3)),
+                "lose_answers": rng.choice((0, 1, 2)),
+                "delay_seconds": rng.choice((0.0, 0.0, 0.03)),
+            }
+        )
+        await anyio.sleep(0.005 * rng.random())
+
+
+async def _book(
+    stack: stack_lib.Stack,
+    services: list[service_lib.Service],
+    rng: random.Random,
+    number: int,
+) -> None:
+    await anyio.sleep(rng.random() * 0.3)
+    key = await stack.ticket()
+    body = f"net {number}"
+    result = None
+    for _ in range(REPEATS):
+        deadline = {"x-deadline-seconds": rng.choice(("0.02", "5"))}
+        timeout = rng.choice((0.01, 5.0))
+        try:
+            answer = await stack.book(
+                key, body, headers=deadline, timeout=timeout
+            )
+        except httpx.HTTPError:
+            continue
+        if answer.ran == "no":
+            assert _runs(services, key) == 0, answer.body
+        if answer.ran == "yes":
+            assert answer.body["echo"] == body, "answer of another call"
+            assert result in (None, answer.body), "answer changed"
+            assert _runs(services, key) == 1
+            result = answer.body
+        await anyio.sleep(rng.random() * 0.02)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_bookings_run_once_and_refusals_are_true(seed: int) -> None:
+    """Fails on a second run, a false refusal or a foreign answer."""
+
+    async def main() -> None:
+        rng = random.Random(seed)
+        async with stack_lib.run() as stack:
+            services = [await stack.add_service() for _ in range(2)]
+            kind = endpoints.EndpointKind.SERVICE
+            stack.list_endpoint("gone", kind, "http://127.0.0.1:24999")
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_break, rng, services)
+                async with anyio.create_task_group() as callers:
+                    for number in range(CALLS):
+                        callers.start_soon(_book, stack, services, rng, number)
+                tasks.cancel_scope.cancel()
+            keys = [i.key for svc in services for i in svc.executions]
+            assert len(keys) == len(set(keys)), f"ran twice, seed {seed}"
+            assert len(keys) > CALLS / 4, "the faults left too little to check"
+            life = stack.runtime.lifecycle
+            await stack_lib.until(lambda: life.total() == 0, 5.0)
+
+    anyio.run(main)
+
+
+def test_disconnected_caller_does_not_stop_a_booking() -> None:
+    """Fails when the work is cut or its result is lost with the caller."""
+
+    async def main() -> None:
+        async with stack_lib.run() as stack:
+            service = await stack.add_service()
+            service.faults.delay_seconds = 0.2
+            key = await stack.ticket()
+            with pytest.raises(httpx.ReadTimeout):
+                await stack.book(key, "net 7", timeout=0.05)
+            busy = await stack.book(key, "net 7")
+            assert (busy.code, busy.ran) == (1204, "unknown")
+            await stack_lib.until(lambda: len(service.executions) == 1, 5.0)
+            life = stack.runtime.lifecycle
+            await stack_lib.until(lambda: life.total() == 0, 5.0)
+            kept = await stack.book(key, "net 7")
+            assert kept.body["echo"] == "net 7"
+            assert len(service.executions) == 1
+
+    anyio.run(main)
+
+
+def test_refusal_of_a_repeat_is_unknown_after_a_run() -> None:
+    """Fails when a limit or a stop calls finished work "not run"."""
+
+    async def main() -> None:
+        async with stack_lib.run() as stack:
+            service = await stack.add_service()
+            key, unused = await stack.ticket(), await stack.ticket()
+            await stack.book(key, "net 7")
+            wrong = {"authorization": "Bearer wrong"}
+            refused = await stack.book(key, "net 7", headers=wrong)
+            assert (refused.code, refused.ran) == (1203, "unknown")
+            refused = await stack.book(unused, "net 7", headers=wrong)
+            assert (refused.code, refused.ran) == (1110, "no")
+            changed = await stack.book(key, "net 8")
+            assert (changed.code, changed.ran) == (1203, "unknown")
+            stack.runtime.lifecycle.request_stop()
+            stack.runtime.ledger.close(stack.runtime.clock())
+            assert (await stack.book(key, "net 7")).body["echo"] == "net 7"
+            refused = await stack.book(unused, "net 7")
+            assert (refused.code, refused.ran) == (1101, "no")
+            assert len(service.executions) == 1
+
+    anyio.run(main)
+
+
+def test_full_ledger_refuses_not_run() -> None:
+    """Fails when a full ledger starts work that it cannot remember."""
+
+    async def main() -> None:
+        async with stack_lib.run() as stack:
+            service = await stack.add_service()
+            stack.runtime.ledger._max_entries = 1
+            first, second = await stack.ticket(), await stack.ticket()
+            assert (await stack.book(first, "net 7")).ran == "yes"
+            refused = await stack.book(second, "net 8")
+            assert (refused.code, refused.ran) == (1120, "no")
+            assert _runs([service], second) == 0
+
+    anyio.run(main)
+
+
+def test_idempotent_call_is_retried_and_keeps_query_and_deadline() -> None:
+    """Fails when a lost answer of a safe call reaches the caller."""
+
+    async def main() -> None:
+        async with stack_lib.run() as stack:
+            service = await stack.add_service()
+            service.faults.lose_answers = 2
+            headers = {**stack_lib.HEADERS, "x-deadline-seconds": "9"}
+            path = "/v1/services/booking/quotes/nets%20a?size=4&q=%26"
+            resp = await stack.caller.get(path, headers=headers)
+            assert resp.status_code == 200
+            seen = service.executions[-1]
+            assert len(service.executions) == 3
+            assert seen.path == "/quotes/nets a?size=4&q=%26"
+            assert 8.0 < float(seen.deadline) < 9.0
+            # The burst is ten retries; afterwards requests must earn them.
+            service.faults.lose_answers = 1000
+            for _ in range(30):
+                await stack.caller.get(path, headers=headers)
+            extra = len(service.executions) - 3 - 30
+            assert extra <= 13, f"{extra} retries for 30 requests"
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize("deadline", ["nan", "inf", "-1", "0", "x", "1e9"])
+def test_malformed_deadline_is_refused(deadline: str) -> None:
+    """Fails when a deadline that is no number reaches the clock."""
+
+    async def main() -> None:
+        async with stack_lib.run() as stack:
+            headers = {**stack_lib.HEADERS, "x-deadline-seconds": deadline}
+            resp = await stack.caller.post("/v1/tickets", headers=headers)
+            assert resp.headers["x-result-code"] == "1111"
+
+    anyio.run(main)
+
+
+def test_dot_segments_do_not_make_a_call_idempotent() -> None:
+    """Fails when /quotes/../orders passes as a safe call of /quotes."""
+
+    async def main() -> None:
+        async with stack_lib.run() as stack:
+            service = await stack.add_service()
+            for path in ("quotes/%2e%2e/orders", "quotes/..%2forders"):
+                # httpx would resolve the segments itself.
+                url = httpx.URL(str(stack.caller.base_url)).copy_with(
+                    raw_path=b"/v1/services/booking/" + path.encode()
+                )
+                resp = await stack.caller.get(url, headers=stack_lib.HEADERS)
+                assert resp.headers["x-result-code"] == "1111"
+            assert not service.executions
+
+    anyio.run(main)
+
+
+def test_ticket_verdicts_all_have_an_answer() -> None:
+    """Fails when a new verdict has no result code."""
+    from hibiscussaddle.handlers import service_call
+
+    for verdict in set(tickets.Verdict) - {tickets.Verdict.RUN}:
+        kept = tickets.KeptResult(200, b"", "")
+        is_kept = verdict is tickets.Verdict.KEPT
+        decision = tickets.Decision(verdict, kept if is_kept else None)
+        outcome = service_call.to_outcome(decision)
+        if verdict in tickets.NOT_RUN:
+            assert outcome.unwrap_err().code.value.ran == "no"
+        elif not is_kept:
+            assert outcome.unwrap_err().code.value.ran == "unknown"
