--- a/tests/stack.py
+++ b/tests/stack.py
@@ -117,13 +117,18 @@
         return str(resp.json()["ticket"])
 
     def generate(
-        self, max_tokens: int, **headers: str
+        self, max_tokens: int, prompt: str = "", **headers: str
     ) -> contextlib.AbstractAsyncContextManager[httpx.Response]:
         """Open a stream."""
         return self.caller.stream(
             "POST",
             "/v1/chat/completions",
-            json={"model": "base", "stream": True, "max_tokens": max_tokens},
+            json={
+                "model": "base",
+                "stream": True,
+                "max_tokens": max_tokens,
+                "messages": [{"role": "user", "content": prompt}],
+            },
             headers={**HEADERS, **headers},
         )
 
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -146,15 +146,23 @@
         to=st.sampled_from(NAMES),
         lost=st.sets(st.integers(0, 3), max_size=1),
         room=st.sampled_from((100, 200)),
+        early=STEPS,
         late=STEPS,
     )
     def hand_over(
-        self, name: str, to: str, lost: set[int], room: int, late: float
+        self,
+        name: str,
+        to: str,
+        lost: set[int],
+        room: int,
+        early: float,
+        late: float,
     ) -> None:
         """End a planned stop; parts come in reverse, twice or not at all."""
         if name == to:
             return
         ledger = self.ledgers[name]
+        self.now += early
         ledger.close(self.now)
         parts = ledger.hand_over(self.now, room)
         self.heirs[ledger.issuer] = to
