--- a/src/hibiscussaddle/adapters/engines.py
+++ b/src/hibiscussaddle/adapters/engines.py
@@ -72,7 +72,7 @@
         endpoint: endpoints.Endpoint,
         body: abc.Mapping[str, typing.Any],
         timeout: float,
-    ) -> abc.AsyncGenerator[Chunk, None]:
+    ) -> abc.AsyncIterator[Chunk]:
         """Yield chunks until the end mark; raise when it does not come."""
         batches = self.stream_batches(endpoint, body, timeout)
         async with contextlib.aclosing(batches):
--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -15,6 +15,7 @@
 from hibiscussaddle import caller_app
 from hibiscussaddle import contract_cache
 from hibiscussaddle import controllers
+from hibiscussaddle import dispatcher
 from hibiscussaddle import draining
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
@@ -27,6 +28,7 @@
 from hibiscussaddle import serving
 from hibiscussaddle import settings
 from hibiscussaddle import shared_facts
+from hibiscussaddle import step_table
 
 _LOG = logging.getLogger(__name__)
 _MAX_CONNECTIONS: typing.Final = 4000
@@ -44,19 +46,25 @@
     me = members.Member(
         cfg.instance, cfg.zone, cfg.region, address, incarnation
     )
+    contracts = contract_cache.ContractCache()
+    directory = endpoints.Directory()
+    rng = random.Random()
     runtime = runtime_lib.Runtime(
         cfg=cfg,
         incarnation=incarnation,
         clock=time.monotonic,
-        rng=random.Random(),
+        rng=rng,
         client=client,
         lifecycle=lifecycle.Lifecycle(),
-        contracts=contract_cache.ContractCache(),
-        directory=endpoints.Directory(),
+        contracts=contracts,
+        directory=directory,
+        dispatcher=dispatcher.Dispatcher(
+            cfg.instance, cfg.zone, directory, contracts, time.monotonic, rng
+        ),
         ledger=tickets.Ledger(
             cfg.instance, incarnation, cfg.peer_secret, secrets.randbits(62)
         ),
-        steps={},
+        steps=step_table.StepTable(),
         peers=peers.PeerTransport(
             peers.Sender(cfg.instance, incarnation),
             cfg.peer_secret,
@@ -65,7 +73,11 @@
         ),
         members=members.Members(me),
         facts=shared_facts.SharedFacts(),
-        store=store.StoreClient(client, cfg.store_url)
+        store=store.StoreClient(
+            client,
+            cfg.store_url,
+            calls_per_second=cfg.store_calls_per_second,
+        )
         if cfg.store_url
         else None,
     )
--- a/src/hibiscussaddle/handlers/service_call.py
+++ b/src/hibiscussaddle/handlers/service_call.py
@@ -14,6 +14,8 @@
 from hibiscussaddle.policy import tickets
 from hibiscussaddle import runtime as runtime_lib
 
+# Counts the run itself, which can outlast its request.
+_RUN_KIND: typing.Final = "service_run"
 # Characters that a path may hold without percent-encoding.
 _PATH_SAFE: typing.Final = "/:@!$&'()*+,;=~"
 _PASSED_HEADERS: typing.Final = (
@@ -105,7 +107,7 @@
     async def job() -> exchange.Outcome:
         return await _run(runtime, client, req, ticket)
 
-    return await runtime.lifecycle.run_detached(req.kind.value, job)
+    return await runtime.lifecycle.run_detached(_RUN_KIND, job)
 
 
 async def _run(
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -26,6 +26,12 @@
         fleet.start_entry(1)
         fleet.accept_contract(1)
         fleet.until_ready(1)
+        quote = fleet.url(1) + "/v1/services/booking/quotes"
+        fleet.until(
+            lambda: (
+                fleet.client.get(quote, headers=processes.CALLER).is_success
+            )
+        )
         yield fleet
 
 
