Forward opens and pulls of a step to its soft owner

Cause: every instance that knew a step made all of its samples, and again at each new version. Stale samples are made again for 30 s after the last pull only. The history checker waits for the ports of a former incarnation.

--- a/src/hibiscussaddle/controllers/steps.py
+++ b/src/hibiscussaddle/controllers/steps.py
@@ -85,7 +85,8 @@
             del self._newest[key]
         # The step with the fewest running attempts goes first, so that
         # trainers share the instance evenly.
-        active = [item for item in self._table.runs.values() if item.active]
+        found = self._table.runs.values()
+        active = [item for item in found if item.is_wanted(now)]
         active.sort(key=lambda item: len(item.scopes))
         for item in active:
             self._drop_stale(item)
--- a/src/hibiscussaddle/step_table.py
+++ b/src/hibiscussaddle/step_table.py
@@ -17,7 +17,12 @@
 MAX_STEPS: typing.Final = 256
 # Samples and definitions held; small instances have 1 GB or less.
 MAX_HELD_BYTES: typing.Final = 256 << 20
+# An answer has to fit into one frame between peers.
+MAX_ANSWER_BYTES: typing.Final = 512 << 10
 IDLE_SECONDS: typing.Final = 1800.0
+# Stale samples are made again without a pull for this long. Longer, an
+# instance would make samples at each new version that nobody reads.
+REMAKE_SECONDS: typing.Final = 30.0
 # A step pulled within this time is not removed to make room.
 _PROTECTED_SECONDS: typing.Final = 60.0
 _SAMPLE_OVERHEAD_BYTES: typing.Final = 500
@@ -69,6 +74,13 @@
         self.spec_bytes = sum(len(str(group)) for group in spec.groups)
         self.sample_bytes = 0
 
+    def is_wanted(self, now: float) -> bool:
+        """Tell whether samples should be made."""
+        if not self.active:
+            return False
+        recent = now - self.touched_at <= REMAKE_SECONDS
+        return recent or self.made < self.spec.slots
+
     def notify(self) -> None:
         """Wake the pulls that wait."""
         changed, self.changed = self.changed, anyio.Event()
@@ -186,6 +198,12 @@
     def _whole_groups(self, slots: list[int], limit: int) -> list[int]:
         """Return at most `limit` slots, not splitting scored groups."""
         per_group = self.spec.samples_per_group
+        size = 0
+        for count, slot in enumerate(slots[:limit]):
+            size += _bytes_of(self.progress.samples[slot])
+            if size > MAX_ANSWER_BYTES and count > 0:
+                limit = count
+                break
         if self.spec.reward is None or per_group > limit:
             return slots[:limit]
         end = limit
@@ -195,6 +213,15 @@
             end -= 1
         return slots[:end]
 
+    def rest(self, now: float) -> None:
+        """Stop making samples, because the owner makes them."""
+        self.touched_at = now
+        if self.active:
+            self.active = False
+            self.blocked = Blocked.NOT_OWNER
+            for scope in self.scopes.values():
+                scope.cancel()
+
     def close(self) -> None:
         """Cancel all work of the step and wake its pulls."""
         self.active = False
@@ -204,7 +231,7 @@
 
 
 def _bytes_of(sample: steps.Sample) -> int:
-    return len(sample.text) + _SAMPLE_OVERHEAD_BYTES
+    return len(sample.text.encode()) + _SAMPLE_OVERHEAD_BYTES
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/histories/world.py
+++ b/tests/histories/world.py
@@ -4,8 +4,8 @@
 import contextlib
 import dataclasses
 import json
-import os
 import random
+import socket
 import time
 import typing
 
@@ -13,9 +13,6 @@
 import anyio.abc
 import httpx
 
-# Other test runs on the same machine use the ports below.
-os.environ.setdefault("TEST_FIRST_PORT", "25000")
-
 import builders
 from hibiscussaddle import endpoints
 from hibiscussaddle import entry
@@ -196,13 +193,14 @@
 
     def start(self, item: Instance) -> None:
         """Start an instance, again after a crash or a stop."""
-        if not self.closing:
-            self.tasks.start_soon(self._run, item)
+        if not self.closing and item.scope is None:
+            item.scope = anyio.CancelScope()
+            self.tasks.start_soon(self._run, item, item.scope)
 
-    async def _run(self, item: Instance) -> None:
-        scope = item.scope = anyio.CancelScope()
+    async def _run(self, item: Instance, scope: anyio.CancelScope) -> None:
         try:
             with scope:
+                await _wait_free(item.cfg)
                 item.runtime = entry.create_runtime(item.cfg)
                 await entry.run_until_stopped(item.runtime)
         except Exception as exc:
@@ -232,6 +230,23 @@
         return resp.status_code == 200
 
 
+async def _wait_free(cfg: settings.Settings) -> None:
+    """Wait until the ports of the former incarnation are closed.
+
+    The end of a process closes them; in one process cancelled servers
+    close them a little later.
+    """
+    for port in (cfg.caller_port, cfg.operator_port, cfg.peer_port):
+        while True:
+            with socket.socket() as sock:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    sock.bind((cfg.host, port))
+                    break
+                except OSError:
+                    await anyio.sleep(0.01)
+
+
 def free_ports(count: int) -> list[int]:
     """Return different ports that were free just now."""
     with contextlib.ExitStack() as stack:
--- a/tests/test_step_service.py
+++ b/tests/test_step_service.py
@@ -11,13 +11,13 @@
 from hibiscussaddle import contracts
 from hibiscussaddle.controllers import steps as controller
 from hibiscussaddle import endpoints
-from hibiscussaddle.handlers import steps as handler
 from hibiscussaddle.operations import steps as operation
 from hibiscussaddle.policy import cursor
 from hibiscussaddle import runtime as runtime_lib
 from hibiscussaddle.standins import engine as fake_engine
 from hibiscussaddle.standins import faults
 from hibiscussaddle.standins import scorer as fake_scorer
+from hibiscussaddle import step_delivery
 from hibiscussaddle import step_table
 from hibiscussaddle import steps
 import loopback
@@ -45,7 +45,7 @@
             "samples_per_group": 2,
         }
         spec = steps.StepSpec(**{**values, **changes})
-        return handler.open_here(self.runtime, "cereza", spec).ok_value
+        return step_delivery.open_here(self.runtime, "cereza", spec).ok_value
 
     async def pull(
         self, number: int, newest: int = 1, wait: float = 5.0
@@ -53,7 +53,9 @@
         have = cursor.Bitmap(6).encode()
         body = steps.PullBody(number, have, newest, wait_seconds=wait)
         deadline = self.runtime.clock() + 60.0
-        answer = await handler.pull_here(self.runtime, KEY, body, deadline)
+        answer = await step_delivery.pull_here(
+            self.runtime, KEY, body, deadline
+        )
         return answer.ok_value
 
     def explain(self) -> str:
