Require that the history checker finds broken variants

Cause: a checker that never fails proves nothing. Change: one broken variant a property (exactly once, versions, staleness, rewards, whole answers, at most once, truthful 'not run') is patched in and must be found; callers and booking clients work until the trainers end, so that faults meet calls in progress; a ticket refusal speaks of every attempt.

--- a/tests/histories/__main__.py
+++ b/tests/histories/__main__.py
@@ -19,7 +19,7 @@
         ("runs", "faults", "calls", "samples", "violations"), 0
     )
     for seed in seeds:
-        outcome = run.run(seed)
+        outcome = run.run(run.Plan(seed))
         history = outcome.history
         totals["runs"] += 1
         totals["faults"] += len(history.faults)
--- a/tests/histories/checks.py
+++ b/tests/histories/checks.py
@@ -5,8 +5,9 @@
 
 from histories import history as history_lib
 
-# The ticket's call never ran and never will.
-TICKET_NOT_STARTED = 1205
+# Refusals that speak of the ticket, so of every attempt with it; the others
+# speak of one attempt.
+TICKET_CODES = range(1201, 1300)
 
 History = history_lib.History
 Record = history_lib.Record
@@ -121,9 +122,11 @@
     tickets = {ticket for ticket, _ in record.executions}
     attempts = {body for _, body in record.executions}
     for booking in history.bookings:
-        if booking.ran == "no" and booking.attempt in attempts:
+        if booking.ran != "no":
+            continue
+        if booking.attempt in attempts:
             yield f"not-run: booking {booking.attempt} ran"
-        if booking.code == TICKET_NOT_STARTED and booking.ticket in tickets:
+        if booking.code in TICKET_CODES and booking.ticket in tickets:
             yield f"not-run: ticket of {booking.attempt} ran"
 
 
--- a/tests/histories/clients.py
+++ b/tests/histories/clients.py
@@ -1,5 +1,6 @@
 """Concurrent trainers, callers and booking clients of one run."""
 
+from collections import abc
 import json
 import random
 import typing
@@ -12,6 +13,7 @@
 from histories import world as world_lib
 
 PER_GROUP: typing.Final = 2
+MAX_CALLS: typing.Final = 100
 _NETWORK = (httpx.HTTPError, ValueError, KeyError)
 
 
@@ -122,9 +124,18 @@
     )
 
 
-async def run_caller(world: world_lib.World, name: str, calls: int) -> None:
+async def _numbers(world: world_lib.World) -> abc.AsyncIterator[int]:
+    """Yield numbers with pauses until the trainers are done."""
+    number = 0
+    while not world.trained and number < MAX_CALLS:
+        yield number
+        number += 1
+        await anyio.sleep(world.rng.uniform(0.0, 0.04))
+
+
+async def run_caller(world: world_lib.World, name: str) -> None:
     """Ask for chat completions, streamed or whole."""
-    for number in range(calls):
+    async for number in _numbers(world):
         call = f"{name}/{number}"
         body = {
             "model": "base",
@@ -170,9 +181,9 @@
     return history_lib.Call(name, limit, status, ran, "".join(parts), whole)
 
 
-async def run_booker(world: world_lib.World, name: str, calls: int) -> None:
+async def run_booker(world: world_lib.World, name: str) -> None:
     """Book, and repeat each booking by its ticket through any instance."""
-    for number in range(calls):
+    async for number in _numbers(world):
         ticket = await _get_ticket(world)
         if ticket is None:
             continue
--- a/tests/histories/faults.py
+++ b/tests/histories/faults.py
@@ -25,9 +25,14 @@
     return register
 
 
-async def inject(world: world_lib.World, count: int) -> None:
+def choose(world: world_lib.World) -> tuple[str, ...]:
+    """Return the names of at least two random faults."""
+    count = world.rng.randint(2, 5)
+    return tuple(world.rng.choices(sorted(FAULTS), k=count))
+
+
+async def inject(world: world_lib.World, names: tuple[str, ...]) -> None:
     """Inject faults at random times, some of them together."""
-    names = world.rng.choices(sorted(FAULTS), k=count)
     async with anyio.create_task_group() as tasks:
         for name in names:
             await anyio.sleep(world.rng.uniform(0.0, 0.15))
--- a/tests/histories/run.py
+++ b/tests/histories/run.py
@@ -16,6 +16,8 @@
 # A whole run takes about a second; one that cannot end is a violation.
 LIMIT_SECONDS: typing.Final = 20.0
 PUBLISH_SECONDS: typing.Final = 0.25
+# Another process may take a port between its choice and its use.
+_STARTS: typing.Final = 5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -27,31 +29,47 @@
     violations: list[str]
 
 
-def run(seed: int) -> Outcome:
-    """Return the outcome of the run of a seed."""
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """Set what a run does besides its seed."""
+
+    seed: int
+    limit_seconds: float = LIMIT_SECONDS
+    # Names of faults to inject; random ones when empty.
+    faults: tuple[str, ...] = ()
+
+
+def run(plan: Plan) -> Outcome:
+    """Return the outcome of one run."""
     # Servers log the faults that this run injects, asyncio the tasks that
     # it cancelled; the latter only when they are collected, after the run.
     logging.getLogger("asyncio").disabled = True
     logging.disable(logging.CRITICAL)
     try:
-        return anyio.run(play, seed)
+        for _ in range(_STARTS):
+            outcome = anyio.run(play, plan)
+            if outcome is not None:
+                return outcome
+        raise RuntimeError("the instances did not start")
     finally:
         logging.disable(logging.NOTSET)
 
 
-async def play(seed: int) -> Outcome:
+async def play(plan: Plan) -> Outcome | None:
     """Run clients and faults concurrently, then check the history."""
-    world = world_lib.World(seed)
+    world = world_lib.World(plan.seed)
     try:
         async with world.enter():
-            with anyio.move_on_after(LIMIT_SECONDS) as limit:
-                await _work(world)
+            with anyio.move_on_after(plan.limit_seconds) as limit:
+                await _work(world, plan)
             if limit.cancelled_caught:
                 world.history.errors.append("the run did not end")
     except Exception as exc:
+        if not world.started:
+            return None
         world.history.errors.append(_describe(exc))
     found = checks.find_violations(world.history, world.record())
-    return Outcome(seed, world.history, found)
+    return Outcome(plan.seed, world.history, found)
 
 
 def _describe(exc: BaseException) -> str:
@@ -60,17 +78,20 @@
     return repr(exc)
 
 
-async def _work(world: world_lib.World) -> None:
+async def _work(world: world_lib.World, plan: Plan) -> None:
+    names = plan.faults or faults.choose(world)
     async with anyio.create_task_group() as background:
         background.start_soon(_publish, world)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(faults.inject, world, world.rng.randint(2, 5))
-            for name in ("t1", "t2"):
-                tasks.start_soon(clients.run_trainer, world, name, 2)
+        async with anyio.create_task_group() as callers:
             for name in ("c1", "c2"):
-                tasks.start_soon(clients.run_caller, world, name, 6)
+                callers.start_soon(clients.run_caller, world, name)
             for name in ("b1", "b2"):
-                tasks.start_soon(clients.run_booker, world, name, 4)
+                callers.start_soon(clients.run_booker, world, name)
+            async with anyio.create_task_group() as trainers:
+                trainers.start_soon(faults.inject, world, names)
+                for name in ("t1", "t2"):
+                    trainers.start_soon(clients.run_trainer, world, name, 2)
+            world.trained = True
         background.cancel_scope.cancel()
 
 
--- a/tests/histories/world.py
+++ b/tests/histories/world.py
@@ -68,6 +68,10 @@
         self.published = 1
         self.history = history_lib.History()
         self.closing = False
+        # True once every instance was ready.
+        self.started = False
+        # True once the trainers have every sample.
+        self.trained = False
         self.engines = [
             HistoryEngine(
                 engine.EngineConfig(
@@ -152,6 +156,7 @@
                 for item in self.instances:
                     self.start(item)
                 await self._wait_ready()
+                self.started = True
                 yield
                 self.closing = True
                 self.tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_histories.py
@@ -0,0 +1,138 @@
+"""Guard the promises over whole instances, and the checker itself."""
+
+from collections import abc
+import dataclasses
+import typing
+
+import pytest
+
+from hibiscussaddle.adapters import engines
+from hibiscussaddle import codes
+from hibiscussaddle import exchange
+from hibiscussaddle.policy import cursor
+from hibiscussaddle.policy import groups
+from hibiscussaddle.policy import tickets
+from hibiscussaddle.policy import versions
+from histories import run
+
+SEEDS = range(1, 13)
+
+# The HTTP server leaves cancelled tasks of crashed instances behind.
+pytestmark = pytest.mark.filterwarnings(
+    "ignore::pytest.PytestUnraisableExceptionWarning"
+)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_promises_hold(seed: int) -> None:
+    """Fails when a run with random faults breaks a promise."""
+    outcome = run.run(run.Plan(seed))
+    assert outcome.violations == []
+    assert outcome.history.deliveries
+
+
+def forget_bits(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Deliver slots whose bits were seen."""
+
+    def owed(self: cursor.Cursor, reader: cursor.Reader) -> list[int]:
+        return [
+            slot
+            for slot in range(self.size)
+            if slot // self._per_group % reader.shards == reader.shard
+        ]
+
+    monkeypatch.setattr(cursor.Cursor, "owed", owed)
+    monkeypatch.setattr(cursor.Bitmap, "has", lambda *_: False)
+    monkeypatch.setattr(groups.Progress, "receive", lambda *_: ())
+
+
+def name_last_version(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Name the last version for every token of a sample."""
+    finish = versions.Trail.finish
+
+    def named(
+        self: versions.Trail,
+    ) -> tuple[versions.VersionRange, ...] | None:
+        ranges = finish(self)
+        if ranges is None:
+            return None
+        return (dataclasses.replace(ranges[-1], first_token=0),)
+
+    monkeypatch.setattr(versions.Trail, "finish", named)
+
+
+def ignore_staleness(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Treat every sample as fresh."""
+    monkeypatch.setattr(versions, "is_fresh", lambda *_: True)
+
+
+def skip_scoring(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Deliver finished samples before they are scored."""
+    monkeypatch.setattr(
+        groups.Progress, "ready", lambda self, slot: slot in self.samples
+    )
+
+
+def ignore_missing_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Take a stream without its end mark for a whole one."""
+    stream = engines.EngineClient.stream
+
+    async def tolerant(
+        self: engines.EngineClient, *args: typing.Any
+    ) -> abc.AsyncIterator[engines.Chunk]:
+        try:
+            async for chunk in stream(self, *args):
+                yield chunk
+        except engines.StreamBroken:
+            return
+
+    monkeypatch.setattr(engines.EngineClient, "stream", tolerant)
+
+
+def run_every_repeat(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Run a ticket's call again on each repeat, on any instance."""
+    monkeypatch.setattr(tickets.Ledger, "is_own", lambda *_: True)
+    monkeypatch.setattr(
+        tickets.Ledger,
+        "start",
+        lambda *_: tickets.Decision(tickets.Verdict.RUN),
+    )
+
+
+def claim_not_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Say "not run" about work whose outcome is unknown."""
+    refuse = exchange.refuse
+
+    def false_refusal(code: codes.Code, *args: typing.Any, **more: str):
+        if code.value.ran == "unknown":
+            code = codes.Code.TICKET_NOT_STARTED
+        return refuse(code, *args, **more)
+
+    monkeypatch.setattr(exchange, "refuse", false_refusal)
+
+
+@pytest.mark.parametrize(
+    ("variant", "name", "faults"),
+    [
+        (forget_bits, "exactly-once", ()),
+        (name_last_version, "versions", ()),
+        (ignore_staleness, "staleness", ()),
+        (skip_scoring, "rewards", ()),
+        (ignore_missing_end, "whole", ("engine_crash",) * 8),
+        (run_every_repeat, "at-most-once", ()),
+        (claim_not_run, "not-run", ()),
+    ],
+)
+def test_broken_variant_is_found(
+    variant: abc.Callable[[pytest.MonkeyPatch], None],
+    name: str,
+    faults: tuple[str, ...],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Fails when the checker does not see a broken promise."""
+    variant(monkeypatch)
+    for seed in SEEDS:
+        outcome = run.run(run.Plan(seed, 3.0, faults))
+        if any(text.startswith(name + ":") for text in outcome.violations):
+            return
+    pytest.fail(f"no violation of {name!r} in seeds {SEEDS}")
