Measure the decisions on virtual time

Cause: nothing showed what the decisions gain or cost. Change: python -m bench drives the real dispatcher and streams.run against the in-process engine stand-ins on a virtual clock, with a baseline of round robin, first come first served and no hedging.

--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements on loopback with small fakes."""
+"""Benchmarks of the decisions against a plain baseline."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,50 @@
+"""Run the benchmarks: python -m bench [--quick] [--seed N] [--case NAME]."""
+
+import argparse
+import time
+import typing
+
+from bench import cases
+from bench import fleet
+
+QUICK_SCALE: typing.Final = 0.4
+
+
+def main() -> None:
+    """Print one key=value line for each case, deployment and measure."""
+    parser = argparse.ArgumentParser(prog="bench")
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--case", choices=sorted(cases.REGISTRY))
+    parser.add_argument("--deployment")
+    args = parser.parse_args()
+    scale = QUICK_SCALE if args.quick else 1.0
+    print(
+        f"seed={args.seed} scale={scale} transport=in_process clock=virtual "
+        "baseline=round_robin_fcfs_no_hedging",
+        flush=True,
+    )
+    began = time.perf_counter()
+    for name in [args.case] if args.case else cases.REGISTRY:
+        for deployment in fleet.DEPLOYMENTS:
+            if args.deployment in (None, deployment.name):
+                _compare(name, deployment, args.seed, scale)
+    print(f"elapsed_seconds={time.perf_counter() - began:.0f}")
+
+
+def _compare(
+    name: str, deployment: fleet.Deployment, seed: int, scale: float
+) -> None:
+    base = cases.measure(name, deployment, False, seed, scale)
+    ours = cases.measure(name, deployment, True, seed, scale)
+    for key, value in ours.items():
+        ratio = f"{value / base[key]:.3f}" if base[key] else "none"
+        print(
+            f"case={name} deployment={deployment.name} measure={key} "
+            f"baseline={base[key]:.4g} ours={value:.4g} ratio={ratio}",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,353 @@
+"""Fakes of one deployment, and the two ways to drive them."""
+
+from collections import abc
+import contextlib
+import dataclasses
+import itertools
+import random
+import typing
+
+import anyio
+from anyio import abc as anyio_abc
+import result
+
+from hibiscussaddle.adapters import engines as engines_lib
+from hibiscussaddle import contract_cache
+from hibiscussaddle import contracts
+from hibiscussaddle import dispatcher
+from hibiscussaddle import endpoints
+from hibiscussaddle import placement
+from hibiscussaddle.policy import routing
+from hibiscussaddle.policy import shares
+from hibiscussaddle.standins import engine as engine_lib
+from hibiscussaddle.standins import faults
+from hibiscussaddle import streams
+
+MODEL: typing.Final = "base"
+TOKEN_SECONDS: typing.Final = 0.002
+CLIENT_SECONDS: typing.Final = 0.001
+GOSSIP_SECONDS: typing.Final = 1.0
+POLL_SECONDS: typing.Final = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """Set the size of a fleet."""
+
+    name: str
+    engines: int
+    services: int
+    zones: int
+    instances: int
+    zone_seconds: float
+    slots: int = 8
+    tokens_per_chunk: int = 16
+
+    @property
+    def capacity(self) -> float:
+        """Return the most tokens a second."""
+        return self.engines * self.slots / TOKEN_SECONDS
+
+
+DEPLOYMENTS: typing.Final = (
+    Deployment("6+3", 6, 3, 3, 8, 0.0015),
+    Deployment("5+4", 5, 4, 4, 7, 0.0005),
+    Deployment("48", 48, 0, 4, 16, 0.0005, 4, 32),
+)
+
+
+@dataclasses.dataclass
+class Job:
+    """Describe one request and hold its outcome."""
+
+    customer: str
+    tokens: int
+    kind: placement.WorkKind = placement.WorkKind.CHAT
+    deadline_seconds: float = 600.0
+    prompt: str = "p"
+    min_version: int | None = None
+    arrived_at: float = 0.0
+    # Time at which an engine started it; None when none did.
+    started_at: float | None = None
+    ended_at: float | None = None
+    done: bool = False
+    versions: list[int | None] = dataclasses.field(default_factory=list)
+
+
+class LocalClient:
+    """Stream from in-process engines with the zones' network delay."""
+
+    def __init__(self, fleet: "Fleet", zone: str, job: Job) -> None:
+        """Serve one job."""
+        self._fleet = fleet
+        self._zone = zone
+        self._job = job
+
+    async def stream(
+        self,
+        endpoint: endpoints.Endpoint,
+        body: abc.Mapping[str, typing.Any],
+        timeout: float,
+    ) -> abc.AsyncIterator[engines_lib.Chunk]:
+        """Yield chunks as the HTTP client does."""
+        engine = self._fleet.engines[endpoint.id]
+        delay = 0.0
+        if endpoint.zone != self._zone:
+            delay = self._fleet.deployment.zone_seconds
+        await anyio.sleep(delay)
+        if engine.refuse_work:
+            raise engines_lib.NotRun(endpoint.id)
+        request_id = f"r{next(self._fleet.numbers)}"
+        try:
+            async with engine.slot(int(body["priority"])):
+                if self._job.started_at is None:
+                    self._job.started_at = anyio.current_time()
+                chunks = engine.generate(dict(body), request_id)
+                async for item in chunks:
+                    await anyio.sleep(delay)
+                    yield _to_chunk(item)
+        except faults.AnswerLost as exc:
+            raise engines_lib.StreamBroken(endpoint.id) from exc
+        finally:
+            made = engine.record.pop(request_id, None)
+            if made is not None:
+                self._fleet.generated_tokens += len(made.versions)
+                if not made.finished:
+                    self._fleet.generated_tokens += self._cut_tokens()
+
+    def _cut_tokens(self) -> int:
+        """Return what a cut stream costs: a chunk and a second prompt."""
+        chunk = self._fleet.deployment.tokens_per_chunk
+        return chunk + int(streams.MOVE_TOKENS)
+
+
+def _to_chunk(item: dict[str, typing.Any]) -> engines_lib.Chunk:
+    return engines_lib.Chunk(
+        "",
+        item["first_token"],
+        item["tokens"],
+        item["weight_version"],
+        item["incarnation"],
+        "",
+    )
+
+
+class Fleet:
+    """Hold the engines, the instances and the counters of one run."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        customers: abc.Mapping[str, contracts.Contract],
+        ours: bool,
+        seed: int,
+        options: dispatcher.Options | None = None,
+    ) -> None:
+        """Create everything; needs the running loop."""
+        self.deployment = deployment
+        self.customers = customers
+        self.ours = ours
+        self.rng = random.Random(seed)
+        self.numbers = itertools.count()
+        self.generated_tokens = 0
+        self.delivered_tokens = 0
+        self.newest = 1
+        self.engines: dict[str, engine_lib.Engine] = {}
+        found = []
+        for number in range(deployment.engines):
+            cfg = engine_lib.EngineConfig(
+                id=f"e{number:02}",
+                slots=deployment.slots,
+                token_seconds=TOKEN_SECONDS,
+                tokens_per_chunk=deployment.tokens_per_chunk,
+                seed=seed + number,
+            )
+            self.engines[cfg.id] = engine_lib.Engine(cfg, 1)
+            found.append(
+                endpoints.Endpoint(
+                    cfg.id,
+                    endpoints.EndpointKind.ENGINE,
+                    self.zone(number),
+                    "",
+                    models=(MODEL,),
+                    slots=cfg.slots,
+                )
+            )
+        self.endpoints = found
+        self.directory = endpoints.Directory()
+        self.directory.update(found)
+        self._turns = [
+            itertools.cycle(found[n % len(found) :] + found[: n % len(found)])
+            for n in range(deployment.instances)
+        ]
+        cache = contract_cache.ContractCache()
+        for contract in customers.values():
+            cache.apply(contracts.ContractRecord(contract, 1))
+        self.dispatchers = [
+            dispatcher.Dispatcher(
+                f"i{number}",
+                self.zone(number),
+                self.directory,
+                cache,
+                anyio.current_time,
+                random.Random(seed + 1000 + number),
+                options,
+            )
+            for number in range(deployment.instances)
+        ]
+
+    def zone(self, number: int) -> str:
+        """Return the zone of an engine or instance."""
+        return f"z{number % self.deployment.zones}"
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> abc.AsyncIterator[anyio_abc.TaskGroup]:
+        """Run the background loops of the instances."""
+        async with anyio.create_task_group() as tasks:
+            if self.ours:
+                for number in range(len(self.dispatchers)):
+                    tasks.start_soon(self._gossip, number)
+                    tasks.start_soon(self._poll, number)
+                    tasks.start_soon(self._tick, number)
+            yield tasks
+            tasks.cancel_scope.cancel()
+
+    async def _tick(self, number: int) -> None:
+        while True:
+            await anyio.sleep(dispatcher.TICK_SECONDS)
+            self.dispatchers[number].tick()
+
+    async def _poll(self, number: int) -> None:
+        own = self.dispatchers[number]
+        while True:
+            for ep in self.rng.sample(self.endpoints, len(self.endpoints)):
+                pause = max(0.125, POLL_SECONDS / len(self.endpoints))
+                await anyio.sleep(pause * (0.5 + self.rng.random()))
+                body = self.engines[ep.id].lagging_load()
+                age = body.pop("age_seconds")
+                taken_at = anyio.current_time() - age
+                own.book.hear_report(
+                    ep.id, routing.LoadReport(taken_at, **body)
+                )
+
+    async def _gossip(self, number: int) -> None:
+        """Tell the own zone's peers, and other zones by a summary."""
+        zone = self.zone(number)
+        own = self.dispatchers[number]
+        while True:
+            await anyio.sleep(GOSSIP_SECONDS * (0.5 + self.rng.random()))
+            now = anyio.current_time()
+            members = [
+                other
+                for index, other in enumerate(self.dispatchers)
+                if self.zone(index) == zone
+            ]
+            load = routing.PeerLoad(now, own.book.own_loads())
+            demand = shares.Demand(now, own.demands().get(MODEL, {}))
+            for other in members:
+                if other is not own:
+                    other.book.hear_peer(f"i{number}", load)
+                    other.hear_demand(f"i{number}", MODEL, demand)
+            if members[0] is own:
+                self._tell_summary(zone, members, now)
+
+    def _tell_summary(
+        self, zone: str, members: list[dispatcher.Dispatcher], now: float
+    ) -> None:
+        loads: dict[str, int] = {}
+        slots: dict[str, float] = {}
+        for member in members:
+            for key, count in member.book.own_loads().items():
+                loads[key] = loads.get(key, 0) + count
+            for key, count in member.demands().get(MODEL, {}).items():
+                slots[key] = slots.get(key, 0.0) + count
+        for index, other in enumerate(self.dispatchers):
+            if self.zone(index) != zone:
+                other.book.hear_peer(zone, routing.PeerLoad(now, loads))
+                other.hear_demand(
+                    zone, MODEL, shares.Demand(now, slots, len(members))
+                )
+
+    async def call(self, job: Job, instance: int | None = None) -> Job:
+        """Run one job through one instance, random like the balancer."""
+        if instance is None:
+            instance = self.rng.randrange(self.deployment.instances)
+        job.arrived_at = anyio.current_time()
+        await anyio.sleep(CLIENT_SECONDS)
+        client = LocalClient(self, self.zone(instance), job)
+        with anyio.move_on_after(job.deadline_seconds):
+            if self.ours:
+                job.done = await self._call_ours(job, instance, client)
+            else:
+                job.done = await self._call_plain(job, instance, client)
+            await anyio.sleep(CLIENT_SECONDS)
+        job.ended_at = anyio.current_time()
+        if job.done:
+            self.delivered_tokens += job.tokens
+        return job
+
+    def _body(self, job: Job) -> dict[str, typing.Any]:
+        return {"messages": job.prompt, "max_tokens": job.tokens}
+
+    async def _call_ours(
+        self, job: Job, instance: int, client: LocalClient
+    ) -> bool:
+        own = self.dispatchers[instance]
+        work = placement.Work(
+            kind=job.kind,
+            contract=self.customers[job.customer],
+            target=MODEL,
+            deadline=job.arrived_at + job.deadline_seconds,
+            max_tokens=job.tokens,
+            prefix=placement.prefix_of(job.prompt),
+            min_version=job.min_version,
+        )
+        outcome = await streams.run(
+            own,
+            client,
+            work,
+            self._body(job),
+            lambda chunk: job.versions.append(chunk.version),
+        )
+        return isinstance(outcome, result.Ok)
+
+    async def _call_plain(
+        self, job: Job, instance: int, client: LocalClient
+    ) -> bool:
+        endpoint = next(self._turns[instance])
+        body = {**self._body(job), "priority": 5}
+        try:
+            async for chunk in client.stream(endpoint, body, 600.0):
+                job.versions.append(chunk.version)
+        except (engines_lib.NotRun, engines_lib.StreamBroken):
+            return False
+        return True
+
+    async def arrive(
+        self,
+        tasks: anyio_abc.TaskGroup,
+        per_second: float,
+        seconds: float,
+        make: abc.Callable[[], Job],
+        jobs: list[Job],
+    ) -> None:
+        """Start jobs with exponential pauses; collect them in `jobs`."""
+        end = anyio.current_time() + seconds
+        while True:
+            await anyio.sleep(self.rng.expovariate(per_second))
+            if anyio.current_time() >= end:
+                return
+            job = make()
+            jobs.append(job)
+            tasks.start_soon(self.call, job)
+
+    async def slow_down(
+        self, seconds: float, part: float, factor: float
+    ) -> None:
+        """Slow a changing part of the engines; changes after `seconds`."""
+        count = max(1, round(part * len(self.engines)))
+        while True:
+            chosen = self.rng.sample(sorted(self.engines), count)
+            for key, engine in self.engines.items():
+                engine.slow_factor = factor if key in chosen else 1.0
+            await anyio.sleep(seconds)
--- a/src/hibiscussaddle/placement.py
+++ b/src/hibiscussaddle/placement.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import json
 import math
 import typing
 
@@ -11,6 +12,8 @@
 if typing.TYPE_CHECKING:
     from hibiscussaddle import dispatcher
 
+PREFIX_CHARS: typing.Final = 64
+
 
 class WorkKind(enum.Enum):
     """Tell what kind of work asks for an endpoint."""
@@ -49,6 +52,11 @@
         return f"{self.kind.value}/{int(self.max_tokens).bit_length()}"
 
 
+def prefix_of(messages: object) -> str:
+    """Return the start of a prompt as the engines' cache events name it."""
+    return json.dumps(messages, sort_keys=True)[:PREFIX_CHARS]
+
+
 class Placement:
     """Hold one endpoint for one piece of work, and report back on it."""
 
--- a/src/hibiscussaddle/policy/shares.py
+++ b/src/hibiscussaddle/policy/shares.py
@@ -11,10 +11,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Demand:
-    """Hold the slots that one instance could use, by customer."""
+    """Hold the slots that one instance could use, by customer.
+
+    The summary of another zone is a demand of several instances.
+    """
 
     taken_at: float
     slots: abc.Mapping[str, float]
+    instances: int = 1
 
 
 def fill(
@@ -98,6 +102,7 @@
         by_instance = {
             name: demands[name].slots.get(customer, 0.0) for name in demands
         }
-        equal = {name: 1.0 for name in demands}
-        own[customer] = fill(slots, by_instance, equal).get(instance, 0.0)
+        weights = {name: float(demands[name].instances) for name in demands}
+        filled = fill(slots, by_instance, weights)
+        own[customer] = filled.get(instance, 0.0)
     return own
