--- a/src/hibiscussaddle/dispatcher.py
+++ b/src/hibiscussaddle/dispatcher.py
@@ -24,9 +24,10 @@
     placement_lib.Placement, codes.Refusal
 ]
 
-# An allocation is computed again after this time, and whenever it would
-# refuse a slot.
+# An allocation is computed again after the first time, or after the second
+# when it would refuse a slot.
 ALLOCATION_SECONDS: typing.Final = 0.25
+REFUSED_ALLOCATION_SECONDS: typing.Final = 0.02
 # Work that waits is looked at again after this time, in case the room was
 # made by another instance.
 TICK_SECONDS: typing.Final = 0.05
@@ -334,9 +335,14 @@
         now = self.clock()
         customer = entry.customer
         running = pool.running[customer]
-        if now < pool.allocated_at + ALLOCATION_SECONDS:
-            if running < pool.allocation.get(customer, 0.0):
-                return True
+        age = now - pool.allocated_at
+        within = running < pool.allocation.get(customer, 0.0)
+        known = customer in pool.allocation
+        if age < (
+            ALLOCATION_SECONDS if within else REFUSED_ALLOCATION_SECONDS
+        ):
+            if known:
+                return within
         own = collections.Counter(self._own_demand(pool))
         # Work that is placed without queueing demands a slot too.
         own[customer] = max(own[customer], running + 1)
--- a/src/hibiscussaddle/policy/queueing.py
+++ b/src/hibiscussaddle/policy/queueing.py
@@ -128,10 +128,11 @@
 
     def demand(self) -> dict[str, int]:
         """Return the waiting entries by customer."""
-        counts: dict[str, int] = {}
-        for entry in self._live.values():
-            counts[entry.customer] = counts.get(entry.customer, 0) + 1
-        return counts
+        found: dict[str, int] = {}
+        for (customer, _), count in self._counts.items():
+            if count > 0:
+                found[customer] = found.get(customer, 0) + count
+        return found
 
     def predict_wait(self, customer: str, work_class: WorkClass) -> float:
         """Return the expected wait of new work, in seconds.
