--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+import secrets
 import signal
 import time
 import typing
@@ -9,6 +10,8 @@
 import anyio
 import httpx
 
+from hibiscussaddle.adapters import peer_sockets
+from hibiscussaddle.adapters import peers
 from hibiscussaddle.adapters import store
 from hibiscussaddle import caller_app
 from hibiscussaddle import contract_cache
@@ -17,12 +20,15 @@
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
 from hibiscussaddle import logs
+from hibiscussaddle import members
 from hibiscussaddle import operator_app
 from hibiscussaddle import plugins
 from hibiscussaddle.policy import tickets
 from hibiscussaddle import runtime as runtime_lib
 from hibiscussaddle import serving
 from hibiscussaddle import settings
+from hibiscussaddle import shared_facts
+from hibiscussaddle import step_table
 
 _LOG = logging.getLogger(__name__)
 _MAX_CONNECTIONS: typing.Final = 4000
@@ -36,10 +42,14 @@
         max_connections=_MAX_CONNECTIONS, max_keepalive_connections=200
     )
     client = httpx.AsyncClient(limits=limits, trust_env=False)
+    address = f"{cfg.host}:{cfg.peer_port}"
+    me = members.Member(
+        cfg.instance, cfg.zone, cfg.region, address, incarnation
+    )
     contracts = contract_cache.ContractCache()
     directory = endpoints.Directory()
     rng = random.Random()
-    return runtime_lib.Runtime(
+    runtime = runtime_lib.Runtime(
         cfg=cfg,
         incarnation=incarnation,
         clock=time.monotonic,
@@ -51,12 +61,28 @@
         dispatcher=dispatcher.Dispatcher(
             cfg.instance, cfg.zone, directory, contracts, time.monotonic, rng
         ),
-        ledger=tickets.Ledger(cfg.instance, incarnation, cfg.peer_secret),
-        steps={},
-        store=store.StoreClient(client, cfg.store_url)
+        ledger=tickets.Ledger(
+            cfg.instance, incarnation, cfg.peer_secret, secrets.randbits(62)
+        ),
+        steps=step_table.StepTable(),
+        peers=peers.PeerTransport(
+            peers.Sender(cfg.instance, incarnation),
+            cfg.peer_secret,
+            address,
+            peer_sockets.create_socket_cache(cfg),
+        ),
+        members=members.Members(me),
+        facts=shared_facts.SharedFacts(),
+        store=store.StoreClient(
+            client,
+            cfg.store_url,
+            calls_per_second=cfg.store_calls_per_second,
+        )
         if cfg.store_url
         else None,
     )
+    runtime.facts.bind(runtime)
+    return runtime
 
 
 async def run(cfg: settings.Settings) -> None:
