Announce a planned stop to peers by a mark and the state 'left'

Cause: peers took a stopped instance for crashed, and kept choosing it for up to 5 s while it refused new work.

--- a/src/hibiscussaddle/controllers/marks.py
+++ b/src/hibiscussaddle/controllers/marks.py
@@ -34,13 +34,21 @@
 
 @controllers.controller("marks")
 async def run(runtime: runtime_lib.Runtime) -> None:
-    """Read the marks once, then save new ones."""
+    """Read the marks once, then save new ones; mark itself at a stop."""
     runtime.dispatcher.is_marked = runtime.directory.is_marked
-    if runtime.store is None:
-        return
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_release, runtime)
-        tasks.start_soon(_keep, runtime, runtime.store)
+        tasks.start_soon(_mark_self, runtime)
+        if runtime.store is not None:
+            tasks.start_soon(_release, runtime)
+            tasks.start_soon(_keep, runtime, runtime.store)
+
+
+async def _mark_self(runtime: runtime_lib.Runtime) -> None:
+    await runtime.lifecycle.stop_requested.wait()
+    mark = runtime.directory.marks.next(
+        runtime.cfg.instance, runtime.incarnation, True, marks.Source.INSTANCE
+    )
+    leave_marks.publish(runtime, mark)
 
 
 async def _release(runtime: runtime_lib.Runtime) -> None:
--- a/src/hibiscussaddle/controllers/membership.py
+++ b/src/hibiscussaddle/controllers/membership.py
@@ -110,6 +110,38 @@
     runtime.facts.publish(policy.to_fact(runtime.members.me))
 
 
+def update_self(
+    runtime: runtime_lib.Runtime,
+    state: members.MemberState | None = None,
+    successor: str | None = None,
+) -> members.Member:
+    """Change and push the description of this instance."""
+    me = runtime.members.me
+    changed = dataclasses.replace(
+        me,
+        state=me.state if state is None else state,
+        successor=me.successor if successor is None else successor,
+        heartbeat=policy.number(me) + 1,
+    )
+    runtime.members.put(changed)
+    publish_self(runtime)
+    return changed
+
+
+async def leave(runtime: runtime_lib.Runtime) -> None:
+    """Tell some peers, after a planned stop, that this instance is gone.
+
+    Without it they take the instance for crashed, and go on probing it.
+    """
+    changed = update_self(runtime, state=members.MemberState.LEFT)
+    news = gossip.News((policy.to_fact(changed),))
+    async with anyio.create_task_group() as tasks:
+        for member in _push_targets(runtime):
+            tasks.start_soon(
+                runtime.peers.request, member, news, PROBE_TIMEOUT_SECONDS
+            )
+
+
 def _gossip(runtime: runtime_lib.Runtime) -> gossip.Gossip:
     cfg = runtime.cfg
     return gossip.Gossip(cfg.instance, cfg.zone, runtime.facts, runtime.rng)
--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -17,6 +17,7 @@
 from hibiscussaddle import controllers
 from hibiscussaddle.controllers import endpoints as endpoint_list
 from hibiscussaddle.controllers import marks as saved_marks
+from hibiscussaddle.controllers import membership as membership_loop
 from hibiscussaddle import dispatcher
 from hibiscussaddle import draining
 from hibiscussaddle import endpoints
@@ -126,6 +127,7 @@
                 await server.wait()
 
         await draining.drain(runtime, close_sockets)
+        await membership_loop.leave(runtime)
         tasks.cancel_scope.cancel()
     await runtime.client.aclose()
     logs.event(_LOG, "stopped")
--- a/tests/test_marks.py
+++ b/tests/test_marks.py
@@ -14,10 +14,12 @@
 from hibiscussaddle.adapters import peers
 from hibiscussaddle.adapters import store as store_client
 from hibiscussaddle.controllers import endpoints as endpoint_list
+from hibiscussaddle.controllers import membership
 from hibiscussaddle import endpoints
 from hibiscussaddle import gossip
 from hibiscussaddle import leave_marks
 from hibiscussaddle import lifecycle
+from hibiscussaddle.operations import instances
 from hibiscussaddle import operator_app
 from hibiscussaddle.policy import marks
 from hibiscussaddle.standins import store
@@ -160,6 +162,47 @@
     anyio.run(job)
 
 
+def test_stop_reaches_the_named_instance_only() -> None:
+    """Guards against a stop of the wrong process, or of none."""
+
+    async def job() -> None:
+        async with fleet_lib.fleet(3) as fleet:
+            taker = fleet.runtimes["entry-0"]
+            named = fleet.runtimes["entry-1"]
+            app = operator_app.create_app(taker)
+            client = httpx.AsyncClient(
+                transport=httpx.ASGITransport(app=app),
+                base_url="http://op",
+                headers={"authorization": f"Bearer {builders.SECRET}"},
+            )
+            stale = instances.StopOrder(named.incarnation - 1)
+            refused = await taker.peers.request(named.members.me, stale, 2.0)
+            assert refused.is_err()
+            assert not named.lifecycle.stop_requested.is_set()
+            resp = await client.post("/v1/instances/entry-1/stop")
+            assert resp.is_success
+            assert named.lifecycle.stop_requested.is_set()
+            assert not taker.lifecycle.stop_requested.is_set()
+            # Its own mark takes it out of everybody's choice.
+            board = taker.directory.marks
+            await fleet_lib.until(
+                lambda: board.holds("entry-1", named.incarnation), 3
+            )
+            await membership.leave(named)
+            await fleet_lib.until(
+                lambda: (
+                    taker.members.get("entry-1") == named.members.me
+                    and len(taker.members.live()) == 2
+                ),
+                3,
+            )
+            await fleet.stop(1)
+            resp = await client.post("/v1/instances/entry-1/stop")
+            assert resp.json()["name"] == "unreachable"
+
+    anyio.run(job)
+
+
 def test_one_bad_link_evicts_nobody_over_sockets() -> None:
     """Guards against indirect probes that do not work between processes."""
 
