Send weight orders under a lease for each zone

Cause: nobody told engines to load the newest version, and no instance knew which engines were in the middle of a swap. Change: two contenders per zone claim lease/weights/<zone> through weight_lease.py; the holder's rollouts order engines, checks the deadline again right before each order, and publishes 'version/<model>' and 'engine/<id>' facts; routing skips engines whose weights are uncertain; 'weights status' lists them. A clean stop releases the lease.

--- a/src/hibiscussaddle/cli.py
+++ b/src/hibiscussaddle/cli.py
@@ -11,6 +11,7 @@
 from hibiscussaddle.commands import console
 from hibiscussaddle.commands import contract
 from hibiscussaddle.commands import step
+from hibiscussaddle.commands import weights
 from hibiscussaddle import entry as entry_lib
 from hibiscussaddle import logs
 from hibiscussaddle import settings as settings_lib
@@ -22,6 +23,7 @@
     def __init__(self) -> None:
         """Group the operators' commands."""
         self.contract = contract.ContractCommands()
+        self.weights = weights.WeightCommands()
         self.step = step.StepCommands()
 
     def entry(self, **flags: object) -> None:
--- /dev/null
+++ b/src/hibiscussaddle/commands/weights.py
@@ -0,0 +1,17 @@
+"""Commands that show weight versions."""
+
+from hibiscussaddle.commands import console
+
+
+class WeightCommands:
+    """Show weight versions."""
+
+    def status(self, address: str = "", output: str = "table") -> None:
+        """List the newest versions and the version of each engine."""
+        found = console.call(address, "GET", "/v1/weights")
+        if output == "table":
+            engines = found.pop("engines")
+            console.show(found, output)
+            console.show(engines, output)
+            return
+        console.show(found, output)
--- /dev/null
+++ b/src/hibiscussaddle/controllers/weights.py
@@ -0,0 +1,268 @@
+"""Bring the engines of this zone to the newest weight versions."""
+
+import logging
+import secrets
+import typing
+
+import anyio
+
+from hibiscussaddle.adapters import weight_store
+from hibiscussaddle import controllers
+from hibiscussaddle import endpoints
+from hibiscussaddle import engine_versions
+from hibiscussaddle import logs
+from hibiscussaddle.policy import lease as lease_policy
+from hibiscussaddle.policy import readers
+from hibiscussaddle.policy import rollout
+from hibiscussaddle import runtime as runtime_lib
+from hibiscussaddle import weight_lease
+
+_LOG = logging.getLogger(__name__)
+TICK_SECONDS: typing.Final = 0.1
+POLL_SECONDS: typing.Final = 1.0
+RELEASE_SECONDS: typing.Final = 1.0
+# Facts of one fencing number are ordered by a count below this.
+_FACTS_PER_NUMBER: typing.Final = 1 << 32
+
+
+class WeightOrders:
+    """Hold the lease and the rollouts of one zone."""
+
+    def __init__(
+        self,
+        runtime: runtime_lib.Runtime,
+        lease: weight_lease.WeightLease,
+        cfg: lease_policy.LeaseConfig,
+    ) -> None:
+        """Start without the lease."""
+        self.lease = lease
+        self.rollouts: dict[str, rollout.Rollout] = {}
+        self._runtime = runtime
+        self._cfg = cfg
+        self._client = weight_store.WeightStoreClient(
+            runtime.client, runtime.cfg.weight_store_url
+        )
+        self._facts = 0
+        self._published: dict[str, engine_versions.EngineFact] = {}
+        # Until when an order to an engine may be in flight; an order with
+        # a known outcome leaves.
+        self._in_flight: dict[str, float] = {}
+        self._holder = ""
+
+    def engines(self) -> dict[str, list[endpoints.Endpoint]]:
+        """Return the live engines of this zone by model."""
+        found: dict[str, list[endpoints.Endpoint]] = {}
+        for endpoint in self._runtime.directory.all():
+            if endpoint.kind is not endpoints.EndpointKind.ENGINE:
+                continue
+            if endpoint.zone != self._runtime.cfg.zone or not endpoint.models:
+                continue
+            if endpoint.state is endpoints.EndpointState.LIVE:
+                found.setdefault(endpoint.models[0], []).append(endpoint)
+        return found
+
+    async def poll(self) -> None:
+        """Learn the newest versions; tell every instance."""
+        for model in self.engines():
+            version = await self._client.newest(model)
+            if version:
+                engine_versions.publish_newest(self._runtime, model, version)
+
+    def tick(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Observe the engines and start the orders that are due."""
+        if self.lease.fencing_number(guarded=True) is None:
+            return
+        if self._holder != self.lease.machine.holder:
+            # What another holder did meanwhile is unknown.
+            self._holder = self.lease.machine.holder
+            self.rollouts.clear()
+            self._published.clear()
+        now = self._runtime.clock()
+        for model, found in self.engines().items():
+            plan = self._observe(model, found, now)
+            by_id = {endpoint.id: endpoint for endpoint in found}
+            for order in plan.due(now, self._can_order):
+                plan.start(order)
+                # Before the order, so that no instance sends new work.
+                self._publish(plan)
+                tasks.start_soon(
+                    self._order, plan, model, by_id[order.endpoint_id], order
+                )
+            self._publish(plan)
+
+    def _observe(
+        self, model: str, found: list[endpoints.Endpoint], now: float
+    ) -> rollout.Rollout:
+        plan = self.rollouts.get(model)
+        if plan is None:
+            plan = rollout.Rollout(self._config(), now)
+            self.rollouts[model] = plan
+        plan.keep([endpoint.id for endpoint in found])
+        plan.note_newest(engine_versions.newest(self._runtime, model))
+        for endpoint in found:
+            if endpoint.id not in plan.engines:
+                fact = engine_versions.engine_fact(self._runtime, endpoint.id)
+                if fact is not None:
+                    plan.adopt(endpoint.id, fact.incarnation, fact.serving)
+            report = self._runtime.dispatcher.book.report(endpoint.id)
+            if report is not None:
+                plan.observe(
+                    rollout.Report(
+                        endpoint.id,
+                        report.incarnation,
+                        report.version,
+                        report.taken_at,
+                    )
+                )
+        return plan
+
+    def _config(self) -> rollout.RolloutConfig:
+        zones = {
+            endpoint.zone
+            for endpoint in self._runtime.directory.all()
+            if endpoint.kind is endpoints.EndpointKind.ENGINE
+        }
+        rate = self._runtime.cfg.weight_orders_per_second
+        return rollout.RolloutConfig(
+            orders_per_second=rate / max(1, len(zones)),
+            order_seconds=self._cfg.effect_seconds,
+        )
+
+    def _is_guarded(self, endpoint_id: str) -> bool:
+        return any(
+            endpoint_id in record.contract.fencing_endpoints
+            for record in self._runtime.contracts.all()
+        )
+
+    def _can_order(self, endpoint_id: str) -> bool:
+        guarded = self._is_guarded(endpoint_id)
+        return self.lease.fencing_number(guarded) is not None
+
+    async def _order(
+        self,
+        plan: rollout.Rollout,
+        model: str,
+        endpoint: endpoints.Endpoint,
+        order: rollout.Order,
+    ) -> None:
+        outcome = weight_store.OrderOutcome
+        # Tested again: the task may have started late.
+        number = self.lease.fencing_number(self._is_guarded(endpoint.id))
+        sent_at = self._runtime.clock()
+        if number is None:
+            plan.refuse(order, sent_at)
+            return
+        seconds = self._cfg.effect_seconds
+        self._in_flight[endpoint.id] = sent_at + seconds
+        answer = await self._client.order(
+            endpoint, model, order.version, number, seconds
+        )
+        now = self._runtime.clock()
+        if answer.outcome is not outcome.UNKNOWN:
+            self._in_flight.pop(endpoint.id, None)
+        if answer.outcome in (outcome.NOT_RUN, outcome.FENCED):
+            plan.refuse(order, now)
+        else:
+            plan.finish(order, answer.report, sent_at, now)
+        logs.event(
+            _LOG,
+            "weight_order",
+            endpoint=endpoint.id,
+            version=order.version,
+            fencing=number,
+            outcome=answer.outcome.value,
+        )
+
+    def _publish(self, plan: rollout.Rollout) -> None:
+        number = self.lease.fencing_number(guarded=True)
+        if number is None:
+            return
+        for endpoint_id, state in plan.engines.items():
+            fact = engine_versions.EngineFact(
+                state.incarnation, state.version, state.serving
+            )
+            if self._published.get(endpoint_id) == fact:
+                continue
+            self._published[endpoint_id] = fact
+            self._facts += 1
+            engine_versions.publish_engine(
+                self._runtime,
+                endpoint_id,
+                fact,
+                number * _FACTS_PER_NUMBER + self._facts,
+            )
+
+    async def release(self) -> None:
+        """End the lease, unless an order may still be in flight."""
+        now = self._runtime.clock()
+        if all(until <= now for until in self._in_flight.values()):
+            await self.lease.release()
+
+
+def create_orders(
+    runtime: runtime_lib.Runtime,
+    cfg: lease_policy.LeaseConfig | None = None,
+) -> WeightOrders | None:
+    """Return the zone's orders; None when an outside system is missing."""
+    if runtime.store is None or not runtime.cfg.weight_store_url:
+        return None
+    cfg = cfg or lease_policy.LeaseConfig()
+    name = f"{runtime.cfg.instance}/{runtime.incarnation}"
+    lease = weight_lease.WeightLease(
+        runtime.store,
+        runtime.cfg.zone,
+        f"{name}/{secrets.token_hex(4)}",
+        cfg,
+    )
+    return WeightOrders(runtime, lease, cfg)
+
+
+def _is_contender(runtime: runtime_lib.Runtime) -> bool:
+    zone = runtime.cfg.zone
+    chosen = readers.choose(runtime.members.live(), zone, "weights")
+    return runtime.cfg.instance in chosen
+
+
+@controllers.controller("weights")
+async def run(runtime: runtime_lib.Runtime) -> None:
+    """Contend for the lease while this instance is one of two readers."""
+    dispatcher = runtime.dispatcher
+    dispatcher.is_marked = engine_versions.create_mark(
+        runtime, dispatcher.is_marked
+    )
+    stop = runtime.lifecycle.stop_requested
+    while not stop.is_set():
+        orders = create_orders(runtime)
+        if orders is None:
+            return
+        if not _is_contender(runtime):
+            await anyio.sleep(POLL_SECONDS)
+            continue
+        await run_orders(runtime, orders)
+
+
+async def run_orders(
+    runtime: runtime_lib.Runtime, orders: WeightOrders
+) -> None:
+    """Hold and use the lease until the instance stops contending."""
+    try:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(orders.lease.run)
+            tasks.start_soon(_poll, orders)
+            async with anyio.create_task_group() as sending:
+                while _is_contender(runtime):
+                    if runtime.lifecycle.stop_requested.is_set():
+                        break
+                    orders.tick(sending)
+                    await anyio.sleep(TICK_SECONDS)
+            tasks.cancel_scope.cancel()
+    finally:
+        # Without it the next holder would have to wait.
+        with anyio.move_on_after(RELEASE_SECONDS, shield=True):
+            await orders.release()
+
+
+async def _poll(orders: WeightOrders) -> None:
+    while True:
+        await orders.poll()
+        await anyio.sleep(POLL_SECONDS)
--- a/src/hibiscussaddle/policy/facts.py
+++ b/src/hibiscussaddle/policy/facts.py
@@ -18,7 +18,7 @@
     ZONE = "zone"
 
 
-_ZONE_KINDS: typing.Final = frozenset({"load", "demand"})
+_ZONE_KINDS: typing.Final = frozenset({"load", "demand", "engine"})
 # Facts published every second travel with heartbeats only.
 UNHURRIED_KINDS: typing.Final = frozenset({"load", "demand", "zone_load"})
 
--- /dev/null
+++ b/src/hibiscussaddle/policy/readers.py
@@ -0,0 +1,22 @@
+"""Choice of the few members that read for their whole zone."""
+
+from collections import abc
+import typing
+import zlib
+
+from hibiscussaddle import members
+
+# Two, so that one bad link or one dead reader costs no zone its list.
+READERS_PER_ZONE: typing.Final = 2
+
+
+def choose(
+    live: abc.Iterable[members.Member], zone: str, purpose: str
+) -> tuple[str, ...]:
+    """Return the ids of a zone's readers by highest rendezvous hash."""
+    ids = [member.id for member in live if member.zone == zone]
+    ids.sort(
+        key=lambda item: (zlib.crc32(f"{purpose}/{item}".encode()), item),
+        reverse=True,
+    )
+    return tuple(ids[:READERS_PER_ZONE])
--- a/src/hibiscussaddle/settings.py
+++ b/src/hibiscussaddle/settings.py
@@ -55,6 +55,9 @@
     store_calls_per_second: float = _field(
         5.0, "budget of store calls of this instance", 0.1, 1000
     )
+    weight_orders_per_second: float = _field(
+        100.0, "rate of the weight store, shared by the zones", 0.1, 10_000
+    )
     max_body_bytes: int = _field(
         1 << 20, "largest request body, in bytes", 1024, 64 << 20
     )
--- /dev/null
+++ b/src/hibiscussaddle/weight_lease.py
@@ -0,0 +1,136 @@
+"""Hold the lease of a zone's weight orders in the key-value service."""
+
+from collections import abc
+import logging
+import time
+import typing
+
+import anyio
+import msgspec
+import result
+
+from hibiscussaddle.adapters import store
+from hibiscussaddle import logs
+from hibiscussaddle.policy import lease
+
+_LOG = logging.getLogger(__name__)
+IDLE_SECONDS: typing.Final = 0.1
+
+
+def clock() -> float:
+    """Return seconds that also count while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class WeightLease:
+    """Drive the lease's state machine with store calls."""
+
+    def __init__(
+        self,
+        client: store.StoreClient,
+        zone: str,
+        name: str,
+        cfg: lease.LeaseConfig | None = None,
+        now: abc.Callable[[], float] = clock,
+    ) -> None:
+        """Contend for a zone under a name that is unique for ever."""
+        self.machine = lease.Lease(cfg or lease.LeaseConfig(), name)
+        self.clock = now
+        self._client = client
+        self._key = f"lease/weights/{zone}"
+        self._fence_key = f"fence/weights/{zone}"
+        self._logged: str | None = None
+
+    def fencing_number(self, guarded: bool) -> int | None:
+        """Return the number for an order that starts right now."""
+        return self.machine.fencing_number(self.clock(), guarded)
+
+    async def run(self) -> None:
+        """Claim and renew until cancelled."""
+        while True:
+            call = self.machine.next_call(self.clock())
+            if call is None:
+                wait = self.machine.wait_seconds(self.clock())
+                await anyio.sleep(max(IDLE_SECONDS, wait))
+                continue
+            sent_at = self.clock()
+            reply = await self._send(call)
+            self.machine.on_reply(call, reply, sent_at, self.clock())
+            self._log()
+
+    async def release(self) -> None:
+        """Give the lease up; no order may be in flight."""
+        call = self.machine.release(self.clock())
+        if call is None:
+            return
+        await self._send(call)
+        await self._client.revoke(call.lease)
+        logs.event(_LOG, "lease_released", key=self._key)
+
+    def _log(self) -> None:
+        held = self.fencing_number(guarded=True) is not None
+        holder = self.machine.holder if held else None
+        if holder != self._logged:
+            self._logged = holder
+            name = "lease_held" if held else "lease_lost"
+            logs.event(_LOG, name, key=self._key, holder=holder or "-")
+
+    async def _send(self, call: lease.Call) -> lease.Reply:
+        step = lease.Step
+        if call.step in (step.READ_KEY, step.CHECK_KEY):
+            return _read(await self._client.get(self._key))
+        if call.step is step.READ_FENCE:
+            return _read(await self._client.get(self._fence_key))
+        if call.step is step.GRANT:
+            ttl = self.machine.cfg.ttl
+            granted = await self._client.grant(ttl, call.holder)
+            if isinstance(granted, result.Err):
+                return _failed(granted.err_value)
+            return lease.Reply(lease.Outcome.OK, lease=granted.ok_value)
+        if call.step is step.RENEW:
+            renewed = await self._client.renew(call.lease)
+            if isinstance(renewed, result.Err):
+                return _failed(renewed.err_value)
+            return lease.Reply(lease.Outcome.OK)
+        return await self._put(call)
+
+    async def _put(self, call: lease.Call) -> lease.Reply:
+        if call.step is lease.Step.PUT_KEY:
+            value: object = {"holder": call.holder}
+            put = await self._client.put(self._key, value, 0, call.lease)
+        else:
+            fence = lease.Fence(call.number, call.holder, call.released)
+            put = await self._client.put(
+                self._fence_key,
+                msgspec.to_builtins(fence),
+                call.expected_revision,
+            )
+        if isinstance(put, result.Err):
+            return _failed(put.err_value)
+        return lease.Reply(lease.Outcome.OK, revision=put.ok_value)
+
+
+def _read(
+    found: result.Result[store.StoreEntry, store.StoreError],
+) -> lease.Reply:
+    if isinstance(found, result.Err):
+        if found.err_value.failure is store.StoreFailure.MISSING:
+            return lease.Reply(lease.Outcome.OK)
+        return _failed(found.err_value)
+    entry = found.ok_value
+    fence = msgspec.convert(entry.value, lease.Fence)
+    return lease.Reply(
+        lease.Outcome.OK,
+        revision=entry.revision,
+        holder=fence.holder,
+        fence=fence,
+    )
+
+
+def _failed(error: store.StoreError) -> lease.Reply:
+    failure = store.StoreFailure
+    if error.failure in (failure.CONFLICT, failure.MISSING):
+        return lease.Reply(lease.Outcome.LOST)
+    if error.failure is failure.UNKNOWN:
+        return lease.Reply(lease.Outcome.UNKNOWN)
+    return lease.Reply(lease.Outcome.FAILED)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -48,7 +48,11 @@
     async with anyio.create_task_group() as tasks:
 
         async def run() -> None:
-            await hypercorn_asyncio.serve(app, cfg, shutdown_trigger=stop.wait)
+            # Cancelled, it would hide the test's own error behind its own.
+            with anyio.CancelScope(shield=True):
+                await hypercorn_asyncio.serve(
+                    app, cfg, shutdown_trigger=stop.wait
+                )
 
         tasks.start_soon(run)
         try:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -180,3 +180,20 @@
             plan.finish(order, report, sent_at, now)
         now += 0.1
     assert now <= 23.0
+
+
+def test_restarted_engine_waits_for_the_newest_version() -> None:
+    """Fails when a version that is no longer newest ends a restart."""
+    plan = rollout.Rollout(CFG, 0.0)
+    plan.note_newest(2)
+    plan.observe(rollout.Report("e0", 1, 2, 0.0))
+    plan.observe(rollout.Report("e0", 2, 1, 1.0))
+    (order,) = plan.due(2.0, lambda _: True)
+    plan.start(order)
+    plan.note_newest(3)
+    plan.finish(order, rollout.Report("e0", 2, 2, 2.5), 2.0, 2.5)
+    assert not plan.engines["e0"].serving
+    (order,) = plan.due(4.0, lambda _: True)
+    plan.start(order)
+    plan.finish(order, rollout.Report("e0", 2, 3, 4.5), 4.0, 4.5)
+    assert plan.engines["e0"].serving
