--- a/src/hibiscussaddle/standins/engine.py
+++ b/src/hibiscussaddle/standins/engine.py
@@ -34,6 +34,8 @@
     load_lag_seconds: float = 1.0
     checks_fencing: bool = True
     cached_prefixes: int = 64
+    # Off for benchmarks, whose many requests would fill the memory.
+    keep_record: bool = True
     seed: int = 0
 
 
@@ -99,6 +101,12 @@
         finally:
             self._release()
 
+    def forget(self, request_id: str) -> None:
+        """Drop an ended generation where no record is kept."""
+        if not self.cfg.keep_record:
+            del self.record[request_id]
+            self.cache_events.clear()
+
     def _release(self) -> None:
         if self._waiting:
             heapq.heappop(self._waiting)[2].set()
@@ -329,6 +337,7 @@
             yield encode_event(chunk)
     if engine.record[request_id].finished:
         yield SSE_DONE
+    engine.forget(request_id)
 
 
 async def _whole(
@@ -343,6 +352,7 @@
         async for chunk in engine.generate(body, request_id):
             text.append(chunk["choices"][0]["delta"]["content"])
             versions.extend([chunk["weight_version"]] * chunk["tokens"])
+    engine.forget(request_id)
     message = {"role": "assistant", "content": "".join(text)}
     return responses.JSONResponse(
         {
--- a/src/hibiscussaddle/standins/run.py
+++ b/src/hibiscussaddle/standins/run.py
@@ -41,6 +41,8 @@
         model=str(options.get("model", "base")),
         slots=int(options.get("slots", 8)),
         token_seconds=float(options.get("token_seconds", 0.002)),
+        tokens_per_chunk=int(options.get("tokens_per_chunk", 4)),
+        keep_record=bool(int(options.get("keep_record", 1))),
         seed=int(options.get("seed", 0)),
     )
     return engine.create_app(
