--- a/src/hibiscussaddle/lifecycle.py
+++ b/src/hibiscussaddle/lifecycle.py
@@ -22,9 +22,11 @@
 class Lifecycle:
     """Hold the phase and count the work in progress."""
 
-    def __init__(self) -> None:
-        """Start in phase STARTING."""
+    def __init__(self, holds: abc.Iterable[str] = ()) -> None:
+        """Start in phase STARTING; stay there until each hold is released."""
         self.phase = Phase.STARTING
+        self._holds = set(holds)
+        self._wanted = False
         self.running: collections.Counter[str] = collections.Counter()
         self.stop_requested = anyio.Event()
         self.cut_requested = anyio.Event()
@@ -32,10 +34,17 @@
         self._tasks: anyio_abc.TaskGroup | None = None
 
     def set_ready(self) -> None:
-        """Accept work, unless a stop was requested."""
-        if self.phase is Phase.STARTING:
+        """Accept work once nothing holds, unless a stop was requested."""
+        self._wanted = True
+        if self.phase is Phase.STARTING and not self._holds:
             self.phase = Phase.READY
 
+    def release(self, hold: str) -> None:
+        """End one hold on readiness."""
+        self._holds.discard(hold)
+        if self._wanted:
+            self.set_ready()
+
     def request_stop(self) -> None:
         """Refuse new work from now on."""
         self.phase = Phase.STOPPING
