--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PY = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
-SOURCES = src tests bench tools
+SOURCES = src tests bench tools examples
 
 export PYTHONPATH := src
 
--- a/examples/trainer.py
+++ b/examples/trainer.py
@@ -76,6 +76,10 @@
             if samples:
                 yield samples
             if answer["remaining"] == 0:
+                # The last bits let the service free the samples early; it
+                # frees them later without.
+                last = {**self.create_body(), "wait_seconds": 0.0}
+                await self.send(next(self._urls), last)
                 return
 
     def create_body(self) -> Json:
--- a/src/hibiscussaddle/controllers/steps.py
+++ b/src/hibiscussaddle/controllers/steps.py
@@ -81,6 +81,7 @@
     def _pass(self) -> None:
         now = self._runtime.clock()
         self._table.sweep(now)
+        self._forget_endpoints()
         for key in self._newest.keys() - self._table.runs.keys():
             del self._newest[key]
         # The step with the fewest running attempts goes first, so that
@@ -94,6 +95,21 @@
         while active:
             active = [item for item in active if self._start_one(item, now)]
 
+    def _forget_endpoints(self) -> None:
+        known: tuple[dict[str, typing.Any], ...] = (
+            self._table.engines,
+            self._pauses,
+            self._asked,
+        )
+        for by_endpoint in known:
+            gone = [
+                endpoint_id
+                for endpoint_id in by_endpoint
+                if self._runtime.directory.get(endpoint_id) is None
+            ]
+            for endpoint_id in gone:
+                del by_endpoint[endpoint_id]
+
     def _contract(self, run: step_table.StepRun) -> contracts.Contract | None:
         record = self._runtime.contracts.get(run.key.customer)
         return record.contract if record else None
@@ -162,11 +178,7 @@
     ) -> endpoints.Endpoint | None:
         """Return an engine for the step; note why there is none."""
         why = step_table.Blocked
-        found = [
-            ep
-            for ep in self._runtime.directory.engines(run.spec.model)
-            if ep.state is endpoints.EndpointState.LIVE
-        ]
+        found = self._runtime.directory.engines(run.spec.model)
         healthy = [ep for ep in found if not self._is_paused(ep.id, now)]
         fresh = [
             ep for ep in healthy if self._may_start(run, ep, contract, now)
--- a/src/hibiscussaddle/step_forwarding.py
+++ b/src/hibiscussaddle/step_forwarding.py
@@ -63,7 +63,12 @@
 ) -> members.Member | None:
     """Return the peer that owns the step; None when this instance does."""
     own = runtime.members.me
-    zone = {m.id: m for m in runtime.members.live() if m.zone == own.zone}
+    marks = runtime.directory.marks
+    zone = {
+        m.id: m
+        for m in runtime.members.live()
+        if m.zone == own.zone and not marks.holds(m.id, m.incarnation)
+    }
     name = f"{key.customer}/{key.trainer}/{key.step}"
     chosen = ownership.owner(name, zone)
     if chosen is None or chosen == own.id:
@@ -121,11 +126,18 @@
     deadline: float,
 ) -> Pulled | None:
     """Return the owner's answer; None when this instance has to answer."""
+    run = runtime.steps.get(key)
     wait = min(pull.wait_seconds, max(0.0, deadline - runtime.clock()))
-    msg = PullFor(key, dataclasses.replace(pull, wait_seconds=wait))
+    # The owner may not know the newest version that is known here.
+    newest = pull.newest_version
+    if run is not None:
+        newest = max(newest, runtime.steps.newest(run))
+    msg = PullFor(
+        key,
+        dataclasses.replace(pull, wait_seconds=wait, newest_version=newest),
+    )
     timeout = wait + _MARGIN_SECONDS
     reply = await _ask(runtime, owner, msg, timeout)
-    run = runtime.steps.get(key)
     if run is not None and _is_unknown(reply):
         # The owner restarted, or another instance became the owner.
         opened = await _ask(
--- a/tests/test_step_service.py
+++ b/tests/test_step_service.py
@@ -165,3 +165,27 @@
         await _until(lambda: all(gen.cancelled for gen in generations()))
         await _until(lambda: not run.scopes)
         assert sum(item.running for item in made.engines) == 0
+
+
+@pytest.mark.anyio
+async def test_straggler_is_duplicated_within_the_budget() -> None:
+    """Fails when one slow engine holds a step or duplicates exceed 5%."""
+    async with world() as made:
+        groups = tuple(({"content": str(n)},) for n in range(40))
+        run = made.open(groups=groups, max_tokens=4)
+        await _until(lambda: run.made >= 70)
+        slow, fast = made.engines
+        # The rest of the slow engine's samples would take 80 s each.
+        slow.slow_factor = 10_000.0
+        run = made.open(step="s2", groups=groups, max_tokens=4)
+        await _until(lambda: any(not gen.finished for gen in _all(slow)))
+        await _until(lambda: run.progress.counts().ready >= 72)
+        budget = made.runtime.steps.budget
+        await _until(lambda: budget.extra > 0)
+        assert budget.extra <= 0.05 * budget.first
+        await _until(lambda: any(gen.cancelled for gen in _all(slow)))
+        assert not any(gen.cancelled for gen in _all(fast))
+
+
+def _all(engine: fake_engine.Engine) -> list[fake_engine.Generation]:
+    return list(engine.record.values())
