Base the duplicate budget on tokens that samples really had

Cause: with limits of tokens as the base, samples that end far below their limit let stragglers exceed 5% of the real work; a full table waited for the next open to free memory. Conclusion: the 5% bound counts generated tokens.

--- a/src/hibiscussaddle/controllers/steps.py
+++ b/src/hibiscussaddle/controllers/steps.py
@@ -162,12 +162,12 @@
         straggler: int | None,
         now: float,
     ) -> groups.Attempt | None:
-        tokens, budget = run.spec.max_tokens, self._table.budget
         if slot is not None:
-            budget.add(tokens)
             return run.progress.start(slot, now)
         assert straggler is not None
-        return run.progress.duplicate(straggler, now, tokens, budget)
+        return run.progress.duplicate(
+            straggler, now, run.spec.max_tokens, self._table.budget
+        )
 
     def _choose(
         self,
@@ -272,7 +272,7 @@
             run.scopes.pop(attempt.number, None)
             self._running[endpoint.id] -= 1
             if isinstance(made, steps.Sample):
-                run.keep(attempt, made, clock())
+                self._keep(run, attempt, made)
                 self._pauses.pop(endpoint.id, None)
             else:
                 run.progress.fail(attempt)
@@ -282,6 +282,17 @@
                     self._pause(endpoint.id, clock())
             self._table.notify()
 
+    def _keep(
+        self,
+        run: step_table.StepRun,
+        attempt: groups.Attempt,
+        made: steps.Sample,
+    ) -> None:
+        if run.keep(attempt, made, self._runtime.clock()):
+            self._table.budget.add(made.tokens)
+        if attempt.duplicate:
+            self._table.budget.refund(run.spec.max_tokens - made.tokens)
+
     def _pause(self, endpoint_id: str, now: float) -> None:
         """Keep a failed engine out for a time that doubles."""
         last = self._pauses.get(endpoint_id)
--- a/src/hibiscussaddle/policy/groups.py
+++ b/src/hibiscussaddle/policy/groups.py
@@ -27,7 +27,11 @@
 
 
 class ExtraBudget:
-    """Limit duplicate work to a part of the first attempts, in tokens."""
+    """Limit duplicate work to a part of the samples kept, in tokens.
+
+    Limits of tokens would not do as a base: samples often end far below
+    theirs, stragglers do not.
+    """
 
     def __init__(self, fraction: float = EXTRA_FRACTION) -> None:
         """Start with nothing to spend."""
@@ -36,7 +40,7 @@
         self.extra = 0
 
     def add(self, tokens: int) -> None:
-        """Count the tokens of a first attempt."""
+        """Count the tokens of a kept sample."""
         self.first += tokens
 
     def take(self, tokens: int) -> bool:
@@ -46,6 +50,10 @@
         self.extra += tokens
         return True
 
+    def refund(self, tokens: int) -> None:
+        """Give back tokens that a duplicate did not generate."""
+        self.extra -= tokens
+
 
 @dataclasses.dataclass(frozen=True)
 class Counts:
--- a/src/hibiscussaddle/step_table.py
+++ b/src/hibiscussaddle/step_table.py
@@ -120,7 +120,7 @@
 
     def keep(
         self, attempt: groups.Attempt, sample: steps.Sample, now: float
-    ) -> None:
+    ) -> bool:
         """Keep the first whole sample of a slot; cancel its losers."""
         kept, losers = self.progress.complete(attempt, sample, now)
         self.cancel(losers)
@@ -128,6 +128,7 @@
             self.made += 1
             self.sample_bytes += _bytes_of(sample)
             self.notify()
+        return kept
 
     def drop(self, slot: int) -> None:
         """Drop a stale sample, so that it is made again."""
@@ -221,6 +222,10 @@
             self.blocked = Blocked.NOT_OWNER
             for scope in self.scopes.values():
                 scope.cancel()
+            # The owner makes its own; these would only fill the memory.
+            for slot in list(self.progress.samples):
+                self._forget_bytes(slot)
+                self.progress.drop(slot)
 
     def close(self) -> None:
         """Cancel all work of the step and wake its pulls."""
@@ -338,6 +343,9 @@
         for run in list(self.runs.values()):
             if now - run.touched_at > self._idle_seconds:
                 self.remove(run)
+        if self.is_full():
+            # Trainers that pull go before steps that nobody pulls now.
+            self._make_room(1, now)
 
     def note_engine(
         self,
--- a/tests/test_step_delivery.py
+++ b/tests/test_step_delivery.py
@@ -163,3 +163,14 @@
     small = step_table.StepTable(max_bytes=1000)
     assert small.open("a", large, 0.0).is_ok()
     assert small.open("b", large, 1.0).is_err()
+
+
+def test_full_table_frees_steps_that_nobody_pulls() -> None:
+    """Fails when held samples stop all generation for good."""
+    table = step_table.StepTable(max_bytes=2000)
+    run = table.open("a", _step(), 0.0).ok_value
+    run.sample_bytes = 2000
+    table.sweep(50.0)
+    assert table.is_full()
+    table.sweep(61.0)
+    assert not table.is_full()
