--- a/src/hibiscussaddle/dispatcher.py
+++ b/src/hibiscussaddle/dispatcher.py
@@ -4,6 +4,7 @@
 from collections import abc
 import contextlib
 import dataclasses
+import math
 import random
 import typing
 
@@ -31,6 +32,8 @@
 # Work that waits is looked at again after this time, in case the room was
 # made by another instance.
 TICK_SECONDS: typing.Final = 0.05
+# Slots are kept for short work this long after some arrived.
+SHORT_MEMORY_SECONDS: typing.Final = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,12 +41,14 @@
     """Set the limits of the decisions; the benchmarks vary them."""
 
     # Outstanding work per slot up to which a class is sent to an endpoint.
-    # Short work may wait at the engine, where it goes first.
+    # Short work may wait at the engine, where it goes first. The limit of
+    # long work keeps slots for short work; it holds only while there is
+    # short work, as it would leave a quarter of the slots unused.
     room: abc.Mapping[queueing.WorkClass, float] = dataclasses.field(
         default_factory=lambda: {
             queueing.WorkClass.SHORT: 2.0,
             queueing.WorkClass.TRAINER: 1.0,
-            queueing.WorkClass.LONG: 0.85,
+            queueing.WorkClass.LONG: 0.875,
         }
     )
     max_queued: int = queueing.MAX_QUEUED
@@ -71,6 +76,7 @@
     peers: dict[str, shares.Demand] = dataclasses.field(default_factory=dict)
     allocation: dict[str, float] = dataclasses.field(default_factory=dict)
     allocated_at: float = -1.0
+    short_seen_at: float = -math.inf
 
 
 class Dispatcher:
@@ -218,6 +224,8 @@
         if work.is_first:
             self.budget.earn_request()
         entry = self._entry(work)
+        if entry.work_class is queueing.WorkClass.SHORT:
+            pool.short_seen_at = entry.enqueued_at
         wait = pool.queue.predict_wait(entry.customer, entry.work_class)
         if entry.enqueued_at + wait > entry.start_by:
             return _refuse(
@@ -298,7 +306,10 @@
         # of each is always sent.
         if not pool.is_engine or pool.running[entry.customer] == 0:
             return None
-        return self._options.room[entry.work_class]
+        room = self._options.room[entry.work_class]
+        if self.clock() > pool.short_seen_at + SHORT_MEMORY_SECONDS:
+            return max(1.0, room)
+        return room
 
     def _candidate(
         self, ep: endpoints.Endpoint, work: placement_lib.Work, now: float
