Give each test process a block of ports of its own

Tests of several checkouts ran at once and took each other's ports: six tests failed with 'address in use'.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -6,6 +6,7 @@
 
 import anyio
 import builders
+import ports
 
 from hibiscussaddle.adapters import peers
 from hibiscussaddle.controllers import marks
@@ -29,7 +30,7 @@
 
     def __init__(self, tasks: anyio.abc.TaskGroup, size: int) -> None:
         """Reserve ports for a number of instances."""
-        self.ports = builders.free_ports(size)
+        self.ports = ports.take(size)
         self.runtimes: dict[str, runtime_lib.Runtime] = {}
         self.cut: set[tuple[str, str]] = set()
         self._tasks = tasks
--- a/tests/histories/world.py
+++ b/tests/histories/world.py
@@ -27,6 +27,7 @@
 from hibiscussaddle.standins import store
 from histories import history as history_lib
 import loopback
+import ports as ports_lib
 
 INSTANCES: typing.Final = 3
 ENGINES: typing.Final = 3
@@ -131,7 +132,7 @@
             )
             await self._register_endpoints(stack)
             self._put_contract()
-            ports = free_ports(3 * INSTANCES)
+            ports = ports_lib.take(3 * INSTANCES)
             peers = tuple(f"127.0.0.1:{port}" for port in ports[2::3])
             for number in range(INSTANCES):
                 cfg = builders.cfg(
@@ -250,10 +251,3 @@
                     break
                 except OSError:
                     await anyio.sleep(0.01)
-
-
-def free_ports(count: int) -> list[int]:
-    """Return different ports that were free just now."""
-    with contextlib.ExitStack() as stack:
-        found = [stack.enter_context(loopback.listen()) for _ in range(count)]
-        return [int(sock.getsockname()[1]) for sock in found]
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -2,9 +2,6 @@
 
 from collections import abc
 import contextlib
-import os
-import random
-import socket
 import typing
 
 import anyio
@@ -15,30 +12,13 @@
 from hibiscussaddle import runtime as runtime_lib
 
 import builders
-
-_FIRST_PORT = int(os.environ.get("TEST_FIRST_PORT", "23000"))
-_PORTS = 1000
-
-
-def listen() -> socket.socket:
-    """Return a listening socket on a free port of the range."""
-    for offset in random.sample(range(_PORTS), _PORTS):
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            sock.bind(("127.0.0.1", _FIRST_PORT + offset))
-        except OSError:
-            sock.close()
-            continue
-        sock.listen(256)
-        return sock
-    raise RuntimeError("no free port in the range")
+import ports
 
 
 @contextlib.asynccontextmanager
 async def serve(app: typing.Any) -> abc.AsyncIterator[str]:
     """Serve an app and yield its base URL."""
-    sock = listen()
+    sock = ports.listen()
     port = sock.getsockname()[1]
     cfg = hypercorn_config.Config()
     cfg.bind = [f"fd://{sock.detach()}"]
--- /dev/null
+++ b/tests/ports.py
@@ -0,0 +1,59 @@
+"""Give each test process loopback ports of its own."""
+
+import functools
+import itertools
+import socket
+
+_FIRST_PORT = 10_000
+_BLOCK = 400
+_BLOCKS = 50
+
+
+@functools.cache
+def _claim() -> tuple[socket.socket, "itertools.cycle[int]"]:
+    """Hold the first port of a block, so that no other process uses it.
+
+    Tests of several checkouts once ran at the same time and took each
+    other's ports between the choice of a port and its use.
+    """
+    for number in range(_BLOCKS):
+        first = _FIRST_PORT + number * _BLOCK
+        guard = socket.socket()
+        try:
+            guard.bind(("127.0.0.1", first))
+        except OSError:
+            guard.close()
+            continue
+        return guard, itertools.cycle(range(first + 1, first + _BLOCK))
+    raise RuntimeError("no free block of ports")
+
+
+def take(count: int) -> list[int]:
+    """Return the next ports of the block that nobody listens at."""
+    _, ports = _claim()
+    found: list[int] = []
+    for port in itertools.islice(ports, _BLOCK):
+        if _is_free(port):
+            found.append(port)
+        if len(found) == count:
+            return found
+    raise RuntimeError(f"fewer than {count} free ports")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+def listen() -> socket.socket:
+    """Return a listening socket."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", take(1)[0]))
+    sock.listen(256)
+    return sock
--- a/tests/stack.py
+++ b/tests/stack.py
@@ -2,7 +2,6 @@
 
 from collections import abc
 import contextlib
-import itertools
 import json
 import typing
 
@@ -19,8 +18,8 @@
 from hibiscussaddle import serving
 from hibiscussaddle.standins import engine as engine_lib
 from hibiscussaddle.standins import service as service_lib
+import ports
 
-_PORTS = itertools.cycle(range(24300, 24700))
 HEADERS = {"authorization": f"Bearer {builders.CUSTOMER_KEY}"}
 
 
@@ -51,7 +50,7 @@
 
     async def serve(self, app: typing.Any) -> str:
         """Serve an app and return its address once it answers."""
-        port = next(_PORTS)
+        port = ports.take(1)[0]
         server = serving.Server(app, "127.0.0.1", port, anyio.sleep_forever)
         self._tasks.start_soon(server.serve)
         while True:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,13 +5,13 @@
 import typing
 
 import anyio
-import builders
+import ports
 import result
 
 from hibiscussaddle.adapters import peer_sockets
 from hibiscussaddle.adapters import peers
 
-PORTS = builders.free_ports(10)
+PORTS = ports.take(10)
 SECRET = "secret-for-tests-0123456789"
 
 
--- a/tests/test_shared_facts.py
+++ b/tests/test_shared_facts.py
@@ -4,6 +4,7 @@
 
 import anyio
 import builders
+import ports
 
 from hibiscussaddle.controllers import membership
 from hibiscussaddle import entry
@@ -25,13 +26,13 @@
 
     async def job() -> None:
         APPLIED.clear()
-        ports = builders.free_ports(5)
+        found = ports.take(5)
         runtimes = [
             entry.create_runtime(
                 builders.cfg(
                     instance=f"entry-{number}",
-                    peer_port=ports[number],
-                    peers=(f"127.0.0.1:{ports[0]}",),
+                    peer_port=found[number],
+                    peers=(f"127.0.0.1:{found[0]}",),
                 )
             )
             for number in range(5)
--- a/tests/test_step_forwarding.py
+++ b/tests/test_step_forwarding.py
@@ -20,6 +20,7 @@
 from hibiscussaddle import step_forwarding
 from hibiscussaddle import steps
 import loopback
+import ports
 
 SLOTS = 6
 NAMES = st.sets(st.text(min_size=1), min_size=2, max_size=8)
@@ -58,7 +59,7 @@
     async with loopback.serve(fake_engine.create_app(engine)) as url:
         found = []
         for number in range(2):
-            with loopback.listen() as sock:
+            with ports.listen() as sock:
                 port = sock.getsockname()[1]
             cfg = builders.cfg(instance=f"entry-{number}", peer_port=port)
             found.append(entry.create_runtime(cfg))
