--- a/tests/ports.py
+++ b/tests/ports.py
@@ -40,6 +40,15 @@
     raise RuntimeError(f"fewer than {count} free ports")
 
 
+def take_range(count: int) -> int:
+    """Return the first of consecutive ports that nobody listens at."""
+    found = take(1)
+    while len(found) < count:
+        port = take(1)[0]
+        found = [*found, port] if port == found[-1] + 1 else [port]
+    return found[0]
+
+
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -16,6 +16,8 @@
 import builders
 
 START_SECONDS: typing.Final = 20.0
+# Ports from its base up that a fleet uses.
+PORTS: typing.Final = 150
 OPERATOR: typing.Final = {"authorization": f"Bearer {builders.SECRET}"}
 CALLER: typing.Final = {"authorization": f"Bearer {builders.CUSTOMER_KEY}"}
 _SOURCES: typing.Final = pathlib.Path(__file__).parent.parent / "src"
--- a/tests/test_caller_port.py
+++ b/tests/test_caller_port.py
@@ -10,12 +10,13 @@
 
 from hibiscussaddle import caller_app
 from hibiscussaddle import serving
+import ports
 import stack as stack_lib
 
 # Self-signed for 127.0.0.1; tests/data/server.key signs nothing else.
 DATA = pathlib.Path(__file__).parent / "data"
 CERT, KEY = DATA / "server.pem", DATA / "server.key"
-PORT = 24990
+PORT = ports.take(1)[0]
 
 
 def test_tls_serves_streams_and_refuses_plain_text() -> None:
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -9,6 +9,7 @@
 from hibiscussaddle import endpoints
 from hibiscussaddle.policy import tickets
 from hibiscussaddle.standins import service as service_lib
+import ports
 import stack as stack_lib
 
 CALLS = 60
@@ -74,7 +75,9 @@
         async with stack_lib.run() as stack:
             services = [await stack.add_service() for _ in range(2)]
             kind = endpoints.EndpointKind.SERVICE
-            stack.list_endpoint("gone", kind, "http://127.0.0.1:24999")
+            stack.list_endpoint(
+                "gone", kind, f"http://127.0.0.1:{ports.take(1)[0]}"
+            )
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(_break, rng, services)
                 async with anyio.create_task_group() as callers:
