Order marks of one incarnation by time, so that a new instance's order holds

Cause: bench.mark_spread failed at 16 instances: an instance that had not yet read the store's marks counted from 1, and its leave was undone when the older mark with a higher counter arrived. Change: the counter of a mark is at least the wall-clock milliseconds; a fact has a rank within its version; an order that lost to an unknown mark is repeated above it.

--- a/bench/mark_spread.py
+++ b/bench/mark_spread.py
@@ -16,6 +16,7 @@
 import loopback
 
 from hibiscussaddle import leave_marks
+from hibiscussaddle.policy import marks
 from hibiscussaddle import runtime as runtime_lib
 from hibiscussaddle.standins import store
 
@@ -30,7 +31,9 @@
 
 
 async def _gossip(taker: runtime_lib.Runtime, left: bool) -> None:
-    mark = taker.directory.marks.next("engine-1", 7, left)
+    mark = leave_marks.create(
+        taker, "engine-1", 7, left, marks.Source.OPERATOR
+    )
     leave_marks.publish(taker, mark)
 
 
--- a/src/hibiscussaddle/controllers/endpoints.py
+++ b/src/hibiscussaddle/controllers/endpoints.py
@@ -213,7 +213,9 @@
     current = board.get(target)
     # An operator's clear stays in force for its incarnation.
     if current is None or current.incarnation < incarnation:
-        mark = board.next(target, incarnation, True, marks.Source.PLATFORM)
+        mark = leave_marks.create(
+            runtime, target, incarnation, True, marks.Source.PLATFORM
+        )
         leave_marks.publish(runtime, mark)
 
 
--- a/src/hibiscussaddle/controllers/marks.py
+++ b/src/hibiscussaddle/controllers/marks.py
@@ -45,8 +45,12 @@
 
 async def _mark_self(runtime: runtime_lib.Runtime) -> None:
     await runtime.lifecycle.stop_requested.wait()
-    mark = runtime.directory.marks.next(
-        runtime.cfg.instance, runtime.incarnation, True, marks.Source.INSTANCE
+    mark = leave_marks.create(
+        runtime,
+        runtime.cfg.instance,
+        runtime.incarnation,
+        True,
+        marks.Source.INSTANCE,
     )
     leave_marks.publish(runtime, mark)
 
@@ -60,7 +64,7 @@
     runtime: runtime_lib.Runtime, client: store.StoreClient
 ) -> None:
     backoff = store.Backoff(runtime.rng, longest=5.0)
-    while not await _load(runtime, client):
+    while not await load(runtime, client):
         await anyio.sleep(backoff.next())
     runtime.lifecycle.release(HOLD)
     due = _next_repair(runtime)
@@ -69,7 +73,7 @@
         if runtime.clock() >= due:
             due = _next_repair(runtime)
             if _is_reader(runtime):
-                await _load(runtime, client)
+                await load(runtime, client)
         for target in sorted(runtime.directory.marks.unsaved):
             if not await _save(runtime, client, target):
                 await anyio.sleep(backoff.next())
@@ -86,26 +90,27 @@
     return runtime.cfg.instance in chosen
 
 
-async def _load(
+async def load(
     runtime: runtime_lib.Runtime, client: store.StoreClient
 ) -> bool:
+    """Take in the marks of the store; tell whether it answered."""
     answer = await client.scan(PREFIX)
     if isinstance(answer, result.Err):
         return False
     entries, _ = answer.ok_value
-    stored: dict[str, int] = {}
+    stored: dict[str, tuple[int, int]] = {}
     for entry in entries:
         mark = _parse(entry)
         if mark is None:
             continue
-        stored[mark.target] = mark.version
+        stored[mark.target] = mark.order
         origin = str(entry.value.get("origin", ""))
         runtime.facts.publish(leave_marks.to_fact(mark, origin))
     board = runtime.directory.marks
     board.unsaved.update(
         mark.target
         for mark in board.all()
-        if stored.get(mark.target, -1) < mark.version
+        if stored.get(mark.target, (-1, 0)) < mark.order
     )
     return True
 
@@ -134,7 +139,7 @@
     if isinstance(found, result.Ok):
         stored = _parse(found.ok_value)
         revision = found.ok_value.revision
-        if stored is not None and stored.version >= fact.version:
+        if stored is not None and stored.order >= fact.order[:2]:
             board.unsaved.discard(target)
             return True
     elif found.err_value.failure is not store.StoreFailure.MISSING:
@@ -147,7 +152,7 @@
     newest = runtime.facts.get(leave_marks.KIND, target)
     if newest is fact:
         board.unsaved.discard(target)
-    logs.event(_LOG, "mark_saved", target=target, version=fact.version)
+    logs.event(_LOG, "mark_saved", target=target, rank=fact.rank)
     return True
 
 
--- a/src/hibiscussaddle/leave_marks.py
+++ b/src/hibiscussaddle/leave_marks.py
@@ -17,12 +17,30 @@
 
 _LOG = logging.getLogger(__name__)
 KIND: typing.Final = "mark"
+_ATTEMPTS: typing.Final = 3
 
 
 def to_fact(mark: marks.Mark, origin: str) -> facts.Fact:
     """Return the fact that spreads a mark."""
     value = msgspec.to_builtins(mark)
-    return facts.Fact(KIND, mark.target, mark.version, origin, value)
+    return facts.Fact(
+        KIND, mark.target, mark.incarnation, origin, value, mark.rank
+    )
+
+
+def create(
+    runtime: runtime_lib.Runtime,
+    target: str,
+    incarnation: int,
+    left: bool,
+    source: marks.Source,
+) -> marks.Mark:
+    """Return a mark that supersedes the one known here."""
+    now = time.time()
+    mark = runtime.directory.marks.next(
+        target, incarnation, left, int(now * 1000), source
+    )
+    return dataclasses.replace(mark, at=now)
 
 
 def publish(runtime: runtime_lib.Runtime, mark: marks.Mark) -> facts.Fact:
@@ -42,24 +60,30 @@
     who: str = "",
     reason: str = "",
 ) -> tuple[marks.Mark, broadcast.Reach]:
-    """Mark or clear a target and tell every instance."""
+    """Mark or clear a target and tell every instance.
+
+    An earlier change that was unknown here may win by a clock that is
+    ahead; the order is then repeated above it.
+    """
     board = runtime.directory.marks
-    current = board.get(target)
-    if current is not None and _says(current, incarnation, left):
+    attempts = 0
+    while True:
+        attempts += 1
+        mark = board.get(target)
+        if mark is None or not _says(mark, incarnation, left):
+            mark = dataclasses.replace(
+                create(runtime, target, incarnation, left, source),
+                who=who,
+                reason=reason,
+            )
+            publish(runtime, mark)
         # A repeat of the command tells those that were missed.
-        mark = current
-        known = runtime.facts.get(KIND, target)
-        fact = known or publish(runtime, mark)
-    else:
-        mark = dataclasses.replace(
-            board.next(target, incarnation, left, source),
-            who=who,
-            reason=reason,
-            at=time.time(),
-        )
-        fact = publish(runtime, mark)
-    reach = await broadcast.send(runtime, gossip.News((fact,)))
-    return mark, reach
+        fact = runtime.facts.get(KIND, target)
+        msg = gossip.News(() if fact is None else (fact,))
+        reach = await broadcast.send(runtime, msg)
+        newest = board.get(target) or mark
+        if attempts == _ATTEMPTS or _says(newest, incarnation, left):
+            return newest, reach
 
 
 def _says(mark: marks.Mark, incarnation: int, left: bool) -> bool:
--- a/src/hibiscussaddle/policy/facts.py
+++ b/src/hibiscussaddle/policy/facts.py
@@ -39,6 +39,8 @@
     # Id of the instance that made the fact; breaks ties of versions.
     origin: str
     value: typing.Any
+    # Orders facts of one version, such as the marks of one incarnation.
+    rank: int = 0
 
     @property
     def id(self) -> Key:
@@ -61,9 +63,9 @@
         return self.kind not in _UNPUSHED_KINDS
 
     @property
-    def order(self) -> tuple[int, str]:
-        """Return the rank among facts about the same key."""
-        return (self.version, self.origin)
+    def order(self) -> tuple[int, int, str]:
+        """Return the order among facts about the same key."""
+        return (self.version, self.rank, self.origin)
 
 
 def _bucket(key: Key) -> int:
@@ -71,7 +73,8 @@
 
 
 def _checksum(fact: Fact) -> int:
-    text = f"{fact.kind}/{fact.key}/{fact.version}/{fact.origin}"
+    order = f"{fact.version}/{fact.rank}/{fact.origin}"
+    text = f"{fact.kind}/{fact.key}/{order}"
     return zlib.crc32(text.encode())
 
 
--- a/src/hibiscussaddle/policy/marks.py
+++ b/src/hibiscussaddle/policy/marks.py
@@ -2,10 +2,6 @@
 
 import dataclasses
 import enum
-import typing
-
-_COUNTER_BITS: typing.Final = 16
-MAX_COUNTER: typing.Final = (1 << _COUNTER_BITS) - 1
 
 
 class Source(enum.Enum):
@@ -23,7 +19,9 @@
 
     target: str
     incarnation: int
-    # Raised by each change within an incarnation.
+    # Raised by each change within an incarnation. It starts from the time:
+    # an instance that has just started and has not heard of an earlier
+    # change must not lose to it.
     counter: int
     left: bool
     source: Source = Source.OPERATOR
@@ -33,10 +31,14 @@
     at: float = 0.0
 
     @property
-    def version(self) -> int:
-        """Return the rank; of a leave and a clear at once, leave wins."""
-        order = self.incarnation << _COUNTER_BITS | self.counter
-        return order << 1 | int(self.left)
+    def rank(self) -> int:
+        """Return the order within an incarnation; leave wins over clear."""
+        return self.counter << 1 | int(self.left)
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return the order among all marks of a target."""
+        return (self.incarnation, self.rank)
 
 
 class Board:
@@ -51,7 +53,7 @@
     def put(self, mark: Mark) -> bool:
         """Keep a mark if it is newer; tell whether it was."""
         current = self._marks.get(mark.target)
-        if current is not None and current.version >= mark.version:
+        if current is not None and current.order >= mark.order:
             return False
         self._marks[mark.target] = mark
         return True
@@ -76,13 +78,17 @@
         target: str,
         incarnation: int,
         left: bool,
+        wall_ms: int,
         source: Source = Source.OPERATOR,
     ) -> Mark:
-        """Return a mark that supersedes the present one."""
+        """Return a mark that supersedes the present one.
+
+        The wall-clock time is in milliseconds.
+        """
         current = self._marks.get(target)
-        counter = 1
+        counter = wall_ms
         if current is not None and current.incarnation >= incarnation:
             # The list lags: the mark may be of a newer incarnation.
             incarnation = current.incarnation
-            counter = min(current.counter + 1, MAX_COUNTER)
+            counter = max(current.counter + 1, wall_ms)
         return Mark(target, incarnation, counter, left, source)
--- a/tests/test_marks.py
+++ b/tests/test_marks.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import pathlib
+import random
 
 import anyio
 import builders
@@ -14,6 +15,7 @@
 from hibiscussaddle.adapters import peers
 from hibiscussaddle.adapters import store as store_client
 from hibiscussaddle.controllers import endpoints as endpoint_list
+from hibiscussaddle.controllers import marks as marks_controller
 from hibiscussaddle.controllers import membership
 from hibiscussaddle import endpoints
 from hibiscussaddle import gossip
@@ -39,13 +41,15 @@
     st.randoms(use_true_random=False),
 )
 def test_boards_agree_in_any_order_and_leave_wins(
-    orders: list[tuple[int, int, bool]], rng: object
+    orders: list[tuple[int, int, bool]], rng: random.Random
 ) -> None:
     """Guards against a mark that depends on the order of arrival."""
     boards = [marks.Board() for _ in range(3)]
+    clocks = [rng.randint(0, 5) for _ in boards]
     made = []
     for number, incarnation, left in orders:
-        mark = boards[number].next("engine-1", incarnation, left)
+        now = clocks[number] = clocks[number] + rng.randint(0, 2)
+        mark = boards[number].next("engine-1", incarnation, left, now)
         boards[number].put(mark)
         made.append(mark)
         assert boards[number].holds("engine-1", incarnation) is left
@@ -53,14 +57,46 @@
         assert not boards[number].holds("engine-1", 9)
     for board in boards:
         shuffled = list(made)
-        rng.shuffle(shuffled)  # type: ignore[attr-defined]
+        rng.shuffle(shuffled)
         for mark in shuffled:
             board.put(mark)
     newest = {board.get("engine-1") for board in boards}
     assert len(newest) <= 1
     for mark in made:
         found = boards[0].get("engine-1")
-        assert found is not None and found.version >= mark.version
+        assert found is not None and found.order >= mark.order
+
+
+def test_order_is_not_undone_by_an_earlier_one() -> None:
+    """Guards against a leave through a new instance that is reverted.
+
+    The store told that instance of an older clear with a higher counter.
+    """
+
+    async def job() -> None:
+        fake = store.Store()
+        async with loopback.serve(store.create_app(fake)) as url:
+            async with fleet_lib.fleet(2, store_url=url) as fleet:
+                taker = fleet.runtimes["entry-0"]
+                for left in (True, False, True, False):
+                    await leave_marks.change(taker, "engine-1", 7, left)
+                await fleet_lib.until(
+                    lambda: not taker.directory.marks.unsaved, 10
+                )
+            async with fleet_lib.fleet(2, store_url=NO_STORE) as fleet:
+                taker = fleet.runtimes["entry-0"]
+                mark, _ = await leave_marks.change(taker, "engine-1", 7, True)
+                client = store_client.StoreClient(taker.client, url)
+                assert await marks_controller.load(taker, client)
+                assert len(fleet.marked()) == 2
+                ahead = dataclasses.replace(
+                    mark, left=False, counter=mark.counter + 60_000
+                )
+                taker.facts.publish(leave_marks.to_fact(ahead, "entry-9"))
+                await leave_marks.change(taker, "engine-1", 7, True)
+                assert len(fleet.marked()) == 2
+
+    anyio.run(job)
 
 
 def test_mark_reaches_all_in_time_with_the_store_down() -> None:
