--- a/src/hibiscussaddle/cli.py
+++ b/src/hibiscussaddle/cli.py
@@ -13,6 +13,7 @@
 from hibiscussaddle.commands import endpoint
 from hibiscussaddle.commands import instance
 from hibiscussaddle.commands import step
+from hibiscussaddle.commands import weights
 from hibiscussaddle import entry as entry_lib
 from hibiscussaddle import logs
 from hibiscussaddle import settings as settings_lib
@@ -24,6 +25,7 @@
     def __init__(self) -> None:
         """Group the operators' commands."""
         self.contract = contract.ContractCommands()
+        self.weights = weights.WeightCommands()
         self.endpoint = endpoint.EndpointCommands()
         self.instance = instance.InstanceCommands()
         self.step = step.StepCommands()
--- a/src/hibiscussaddle/policy/facts.py
+++ b/src/hibiscussaddle/policy/facts.py
@@ -18,7 +18,9 @@
     ZONE = "zone"
 
 
-_ZONE_KINDS: typing.Final = frozenset({"load", "demand", "endpoint"})
+_ZONE_KINDS: typing.Final = frozenset(
+    {"load", "demand", "endpoint", "engine", "confirmed"}
+)
 # Published every second: they travel with heartbeats, and digests leave
 # them out, since the tables would never agree on them.
 PERIODIC_KINDS: typing.Final = frozenset({"load", "demand", "zone_load"})
