--- a/src/hibiscussaddle/adapters/store_watch.py
+++ b/src/hibiscussaddle/adapters/store_watch.py
@@ -7,7 +7,8 @@
 
 from hibiscussaddle.adapters import store
 
-WATCH_SECONDS: typing.Final = 10.0
+# Also the interval at which a quiet store confirms the contracts.
+WATCH_SECONDS: typing.Final = 5.0
 
 Handler: typing.TypeAlias = abc.Callable[[list[store.StoreEntry]], None]
 
--- a/src/hibiscussaddle/commands/contract.py
+++ b/src/hibiscussaddle/commands/contract.py
@@ -68,6 +68,15 @@
             address, "PUT", f"/v1/contracts/{customer}", body
         )
         console.show(answer, output)
+        if answer.get("unreached"):
+            info = result_codes.Code.PARTLY_REACHED.value
+            names = ", ".join(answer["unreached"])
+            sys.stderr.write(
+                f"error {info.number} {info.name}: not reached: {names}\n"
+                f"work ran: {info.ran}\n"
+                f"what to do: {info.advice}\n"
+            )
+            raise SystemExit(info.exit_status)
 
     def history(
         self,
--- a/src/hibiscussaddle/contract_cache.py
+++ b/src/hibiscussaddle/contract_cache.py
@@ -27,9 +27,17 @@
         self._by_hash[record.contract.key_hash] = customer
         return True
 
-    def confirm(self) -> None:
-        """Note that the store confirmed the contracts just now."""
-        self.confirmed_at = time.monotonic()
+    def confirm(self, age: float = 0.0) -> None:
+        """Note that the store confirmed the contracts age seconds ago."""
+        confirmed_at = time.monotonic() - age
+        if self.confirmed_at is None or confirmed_at > self.confirmed_at:
+            self.confirmed_at = confirmed_at
+
+    def age(self) -> float | None:
+        """Return the seconds since the store confirmed; None before."""
+        if self.confirmed_at is None:
+            return None
+        return time.monotonic() - self.confirmed_at
 
     def get(self, customer: str) -> contracts.ContractRecord | None:
         """Return the record of one customer."""
--- a/src/hibiscussaddle/contract_changes.py
+++ b/src/hibiscussaddle/contract_changes.py
@@ -12,6 +12,7 @@
 
 from hibiscussaddle.adapters import store
 from hibiscussaddle import codes
+from hibiscussaddle import contract_spread
 from hibiscussaddle import contracts
 from hibiscussaddle import logs
 from hibiscussaddle.policy import contract_document as documents
@@ -118,7 +119,7 @@
 
 
 async def submit(runtime: runtime_lib.Runtime, change: Change) -> Answer:
-    """Swap the contract in the store and put it in force here."""
+    """Swap the contract in the store and put it in force everywhere."""
     if runtime.store is None:
         return result.Err(
             codes.Refusal(codes.Code.NOT_ACCEPTED, "no store is configured")
@@ -130,12 +131,24 @@
     if answer is None:
         answer = result.Err(_to_refusal(progress, change))
     _log_outcome(change, answer)
-    if isinstance(answer, result.Ok):
-        revision = int(answer.ok_value["revision"])
-        runtime.contracts.apply(
-            contracts.ContractRecord(change.contract, revision)
-        )
-    return answer
+    if isinstance(answer, result.Err):
+        return answer
+    revision = int(answer.ok_value["revision"])
+    document = change.contract.to_dict()
+    contract_spread.put_in_force(runtime, document, revision)
+    reach = await contract_spread.confirm_everywhere(
+        runtime, contracts.ContractRecord(change.contract, revision)
+    )
+    code = codes.Code.PARTLY_REACHED if reach.missed else codes.Code.OK
+    return result.Ok(
+        {
+            "code": code.value.number,
+            "name": code.value.name,
+            **answer.ok_value,
+            "in_force": list(reach.confirmed),
+            "unreached": list(reach.missed),
+        }
+    )
 
 
 async def _settle(
--- a/src/hibiscussaddle/operations/status.py
+++ b/src/hibiscussaddle/operations/status.py
@@ -20,6 +20,8 @@
             "phase": runtime.lifecycle.phase.value,
             "running": runtime.lifecycle.total(),
             "endpoints": len(runtime.directory.all()),
+            # Seconds since the store last confirmed the contracts.
+            "contracts_age_seconds": runtime.contracts.age(),
             "contracts": {
                 record.contract.customer: record.revision
                 for record in runtime.contracts.all()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -18,23 +18,34 @@
 
 _FIRST_PORT = int(os.environ.get("TEST_FIRST_PORT", "23000"))
 _PORTS = 1000
+# Each port is given out once in a process.
+_given: set[int] = set()
 
 
 def listen() -> socket.socket:
     """Return a listening socket on a free port of the range."""
     for offset in random.sample(range(_PORTS), _PORTS):
+        if offset in _given:
+            continue
         sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
+            # Without SO_REUSEADDR, as nng binds the ports it is given.
             sock.bind(("127.0.0.1", _FIRST_PORT + offset))
         except OSError:
             sock.close()
             continue
+        _given.add(offset)
         sock.listen(256)
         return sock
     raise RuntimeError("no free port in the range")
 
 
+def free_port() -> int:
+    """Return a port of the range that nobody listens on."""
+    with listen() as sock:
+        return int(sock.getsockname()[1])
+
+
 @contextlib.asynccontextmanager
 async def serve(app: typing.Any) -> abc.AsyncIterator[str]:
     """Serve an app and yield its base URL."""
