--- a/src/hibiscussaddle/callers.py
+++ b/src/hibiscussaddle/callers.py
@@ -4,7 +4,7 @@
 import typing
 
 from hibiscussaddle import metrics
-from hibiscussaddle.policy import tickets
+from hibiscussaddle.policy import successor
 
 RETRY_RATIO: typing.Final = 0.1
 # Retries that may follow a quiet time at once.
@@ -38,5 +38,7 @@
         self.budget = RetryBudget()
         self.metrics = metrics.Metrics()
         # Ledgers of instances that stopped and handed over to this one.
-        self.successor = tickets.Successor()
+        self.successor = successor.Successor()
+        # Successors of stopped processes, by instance and incarnation.
+        self.heirs: dict[tuple[str, int], str] = {}
         self.attempts = itertools.count(1)
--- a/src/hibiscussaddle/policy/tickets.py
+++ b/src/hibiscussaddle/policy/tickets.py
@@ -109,8 +109,8 @@
     issuer: Issuer
     # Seconds on the issuer's monotonic clock.
     closed_at: float
-    index: int
-    parts: int
+    # Started calls of the whole ledger.
+    total: int
     entries: tuple[HandedEntry, ...]
 
 
@@ -245,7 +245,7 @@
             HandedEntry(nonce, entry.digest, entry.kept)
             for nonce, entry in self._entries.items()
         ]
-        return _split(self.issuer, self.closed_at, entries, max_bytes)
+        return split(self.issuer, self.closed_at, entries, max_bytes)
 
     def _advance(self, now: float) -> None:
         self._now = max(self._now, now)
@@ -266,12 +266,13 @@
     return Decision(Verdict.KEPT, entry.kept)
 
 
-def _split(
+def split(
     issuer: Issuer,
     closed_at: float,
-    entries: abc.Iterable[HandedEntry],
+    entries: abc.Collection[HandedEntry],
     max_bytes: int,
 ) -> tuple[HandoverPart, ...]:
+    """Return started calls in parts; a result above the bound is left out."""
     groups: list[list[HandedEntry]] = [[]]
     used = 0
     for entry in entries:
@@ -285,89 +286,11 @@
         groups[-1].append(entry)
         used += size
     return tuple(
-        HandoverPart(issuer, closed_at, index, len(groups), tuple(group))
-        for index, group in enumerate(groups)
+        HandoverPart(issuer, closed_at, len(entries), tuple(group))
+        for group in groups
     )
 
 
-@dataclasses.dataclass
-class _Book:
-    parts: int
-    closed_at: float
-    # Seconds on the successor's monotonic clock.
-    expires_at: float
-    received: dict[int, tuple[HandedEntry, ...]]
-    calls: dict[int, HandedEntry] = dataclasses.field(default_factory=dict)
-    entries: int = 0
-    bytes: int = 0
-
-
-class Successor:
-    """Answer for closed ledgers of other processes."""
-
-    def __init__(
-        self,
-        max_entries: int = MAX_ENTRIES,
-        max_result_bytes: int = MAX_RESULT_BYTES,
-    ) -> None:
-        """Start with no ledgers."""
-        self._max_entries = max_entries
-        self._max_result_bytes = max_result_bytes
-        self._books: dict[Issuer, _Book] = {}
-
-    def accept(self, part: HandoverPart, now: float) -> bool:
-        """Take one part, in any order and repeatedly; tell if it fits."""
-        self._expire(now)
-        book = self._books.get(part.issuer)
-        if book is not None and part.index in book.received:
-            return True
-        size = sum(entry.kept.size for entry in part.entries if entry.kept)
-        books = self._books.values()
-        entries = sum(known.entries for known in books) + len(part.entries)
-        total = sum(known.bytes for known in books) + size
-        if entries > self._max_entries or total > self._max_result_bytes:
-            return False
-        if book is None:
-            expires_at = now + KEEP_SECONDS
-            book = _Book(part.parts, part.closed_at, expires_at, {})
-            self._books[part.issuer] = book
-        book.received[part.index] = part.entries
-        book.calls.update((entry.nonce, entry) for entry in part.entries)
-        book.entries += len(part.entries)
-        book.bytes += size
-        return True
-
-    def answer(
-        self, ticket: Ticket, now: float, digest: bytes = b""
-    ) -> Decision:
-        """Answer a repeat; nothing is ever run for a closed ledger."""
-        self._expire(now)
-        book = self._books.get(ticket.issuer)
-        if book is None:
-            return Decision(Verdict.UNKNOWN)
-        entry = book.calls.get(ticket.nonce)
-        if entry is not None:
-            if entry.digest != digest:
-                return Decision(Verdict.DIFFERENT)
-            if entry.kept is None:
-                return Decision(Verdict.UNKNOWN)
-            return Decision(Verdict.KEPT, entry.kept)
-        # The issuer may have started and forgotten an older ticket, and a
-        # missing part may hold this one.
-        whole = len(book.received) == book.parts
-        if whole and ticket.issued_at + START_SECONDS > book.closed_at:
-            return Decision(Verdict.NOT_STARTED)
-        return Decision(Verdict.UNKNOWN)
-
-    def _expire(self, now: float) -> None:
-        for issuer in [
-            issuer
-            for issuer, book in self._books.items()
-            if book.expires_at <= now
-        ]:
-            del self._books[issuer]
-
-
 def digest(method: str, path: str, body: bytes) -> bytes:
     """Return a digest that tells different requests of a ticket apart."""
     head = f"{method} {path}\n".encode()
