--- a/src/hibiscussaddle/controllers/steps.py
+++ b/src/hibiscussaddle/controllers/steps.py
@@ -81,6 +81,7 @@
     def _pass(self) -> None:
         now = self._runtime.clock()
         self._table.sweep(now)
+        self._forget_endpoints()
         for key in self._newest.keys() - self._table.runs.keys():
             del self._newest[key]
         # The step with the fewest running attempts goes first, so that
@@ -94,6 +95,21 @@
         while active:
             active = [item for item in active if self._start_one(item, now)]
 
+    def _forget_endpoints(self) -> None:
+        known: tuple[dict[str, typing.Any], ...] = (
+            self._table.engines,
+            self._pauses,
+            self._asked,
+        )
+        for by_endpoint in known:
+            gone = [
+                endpoint_id
+                for endpoint_id in by_endpoint
+                if self._runtime.directory.get(endpoint_id) is None
+            ]
+            for endpoint_id in gone:
+                del by_endpoint[endpoint_id]
+
     def _contract(self, run: step_table.StepRun) -> contracts.Contract | None:
         record = self._runtime.contracts.get(run.key.customer)
         return record.contract if record else None
@@ -146,12 +162,12 @@
         straggler: int | None,
         now: float,
     ) -> groups.Attempt | None:
-        tokens, budget = run.spec.max_tokens, self._table.budget
         if slot is not None:
-            budget.add(tokens)
             return run.progress.start(slot, now)
         assert straggler is not None
-        return run.progress.duplicate(straggler, now, tokens, budget)
+        return run.progress.duplicate(
+            straggler, now, run.spec.max_tokens, self._table.budget
+        )
 
     def _choose(
         self,
@@ -162,11 +178,7 @@
     ) -> endpoints.Endpoint | None:
         """Return an engine for the step; note why there is none."""
         why = step_table.Blocked
-        found = [
-            ep
-            for ep in self._runtime.directory.engines(run.spec.model)
-            if ep.state is endpoints.EndpointState.LIVE
-        ]
+        found = self._runtime.directory.engines(run.spec.model)
         healthy = [ep for ep in found if not self._is_paused(ep.id, now)]
         fresh = [
             ep for ep in healthy if self._may_start(run, ep, contract, now)
@@ -260,7 +272,7 @@
             run.scopes.pop(attempt.number, None)
             self._running[endpoint.id] -= 1
             if isinstance(made, steps.Sample):
-                run.keep(attempt, made, clock())
+                self._keep(run, attempt, made)
                 self._pauses.pop(endpoint.id, None)
             else:
                 run.progress.fail(attempt)
@@ -270,6 +282,17 @@
                     self._pause(endpoint.id, clock())
             self._table.notify()
 
+    def _keep(
+        self,
+        run: step_table.StepRun,
+        attempt: groups.Attempt,
+        made: steps.Sample,
+    ) -> None:
+        if run.keep(attempt, made, self._runtime.clock()):
+            self._table.budget.add(made.tokens)
+        if attempt.duplicate:
+            self._table.budget.refund(run.spec.max_tokens - made.tokens)
+
     def _pause(self, endpoint_id: str, now: float) -> None:
         """Keep a failed engine out for a time that doubles."""
         last = self._pauses.get(endpoint_id)
