Hand the ledger to a successor at a planned stop

Cause: repeats of a stopped instance's calls got 'unknown'. Change: the drained instance sends its closed ledger, and the ledgers it inherited, to a peer of its zone first, and announces it in its member fact.

--- a/src/hibiscussaddle/draining.py
+++ b/src/hibiscussaddle/draining.py
@@ -7,8 +7,10 @@
 
 import anyio
 
+from hibiscussaddle.controllers import membership
 from hibiscussaddle import logs
 from hibiscussaddle import runtime as runtime_lib
+from hibiscussaddle import ticket_forwarding
 
 _LOG = logging.getLogger(__name__)
 # Time that running work still has after a second signal.
@@ -41,6 +43,11 @@
         tasks.start_soon(_cut, runtime, tasks.cancel_scope)
         with anyio.move_on_after(runtime.cfg.drain_seconds) as limit:
             await runtime.lifecycle.wait_idle()
+            # Sockets are still open: repeats get their kept results here
+            # until peers know the successor.
+            heir = await ticket_forwarding.hand_over(runtime)
+            if heir:
+                membership.update_self(runtime, successor=heir)
             # Written answers may still wait for a slow reader.
             await close_sockets()
         if limit.cancelled_caught:
