--- a/src/hibiscussaddle/step_forwarding.py
+++ b/src/hibiscussaddle/step_forwarding.py
@@ -17,6 +17,9 @@
 from hibiscussaddle import steps
 
 OPEN_SECONDS: typing.Final = 2.0
+# A connection attempt to a cut-off owner takes 1 s, which each pull would
+# wait until the owner is declared dead.
+UNFIT_SECONDS: typing.Final = 2.0
 # Time for the way to the owner and back, besides the pull's own wait.
 _MARGIN_SECONDS: typing.Final = 2.0
 
@@ -61,7 +64,7 @@
 def find_owner(
     runtime: runtime_lib.Runtime, key: steps.StepKey
 ) -> members.Member | None:
-    """Return the peer that owns the step; None when this instance does."""
+    """Return the peer that owns the step; None to serve it here."""
     own = runtime.members.me
     marks = runtime.directory.marks
     zone = {
@@ -73,6 +76,8 @@
     chosen = ownership.owner(name, zone)
     if chosen is None or chosen == own.id:
         return None
+    if runtime.clock() < runtime.steps.unfit_until.get(chosen, 0.0):
+        return None
     return zone[chosen]
 
 
@@ -170,11 +175,11 @@
 ) -> result.Result[steps.PullAnswer | None, codes.Refusal] | None:
     """Return the owner's reply; None when it gave none or is not fit."""
     found = await runtime.peers.request(owner, msg, timeout)
-    if isinstance(found, result.Err):
-        return None
-    reply = found.ok_value
+    reply = found.ok_value if isinstance(found, result.Ok) else None
     code = _BY_NUMBER.get(getattr(reply, "code", 0))
-    if code is None or code in _OWNER_UNFIT:
+    if reply is None or code is None or code in _OWNER_UNFIT:
+        until = runtime.clock() + UNFIT_SECONDS
+        runtime.steps.unfit_until[owner.id] = until
         return None
     if code is not codes.Code.OK:
         return result.Err(codes.Refusal(code, reply.message))
--- a/src/hibiscussaddle/step_table.py
+++ b/src/hibiscussaddle/step_table.py
@@ -261,6 +261,8 @@
         self.runs: dict[steps.StepKey, StepRun] = {}
         self.budget = groups.ExtraBudget()
         self.engines: dict[str, EngineVersion] = {}
+        # Peers that gave no answer as owners, until a time.
+        self.unfit_until: dict[str, float] = {}
         self.wake = anyio.Event()
         self._newest: dict[str, versions.NewestVersion] = {}
         self._max_steps = max_steps
@@ -343,6 +345,9 @@
         for run in list(self.runs.values()):
             if now - run.touched_at > self._idle_seconds:
                 self.remove(run)
+        for peer, until in list(self.unfit_until.items()):
+            if now >= until:
+                del self.unfit_until[peer]
         if self.is_full():
             # Trainers that pull go before steps that nobody pulls now.
             self._make_room(1, now)
--- a/tests/histories/__main__.py
+++ b/tests/histories/__main__.py
@@ -29,6 +29,7 @@
         for text in outcome.violations[:10]:
             names = ",".join(history.faults)
             sys.stdout.write(f"seed={seed} faults={names} {text}\n")
+            sys.stdout.flush()
     sys.stdout.write(
         " ".join(f"{name}={value}" for name, value in totals.items()) + "\n"
     )
