Let long work use only demand that every peer has heard of

Cause: in a burst eight instances took 55 of 48 slots for long work, as each computed its share from its own new demand and the peers' old one; short work waited behind it for seconds (seen by sampling the engines each second). Pool moves from dispatcher.py to pools.py.

--- a/src/hibiscussaddle/dispatcher.py
+++ b/src/hibiscussaddle/dispatcher.py
@@ -1,10 +1,8 @@
 """Admit work, queue it and place it on endpoints."""
 
-import collections
 from collections import abc
 import contextlib
 import dataclasses
-import math
 import random
 import typing
 
@@ -20,23 +18,18 @@
 from hibiscussaddle.policy import routing
 from hibiscussaddle.policy import shares
 from hibiscussaddle.policy import slowness
+from hibiscussaddle import pools
 
 Placed: typing.TypeAlias = result.Result[
     placement_lib.Placement, codes.Refusal
 ]
 
-# An allocation is computed again after the first time, or after the second
-# when it would refuse a slot.
-ALLOCATION_SECONDS: typing.Final = 0.25
-REFUSED_ALLOCATION_SECONDS: typing.Final = 0.02
 # Work that waits is looked at again after this time, in case the room was
 # made by another instance.
 TICK_SECONDS: typing.Final = 0.05
 # Work is refused when the expected wait exceeds this part of the allowed
 # one: a shorter queue carries the same load, and drains sooner afterwards.
 REFUSE_PART: typing.Final = 0.5
-# Slots are kept for short work this long after some arrived.
-SHORT_MEMORY_SECONDS: typing.Final = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,29 +52,6 @@
     min_stall_seconds: float = 0.1
 
 
-@dataclasses.dataclass(eq=False)
-class _Waiter:
-    work: placement_lib.Work
-    entry: queueing.Entry
-    done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
-    placed: placement_lib.Placement | None = None
-
-
-@dataclasses.dataclass
-class _Pool:
-    is_engine: bool
-    target: str
-    queue: queueing.Queue
-    waiters: dict[int, _Waiter] = dataclasses.field(default_factory=dict)
-    running: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    peers: dict[str, shares.Demand] = dataclasses.field(default_factory=dict)
-    allocation: dict[str, float] = dataclasses.field(default_factory=dict)
-    allocated_at: float = -1.0
-    short_seen_at: float = -math.inf
-
-
 class Dispatcher:
     """Decide where and when the work of one instance runs."""
 
@@ -112,7 +82,7 @@
         self._contracts = contracts
         self._rng = rng
         self._options = options or Options()
-        self._pools: dict[tuple[bool, str], _Pool] = {}
+        self._pools: dict[tuple[bool, str], pools.Pool] = {}
         self._breakers: dict[str, retries.Breaker] = {}
         # Revision of the directory that the detector follows.
         self._known = -1
@@ -151,13 +121,27 @@
         for pool in self._pools.values():
             self._pump(pool)
 
-    def demands(self) -> dict[str, dict[str, int]]:
-        """Return the slots that could be used, by model and customer."""
-        found: dict[str, dict[str, int]] = {}
+    def tell_demands(self) -> dict[str, dict[str, float]]:
+        """Return the slots that could be used, by model and customer.
+
+        What is returned must be told to the peers: they count on it.
+        """
+        now = self.clock()
         for pool in self._pools.values():
-            if pool.is_engine:
-                found[pool.target] = self._own_demand(pool)
-        return found
+            pool.tell(now)
+        return self.told_demands()
+
+    def told_demands(self) -> dict[str, dict[str, float]]:
+        """Return what tell_demands returned last."""
+        return {
+            pool.target: dict(pool.told.slots)
+            for pool in self._pools.values()
+            if pool.is_engine and pool.told is not None
+        }
+
+    def want(self, model: str, customer: str, count: int) -> None:
+        """Tell how much work waits outside of the queue, as samples do."""
+        self._get_pool(True, model).wanted[customer] = count
 
     def hear_demand(
         self, instance: str, model: str, demand: shares.Demand
@@ -178,18 +162,19 @@
         opts = self._options
         return max(opts.min_stall_seconds, opts.stall_factor * seconds)
 
-    def _pool(self, work: placement_lib.Work) -> _Pool:
+    def _pool(self, work: placement_lib.Work) -> pools.Pool:
         is_engine = work.kind is not placement_lib.WorkKind.SERVICE
         return self._get_pool(is_engine, work.target)
 
-    def _get_pool(self, is_engine: bool, target: str) -> _Pool:
+    def _get_pool(self, is_engine: bool, target: str) -> pools.Pool:
         key = (is_engine, target)
         if key not in self._pools:
-            queue = queueing.Queue(self._options.max_queued)
-            self._pools[key] = _Pool(is_engine, target, queue)
+            self._pools[key] = pools.Pool(
+                self._instance, is_engine, target, self._options.max_queued
+            )
         return self._pools[key]
 
-    def _endpoints(self, pool: _Pool) -> tuple[endpoints.Endpoint, ...]:
+    def _endpoints(self, pool: pools.Pool) -> tuple[endpoints.Endpoint, ...]:
         if self._directory.revision != self._known:
             self._known = self._directory.revision
             known = self._directory.all()
@@ -227,8 +212,7 @@
         if work.is_first:
             self.budget.earn_request()
         entry = self._entry(work)
-        if entry.work_class is queueing.WorkClass.SHORT:
-            pool.short_seen_at = entry.enqueued_at
+        pool.note_arrival(entry)
         wait = pool.queue.predict_wait(entry.customer, entry.work_class)
         allowed = entry.start_by - entry.enqueued_at
         if wait > REFUSE_PART * allowed:
@@ -237,7 +221,7 @@
                 f"expected wait of {wait:.1f} s exceeds the allowed wait",
                 wait,
             )
-        waiter = _Waiter(work, entry)
+        waiter = pools.Waiter(work, entry)
         pool.waiters[id(entry)] = waiter
         shed = pool.queue.push(entry)
         if shed is not None:
@@ -263,7 +247,7 @@
             1.0,
         )
 
-    def _pump(self, pool: _Pool) -> None:
+    def _pump(self, pool: pools.Pool) -> None:
         blocked: set[tuple[str, queueing.WorkClass]] = set()
         while True:
             heads = pool.queue.heads()
@@ -286,14 +270,19 @@
 
     def _choose(
         self,
-        pool: _Pool,
+        pool: pools.Pool,
         work: placement_lib.Work,
         entry: queueing.Entry,
     ) -> endpoints.Endpoint | None:
         found = self._endpoints(pool)
-        if pool.is_engine and not self._within_share(pool, entry, found):
-            return None
         now = self.clock()
+        if pool.is_engine and not pool.is_within_share(
+            entry,
+            float(sum(ep.slots for ep in found)),
+            self._guarantees,
+            now,
+        ):
+            return None
         candidates = [self._candidate(ep, work, now) for ep in found]
         wish = routing.Wish(
             zone=self._zone,
@@ -305,15 +294,15 @@
         chosen = routing.choose(candidates, wish, self._rng)
         return None if chosen is None else self._directory.get(chosen.id)
 
-    def _room(self, pool: _Pool, entry: queueing.Entry) -> float | None:
+    def _room(self, pool: pools.Pool, entry: queueing.Entry) -> float | None:
         # Reports of busy engines must not starve a customer: one request
         # of each is always sent.
         if not pool.is_engine or pool.running[entry.customer] == 0:
             return None
         room = self._options.room[entry.work_class]
-        if self.clock() > pool.short_seen_at + SHORT_MEMORY_SECONDS:
-            return max(1.0, room)
-        return room
+        if pool.has_short_work(self.clock()):
+            return room
+        return max(1.0, room)
 
     def _candidate(
         self, ep: endpoints.Endpoint, work: placement_lib.Work, now: float
@@ -334,66 +323,30 @@
             has_prefix=self.prefixes.has(ep.id, work.prefix),
         )
 
-    def _own_demand(self, pool: _Pool) -> dict[str, int]:
-        demand = pool.queue.demand()
-        for customer, count in pool.running.items():
-            if count > 0:
-                demand[customer] = demand.get(customer, 0) + count
-        return demand
-
-    def _within_share(
-        self,
-        pool: _Pool,
-        entry: queueing.Entry,
-        found: abc.Sequence[endpoints.Endpoint],
-    ) -> bool:
-        now = self.clock()
-        customer = entry.customer
-        running = pool.running[customer]
-        age = now - pool.allocated_at
-        within = running < pool.allocation.get(customer, 0.0)
-        known = customer in pool.allocation
-        if age < (
-            ALLOCATION_SECONDS if within else REFUSED_ALLOCATION_SECONDS
-        ):
-            if known:
-                return within
-        own = collections.Counter(self._own_demand(pool))
-        # Work that is placed without queueing demands a slot too.
-        own[customer] = max(own[customer], running + 1)
-        horizon = now - shares.MAX_AGE_SECONDS
-        demands = {
-            name: demand
-            for name, demand in pool.peers.items()
-            if demand.taken_at >= horizon
-        }
-        demands[self._instance] = shares.Demand(now, own)
-        guarantees = {
+    def _guarantees(self) -> dict[str, float]:
+        return {
             record.contract.customer: record.contract.share
             for record in self._contracts.all()
         }
-        capacity = float(sum(ep.slots for ep in found))
-        pool.allocation = shares.own_allocation(
-            capacity, guarantees, demands, self._instance
-        )
-        pool.allocated_at = now
-        return running < pool.allocation.get(customer, 0.0)
 
     def _start(
         self,
-        pool: _Pool,
+        pool: pools.Pool,
         work: placement_lib.Work,
         entry: queueing.Entry,
         endpoint: endpoints.Endpoint,
     ) -> placement_lib.Placement:
         now = self.clock()
         self.book.start(endpoint.id, now)
-        pool.running[entry.customer] += 1
+        pool.start(entry, now)
+        is_short = entry.work_class is queueing.WorkClass.SHORT
         self._breakers.setdefault(endpoint.id, retries.Breaker()).sent(now)
         if work.prefix:
             self.prefixes.touch(endpoint.id, work.prefix)
         priority = queueing.engine_priority(entry.work_class, entry.priority)
-        return placement_lib.Placement(self, work, endpoint, priority, now)
+        return placement_lib.Placement(
+            self, work, endpoint, priority, now, is_short
+        )
 
     def release(self, placed: placement_lib.Placement) -> None:
         """Give the endpoint back and learn from the outcome."""
@@ -401,7 +354,7 @@
         work, endpoint = placed.work, placed.endpoint
         pool = self._pool(work)
         self.book.finish(endpoint.id, now)
-        pool.running[work.contract.customer] -= 1
+        pool.end(work.contract.customer, placed.is_short, now)
         breaker = self._breakers[endpoint.id]
         if placed.succeeded:
             breaker.succeeded()
--- a/src/hibiscussaddle/placement.py
+++ b/src/hibiscussaddle/placement.py
@@ -67,12 +67,14 @@
         endpoint: endpoints.Endpoint,
         engine_priority: int,
         now: float,
+        is_short: bool,
     ) -> None:
         """Start when the work is sent."""
         self._owner = owner
         self.work = work
         self.endpoint = endpoint
         self.engine_priority = engine_priority
+        self.is_short = is_short
         self.started_at = now
         self.tokens = 0
         self.chunk_tokens = 0
--- a/src/hibiscussaddle/policy/shares.py
+++ b/src/hibiscussaddle/policy/shares.py
@@ -13,7 +13,7 @@
 class Demand:
     """Hold the slots that one instance could use, by customer.
 
-    The summary of another zone is a demand of several instances.
+    The summary of another zone has the same form.
     """
 
     taken_at: float
@@ -82,15 +82,27 @@
     return {name: first[name] + lent[name] for name in first}
 
 
-def own_allocation(
+@dataclasses.dataclass(frozen=True)
+class OwnShare:
+    """Hold the slots that one instance may use."""
+
+    slots: abc.Mapping[str, float]
+    # Part of the slots that no one demanded; all customers share it.
+    spare: float
+
+
+def own_share(
     capacity: float,
     guarantees: abc.Mapping[str, float],
     demands: abc.Mapping[str, Demand],
     instance: str,
-) -> dict[str, float]:
-    """Return the slots of each customer on one instance.
+) -> OwnShare:
+    """Return the share of one instance.
 
-    A customer's slots are filled over the instances by their demand.
+    A customer's slots are split over its instances in proportion to their
+    demand, so that their backlogs end at the same time. The shares of all
+    instances that hold the same facts sum up to the capacity, so that work
+    beyond the told demand can start without exceeding it.
     """
     totals: dict[str, float] = {}
     for name in sorted(demands):
@@ -99,10 +111,9 @@
     allocation = allocate(capacity, guarantees, totals)
     own: dict[str, float] = {}
     for customer, slots in allocation.items():
-        by_instance = {
-            name: demands[name].slots.get(customer, 0.0) for name in demands
-        }
-        weights = {name: float(demands[name].instances) for name in demands}
-        filled = fill(slots, by_instance, weights)
-        own[customer] = filled.get(instance, 0.0)
-    return own
+        mine = max(0.0, demands[instance].slots.get(customer, 0.0))
+        total = totals[customer]
+        own[customer] = slots * mine / total if total > 0 else 0.0
+    count = sum(demand.instances for demand in demands.values())
+    left = max(0.0, capacity - sum(allocation.values()))
+    return OwnShare(own, left / count)
