--- a/src/hibiscussaddle/cli.py
+++ b/src/hibiscussaddle/cli.py
@@ -10,7 +10,10 @@
 from hibiscussaddle import codes as result_codes
 from hibiscussaddle.commands import console
 from hibiscussaddle.commands import contract
+from hibiscussaddle.commands import endpoint
+from hibiscussaddle.commands import instance
 from hibiscussaddle.commands import step
+from hibiscussaddle.commands import weights
 from hibiscussaddle import entry as entry_lib
 from hibiscussaddle import logs
 from hibiscussaddle import settings as settings_lib
@@ -22,6 +25,9 @@
     def __init__(self) -> None:
         """Group the operators' commands."""
         self.contract = contract.ContractCommands()
+        self.weights = weights.WeightCommands()
+        self.endpoint = endpoint.EndpointCommands()
+        self.instance = instance.InstanceCommands()
         self.step = step.StepCommands()
 
     def entry(self, **flags: object) -> None:
--- a/src/hibiscussaddle/runtime.py
+++ b/src/hibiscussaddle/runtime.py
@@ -8,11 +8,13 @@
 
 from hibiscussaddle.adapters import peers as peers_lib
 from hibiscussaddle.adapters import store as store_lib
+from hibiscussaddle import callers as callers_lib
 from hibiscussaddle import contract_cache
 from hibiscussaddle import dispatcher
 from hibiscussaddle import endpoints
 from hibiscussaddle import lifecycle
 from hibiscussaddle import members as members_lib
+from hibiscussaddle.policy import membership
 from hibiscussaddle.policy import tickets
 from hibiscussaddle import settings
 from hibiscussaddle import shared_facts
@@ -38,5 +40,9 @@
     steps: step_table.StepTable
     peers: peers_lib.PeerTransport
     members: members_lib.Members
+    detector: membership.Detector
     facts: shared_facts.SharedFacts
     store: store_lib.StoreClient | None = None
+    callers: callers_lib.CallerState = dataclasses.field(
+        default_factory=callers_lib.CallerState
+    )
