Settle the told demand for lengthy work only

Cause: waiting three tellings made trainers idle and slowed the recovery. Change: only work expected above 512 tokens waits for its demand to be heard.

--- a/src/hibiscussaddle/pools.py
+++ b/src/hibiscussaddle/pools.py
@@ -14,10 +14,14 @@
 
 # A share is computed again after this time.
 SHARE_SECONDS: typing.Final = 0.02
-# An increase of the told demand is used for long work after this many
+# An increase of the told demand is used for lengthy work after this many
 # tellings: the facts reach the other zones in two steps. With one telling
 # eight instances took 55 of 48 slots in a burst.
 SETTLED_TELLINGS: typing.Final = 3
+# Work above this expected length counts as lengthy. Shorter work ends
+# before an overcommitment by it matters, and waiting for the tellings
+# costs trainers more.
+LENGTHY_TOKENS: typing.Final = 512.0
 # Slots are kept for short work this long after some arrived, and the
 # demand of short work decays at this pace after a peak.
 SHORT_MEMORY_SECONDS: typing.Final = 5.0
@@ -76,7 +80,7 @@
         self._history: collections.deque[abc.Mapping[str, float]] = (
             collections.deque(maxlen=SETTLED_TELLINGS)
         )
-        # Time and result of the last computation, for short work or not.
+        # Time and result of the last computation, for lengthy work or not.
         self._shares: dict[bool, tuple[float, shares.OwnShare]] = {}
 
     def start(self, entry: queueing.Entry, now: float) -> None:
@@ -140,24 +144,24 @@
     ) -> bool:
         """Tell whether the customer may use one more slot here.
 
-        Long work counts with the demand that the peers know and with a
+        Lengthy work counts with the demand that the peers know and with a
         part of the spare slots: slots that several instances take at once
-        would stay overcommitted for as long as the work is. Short work
+        would stay overcommitted for as long as the work is. Other work
         counts with the demand of this moment.
         """
         customer = entry.customer
         running = self.running[customer]
-        is_short = entry.work_class is queueing.WorkClass.SHORT
-        known = self._shares.get(is_short)
+        is_lengthy = entry.expected_tokens > LENGTHY_TOKENS
+        known = self._shares.get(is_lengthy)
         if known is None or now >= known[0] + SHARE_SECONDS:
-            if self.told is not None and not is_short:
+            if self.told is not None and is_lengthy:
                 own = self._settled(self.told)
             else:
                 slots = self.demand(now)
                 slots[customer] = max(slots.get(customer, 0), running + 1)
                 own = shares.Demand(now, slots)
             share = self._share(own, capacity, guarantees(), now)
-            self._shares[is_short] = known = (now, share)
+            self._shares[is_lengthy] = known = (now, share)
         share = known[1]
         if running == 0 or running + 0.5 < share.slots.get(customer, 0.0):
             return True
