--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -8,19 +8,22 @@
 import httpx
 import pytest
 
+import ports
 import processes
 
 pytestmark = pytest.mark.process
 
 ENTRIES = 3
-SERVICE = "http://127.0.0.1:24111"
+# Port of the service, from the base of its fleet.
+SERVICE_OFFSET = 11
 
 
 @pytest.fixture(name="fleet")
 def create_fleet(tmp_path: pathlib.Path) -> abc.Iterator[processes.Fleet]:
     """Run three instances and a service."""
-    with processes.run_fleet(tmp_path, 24100) as fleet:
-        fleet.start_service(24111)
+    first = ports.take_range(processes.PORTS)
+    with processes.run_fleet(tmp_path, first) as fleet:
+        fleet.start_service(first + SERVICE_OFFSET)
         for number in range(1, ENTRIES + 1):
             fleet.start_entry(number)
         fleet.accept_contract(1)
@@ -59,7 +62,8 @@
 
 def _runs(fleet: processes.Fleet) -> dict[str, int]:
     runs: dict[str, int] = {}
-    for item in fleet.client.get(SERVICE + "/v1/record").json():
+    url = f"http://127.0.0.1:{fleet.base + SERVICE_OFFSET}/v1/record"
+    for item in fleet.client.get(url).json():
         runs[item["key"]] = runs.get(item["key"], 0) + 1
     return runs
 
