Leave room for ports in TIME_WAIT

A fixture that asked for 150 consecutive ports of 400 waited up to 59 s for the connections of the one before it. It now asks for 60 of 1,000.

--- a/tests/ports.py
+++ b/tests/ports.py
@@ -5,8 +5,8 @@
 import socket
 
 _FIRST_PORT = 10_000
-_BLOCK = 400
-_BLOCKS = 50
+_BLOCK = 1000
+_BLOCKS = 20
 
 
 @functools.cache
@@ -50,7 +50,8 @@
 
 
 def _is_free(port: int) -> bool:
-    # Without SO_REUSEADDR, as nng binds the ports it is given.
+    # Without SO_REUSEADDR, as nng binds the ports it is given; so a port
+    # stays taken for the minute in which its connections are in TIME_WAIT.
     with socket.socket() as probe:
         try:
             probe.bind(("127.0.0.1", port))
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -17,7 +17,7 @@
 
 START_SECONDS: typing.Final = 20.0
 # Ports from its base up that a fleet uses.
-PORTS: typing.Final = 150
+PORTS: typing.Final = 60
 OPERATOR: typing.Final = {"authorization": f"Bearer {builders.SECRET}"}
 CALLER: typing.Final = {"authorization": f"Bearer {builders.CUSTOMER_KEY}"}
 _SOURCES: typing.Final = pathlib.Path(__file__).parent.parent / "src"
@@ -104,9 +104,9 @@
         )
 
     def start_entry(self, number: int, *more: str) -> Process:
-        """Start an instance; its caller port is base + 100 + 10 x number."""
-        port = self.base + 100 + 10 * number
-        peer = f"127.0.0.1:{self.base + 100 + 10 + 2}"
+        """Start an instance; its caller port is base + 20 + 10 x number."""
+        port = self.base + 20 + 10 * number
+        peer = f"127.0.0.1:{self.base + 20 + 10 + 2}"
         return self.start(
             "entry",
             f"--instance=entry-{number}",
@@ -122,7 +122,7 @@
 
     def url(self, number: int) -> str:
         """Return the address of an instance for callers."""
-        return f"http://127.0.0.1:{self.base + 100 + 10 * number}"
+        return f"http://127.0.0.1:{self.base + 20 + 10 * number}"
 
     def accept_contract(self, number: int) -> None:
         """Put the tests' contract in force through an instance."""
@@ -132,7 +132,7 @@
             "who": "test",
             "reason": "test",
         }
-        port = self.base + 100 + 10 * number + 1
+        port = self.base + 20 + 10 * number + 1
         url = f"http://127.0.0.1:{port}/v1/contracts/cereza"
         self.until(
             lambda: (
