Limit the bytes that repairs of facts cost an instance

Cause: after a simulated partition of 128 members healed, one instance sent 144 KB in a second; only a single exchange had a limit. Change: a budget of 16 KiB/s with a burst of 32 KiB for each instance.

--- a/src/hibiscussaddle/controllers/membership.py
+++ b/src/hibiscussaddle/controllers/membership.py
@@ -63,7 +63,7 @@
     runtime: runtime_lib.Runtime, _: peers.Sender, msg: gossip.Sync
 ) -> gossip.News:
     """Repair differing facts."""
-    return _gossip(runtime).answer_sync(msg)
+    return _gossip(runtime).answer_sync(msg, runtime.clock())
 
 
 @peers.handles(gossip.News)
@@ -280,7 +280,7 @@
             why=answer.err_value.kind.value,
         )
         return False
-    repair = speaker.repair(answer.ok_value.message)
+    repair = speaker.repair(answer.ok_value.message, runtime.clock())
     if repair is not None:
         found = await runtime.peers.ask(
             address, repair, PROBE_TIMEOUT_SECONDS, to
--- a/src/hibiscussaddle/gossip.py
+++ b/src/hibiscussaddle/gossip.py
@@ -110,7 +110,7 @@
         extra = () if own is None else (own,)
         return Ack((*extra, *batch), digests)
 
-    def repair(self, ack: Ack) -> Sync | None:
+    def repair(self, ack: Ack, now: float) -> Sync | None:
         """Take in an answer; return what repairs the difference."""
         self._shared.receive(ack.facts)
         table = self._shared.table
@@ -119,13 +119,14 @@
             for scope, digest in ack.digests.items()
         }
         found = {scope: self._turn(b) for scope, b in found.items() if b}
-        if not found:
+        if not found or self._shared.repairs.room(now) < REPAIR_BYTES:
             return None
         return Sync(self._batch(found), found)
 
-    def answer_sync(self, msg: Sync) -> News:
+    def answer_sync(self, msg: Sync, now: float) -> News:
         """Return our facts of the buckets, and take in the sender's."""
-        batch = self._batch(msg.buckets)
+        has_room = self._shared.repairs.room(now) >= REPAIR_BYTES
+        batch = self._batch(msg.buckets) if has_room else ()
         self._shared.receive(msg.facts)
         return News(batch)
 
@@ -141,7 +142,7 @@
 
     def _batch(self, buckets: Buckets) -> tuple[facts_policy.Fact, ...]:
         table = self._shared.table
-        return facts_policy.take_batch(
+        batch = facts_policy.take_batch(
             (
                 fact
                 for scope, numbers in buckets.items()
@@ -149,3 +150,6 @@
             ),
             REPAIR_BYTES,
         )
+        size = sum(facts_policy.encoded_size(fact) for fact in batch)
+        self._shared.repairs.spend(size)
+        return batch
--- a/src/hibiscussaddle/policy/facts.py
+++ b/src/hibiscussaddle/policy/facts.py
@@ -232,3 +232,25 @@
             else:
                 del self._left[fact.id]
         return tuple(found)
+
+
+class ByteBudget:
+    """Limit the bytes of repairs that an instance sends; a token bucket."""
+
+    def __init__(self, rate: float, burst: float) -> None:
+        """Start full; the rate is in bytes a second."""
+        self._rate = rate
+        self._burst = burst
+        self._left = burst
+        self._at = 0.0
+
+    def room(self, now: float) -> int:
+        """Return the bytes that may be sent now."""
+        refill = max(0.0, now - self._at) * self._rate
+        self._left = min(self._burst, self._left + refill)
+        self._at = now
+        return max(0, int(self._left))
+
+    def spend(self, size: int) -> None:
+        """Note bytes that are sent."""
+        self._left -= size
--- a/src/hibiscussaddle/shared_facts.py
+++ b/src/hibiscussaddle/shared_facts.py
@@ -13,6 +13,11 @@
 
 _LOG = logging.getLogger(__name__)
 
+# After a partition of 128 members healed, one node sent 144 KB in a second
+# without a limit.
+REPAIR_BYTES_PER_SECOND: typing.Final = 16 * 1024
+REPAIR_BURST_BYTES: typing.Final = 32 * 1024
+
 Applier: typing.TypeAlias = abc.Callable[
     ["runtime_lib.Runtime", facts_policy.Fact], None
 ]
@@ -37,6 +42,9 @@
         """Start empty."""
         self.table = facts_policy.FactTable()
         self.queue = facts_policy.SpreadQueue()
+        self.repairs = facts_policy.ByteBudget(
+            REPAIR_BYTES_PER_SECOND, REPAIR_BURST_BYTES
+        )
         self.changed = anyio.Event()
         self._outbox: dict[facts_policy.Key, facts_policy.Fact] = {}
         self._runtime: runtime_lib.Runtime | None = None
