Survive malformed answers of the store and malformed fences

Cause: an answer that is not JSON, a fence key with a wrong type or an engine fact of another release raised an exception that ended a controller and with it the instance. Change: such a store answer counts as unknown, such a fence is never claimed over, such a fact is ignored.

--- a/src/hibiscussaddle/adapters/store.py
+++ b/src/hibiscussaddle/adapters/store.py
@@ -221,7 +221,11 @@
             return result.Err(StoreError(StoreFailure.DOWN))
         except httpx.HTTPError:
             return result.Err(StoreError(StoreFailure.UNKNOWN))
-        answer = _to_answer(resp)
+        try:
+            answer = _to_answer(resp)
+        except (ValueError, KeyError, TypeError):
+            # Something between the store and this instance answered.
+            return result.Err(StoreError(StoreFailure.UNKNOWN))
         if not resp.is_server_error:
             self.answered_at = time.monotonic()
         return answer
@@ -237,7 +241,10 @@
         return result.Err(StoreError(StoreFailure.DOWN))
     if resp.is_error:
         return result.Err(StoreError(StoreFailure.UNKNOWN))
-    return result.Ok(resp.json())
+    body = resp.json()
+    if not isinstance(body, dict):
+        raise TypeError(type(body).__name__)
+    return result.Ok(body)
 
 
 def _to_entry(item: dict[str, typing.Any]) -> StoreEntry:
--- a/src/hibiscussaddle/engine_versions.py
+++ b/src/hibiscussaddle/engine_versions.py
@@ -38,7 +38,7 @@
 def newest(runtime: runtime_lib.Runtime, model: str) -> int:
     """Return the newest known version of a model; 0 without one."""
     fact = runtime.facts.get(VERSION_KIND, model)
-    return int(fact.value) if fact is not None else 0
+    return fact.version if fact is not None else 0
 
 
 def publish_engine(
@@ -66,7 +66,11 @@
     fact = runtime.facts.get(ENGINE_KIND, endpoint_id)
     if fact is None:
         return None
-    return msgspec.convert(fact.value, EngineFact)
+    try:
+        return msgspec.convert(fact.value, EngineFact)
+    except msgspec.ValidationError:
+        # From an instance of another release.
+        return None
 
 
 @shared_facts.applies(VERSION_KIND)
--- a/src/hibiscussaddle/weight_lease.py
+++ b/src/hibiscussaddle/weight_lease.py
@@ -118,7 +118,14 @@
             return lease.Reply(lease.Outcome.OK)
         return _failed(found.err_value)
     entry = found.ok_value
-    fence = msgspec.convert(entry.value, lease.Fence)
+    try:
+        fence = msgspec.convert(entry.value, lease.Fence)
+    except msgspec.ValidationError as exc:
+        # Claiming over a value that cannot be read could break fencing.
+        logs.event(
+            _LOG, "lease_malformed", logging.ERROR, key=entry.key, why=exc
+        )
+        return lease.Reply(lease.Outcome.FAILED)
     return lease.Reply(
         lease.Outcome.OK,
         revision=entry.revision,
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -10,6 +10,7 @@
 from hibiscussaddle.adapters import store
 from hibiscussaddle.adapters import store_watch
 from hibiscussaddle.standins import store as fake_store
+from hibiscussaddle import weight_lease
 import loopback
 
 
@@ -108,3 +109,44 @@
 
     anyio.run(main)
     assert fake.calls == {"read": 2}
+
+
+def test_malformed_answers_are_unknown() -> None:
+    """Fails when an answer that is not the store's ends a controller."""
+    bodies = ["<html>", "[]", '{"revision": 1', "null"]
+
+    async def main() -> None:
+        for status in (200, 409):
+            for body in bodies:
+                transport = httpx.MockTransport(
+                    lambda _, s=status, b=body: httpx.Response(s, text=b)
+                )
+                async with httpx.AsyncClient(transport=transport) as http:
+                    client = store.StoreClient(http, "http://store")
+                    answer = await client.put("key", 1, 0)
+                    assert answer.err_value.failure is (
+                        store.StoreFailure.UNKNOWN
+                    )
+
+    anyio.run(main)
+
+
+def test_malformed_fence_is_never_claimed_over() -> None:
+    """Fails when a fence that cannot be read counts as absent."""
+    fake = fake_store.Store()
+    fake.put("fence/weights/zone-a", {"number": "seven"}, 0, None)
+
+    async def main() -> None:
+        async with (
+            loopback.serve(fake_store.create_app(fake)) as url,
+            httpx.AsyncClient(trust_env=False) as http,
+        ):
+            client = store.StoreClient(http, url, calls_per_second=1000)
+            lease = weight_lease.WeightLease(client, "zone-a", "name")
+            with anyio.move_on_after(1):
+                await lease.run()
+            assert lease.fencing_number(guarded=True) is None
+
+    anyio.run(main)
+    assert fake.entries["fence/weights/zone-a"].value == {"number": "seven"}
+    assert "lease/weights/zone-a" in fake.entries
