Take free ports in the tests of real processes

Cause: two runs of the tests on one machine took the same fixed ports, and the set-up failed with 'Address already in use'.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -14,6 +14,7 @@
 import httpx
 
 import builders
+import loopback
 
 START_SECONDS: typing.Final = 20.0
 OPERATOR: typing.Final = {"authorization": f"Bearer {builders.SECRET}"}
@@ -58,19 +59,28 @@
 
 
 class Fleet:
-    """Hold stand-ins and instances on ports from a base up."""
+    """Hold stand-ins and instances on free ports."""
 
-    def __init__(self, folder: pathlib.Path, base: int) -> None:
+    def __init__(self, folder: pathlib.Path) -> None:
         """Start the store and the platform's list."""
         self.folder = folder
-        self.base = base
-        self.store = f"http://127.0.0.1:{base}"
-        self.platform = f"http://127.0.0.1:{base + 1}"
+        self._ports: dict[str, int] = {}
+        self.store = f"http://127.0.0.1:{self.port('store')}"
+        self.platform = f"http://127.0.0.1:{self.port('platform')}"
         self.processes: list[Process] = []
-        self.start("standin", "store", "--port", str(base))
-        self.start("standin", "platform", "--port", str(base + 1))
+        for name in ("store", "platform"):
+            self.start("standin", name, f"--port={self.port(name)}")
         self.client = httpx.Client(timeout=30.0, trust_env=False)
 
+    def port(self, name: str) -> int:
+        """Return the port of a name; other runs of the tests have others."""
+        while name not in self._ports:
+            with loopback.listen() as sock:
+                port = sock.getsockname()[1]
+            if port not in self._ports.values():
+                self._ports[name] = port
+        return self._ports[name]
+
     def start(self, *args: str) -> Process:
         """Start a command of the service."""
         log = self.folder / f"{len(self.processes)}-{'-'.join(args[:2])}.log"
@@ -78,8 +88,9 @@
         self.processes.append(process)
         return process
 
-    def start_engine(self, port: int, **options: object) -> Process:
+    def start_engine(self, **options: object) -> Process:
         """Start a fake engine."""
+        port = self.port("engine")
         more = [f"--{name}={value}" for name, value in options.items()]
         return self.start(
             "standin",
@@ -90,8 +101,9 @@
             *more,
         )
 
-    def start_service(self, port: int) -> Process:
+    def start_service(self) -> Process:
         """Start a fake booking service."""
+        port = self.port("service")
         return self.start(
             "standin",
             "service",
@@ -102,16 +114,15 @@
         )
 
     def start_entry(self, number: int, *more: str) -> Process:
-        """Start an instance; its caller port is base + 100 + 10 x number."""
-        port = self.base + 100 + 10 * number
-        peer = f"127.0.0.1:{self.base + 100 + 10 + 2}"
+        """Start an instance; the first one is the peer to join by."""
+        peer = f"127.0.0.1:{self.port('peers-1')}"
         return self.start(
             "entry",
             f"--instance=entry-{number}",
             "--zone=zone-a",
-            f"--caller_port={port}",
-            f"--operator_port={port + 1}",
-            f"--peer_port={port + 2}",
+            f"--caller_port={self.port(f'callers-{number}')}",
+            f"--operator_port={self.port(f'operators-{number}')}",
+            f"--peer_port={self.port(f'peers-{number}')}",
             f"--peers={peer}",
             f"--store_url={self.store}",
             f"--platform_url={self.platform}",
@@ -120,7 +131,7 @@
 
     def url(self, number: int) -> str:
         """Return the address of an instance for callers."""
-        return f"http://127.0.0.1:{self.base + 100 + 10 * number}"
+        return f"http://127.0.0.1:{self.port(f'callers-{number}')}"
 
     def accept_contract(self, number: int) -> None:
         """Put the tests' contract in force through an instance."""
@@ -130,7 +141,7 @@
             "who": "test",
             "reason": "test",
         }
-        port = self.base + 100 + 10 * number + 1
+        port = self.port(f"operators-{number}")
         url = f"http://127.0.0.1:{port}/v1/contracts/cereza"
         self.until(
             lambda: (
@@ -163,9 +174,9 @@
 
 
 @contextlib.contextmanager
-def run_fleet(folder: pathlib.Path, base: int) -> abc.Iterator[Fleet]:
+def run_fleet(folder: pathlib.Path) -> abc.Iterator[Fleet]:
     """Run processes until the block ends."""
-    fleet = Fleet(folder, base)
+    fleet = Fleet(folder)
     try:
         yield fleet
     finally:
--- a/tests/stack.py
+++ b/tests/stack.py
@@ -2,7 +2,6 @@
 
 from collections import abc
 import contextlib
-import itertools
 import json
 import typing
 
@@ -19,8 +18,8 @@
 from hibiscussaddle import serving
 from hibiscussaddle.standins import engine as engine_lib
 from hibiscussaddle.standins import service as service_lib
+import loopback
 
-_PORTS = itertools.cycle(range(24300, 24700))
 HEADERS = {"authorization": f"Bearer {builders.CUSTOMER_KEY}"}
 
 
@@ -49,11 +48,14 @@
         self.runtime: runtime_lib.Runtime
         self.caller: httpx.AsyncClient
 
-    async def serve(self, app: typing.Any) -> str:
+    async def serve(
+        self, app: typing.Any, cert: str = "", key: str = ""
+    ) -> str:
         """Serve an app and return its address once it answers."""
-        port = next(_PORTS)
+        with loopback.listen() as sock:
+            port = sock.getsockname()[1]
         server = serving.Server(app, "127.0.0.1", port, anyio.sleep_forever)
-        self._tasks.start_soon(server.serve)
+        self._tasks.start_soon(server.serve, cert, key)
         while True:
             try:
                 stream = await anyio.connect_tcp("127.0.0.1", port)
@@ -61,7 +63,7 @@
                 await anyio.sleep(0.01)
                 continue
             await stream.aclose()
-            return f"http://127.0.0.1:{port}"
+            return f"{'https' if cert else 'http'}://127.0.0.1:{port}"
 
     async def add_engine(self, **options: typing.Any) -> engine_lib.Engine:
         """Add a fake engine of model 'base'."""
--- a/tests/test_caller_port.py
+++ b/tests/test_caller_port.py
@@ -9,42 +9,27 @@
 import pytest
 
 from hibiscussaddle import caller_app
-from hibiscussaddle import serving
 import stack as stack_lib
 
 # Self-signed for 127.0.0.1; tests/data/server.key signs nothing else.
 DATA = pathlib.Path(__file__).parent / "data"
 CERT, KEY = DATA / "server.pem", DATA / "server.key"
-PORT = 24990
 
 
 def test_tls_serves_streams_and_refuses_plain_text() -> None:
     """Fails when the TLS settings are ignored or cut a stream."""
 
     async def main() -> None:
-        async with (
-            stack_lib.run(tls_cert=str(CERT), tls_key=str(KEY)) as stack,
-            anyio.create_task_group() as tasks,
-        ):
+        tls = {"tls_cert": str(CERT), "tls_key": str(KEY)}
+        async with stack_lib.run(**tls) as stack:
             await stack.add_engine()
             cfg = stack.runtime.cfg
             app = caller_app.create_app(stack.runtime)
-            server = serving.Server(
-                app, "127.0.0.1", PORT, anyio.sleep_forever
-            )
-            tasks.start_soon(server.serve, cfg.tls_cert, cfg.tls_key)
+            address = await stack.serve(app, cfg.tls_cert, cfg.tls_key)
             trusted = ssl.create_default_context(cafile=str(CERT))
             async with httpx.AsyncClient(
-                base_url=f"https://127.0.0.1:{PORT}",
-                verify=trusted,
-                trust_env=False,
+                base_url=address, verify=trusted, trust_env=False
             ) as client:
-                while True:
-                    try:
-                        await client.get("/healthz")
-                        break
-                    except httpx.ConnectError:
-                        await anyio.sleep(0.01)
                 stack.caller, plain = client, stack.caller
                 async with stack.generate(400) as resp:
                     text = (await resp.aread()).decode()
@@ -52,8 +37,7 @@
                 assert is_whole
                 assert sum(event["tokens"] for event in events) == 400
                 with pytest.raises(httpx.HTTPError):
-                    await plain.get(f"http://127.0.0.1:{PORT}/healthz")
-            tasks.cancel_scope.cancel()
+                    await plain.get(address.replace("https", "http", 1))
 
     anyio.run(main)
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -13,14 +13,13 @@
 pytestmark = pytest.mark.process
 
 ENTRIES = 3
-SERVICE = "http://127.0.0.1:24111"
 
 
 @pytest.fixture(name="fleet")
 def create_fleet(tmp_path: pathlib.Path) -> abc.Iterator[processes.Fleet]:
     """Run three instances and a service."""
-    with processes.run_fleet(tmp_path, 24100) as fleet:
-        fleet.start_service(24111)
+    with processes.run_fleet(tmp_path) as fleet:
+        fleet.start_service()
         for number in range(1, ENTRIES + 1):
             fleet.start_entry(number)
         fleet.accept_contract(1)
@@ -59,7 +58,8 @@
 
 def _runs(fleet: processes.Fleet) -> dict[str, int]:
     runs: dict[str, int] = {}
-    for item in fleet.client.get(SERVICE + "/v1/record").json():
+    url = f"http://127.0.0.1:{fleet.port('service')}/v1/record"
+    for item in fleet.client.get(url).json():
         runs[item["key"]] = runs.get(item["key"], 0) + 1
     return runs
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -20,9 +20,9 @@
 @pytest.fixture(name="fleet")
 def create_fleet(tmp_path: pathlib.Path) -> abc.Iterator[processes.Fleet]:
     """Run one instance, a slow engine and a service."""
-    with processes.run_fleet(tmp_path, 24000) as fleet:
-        fleet.start_engine(24010, token_seconds=0.002)
-        fleet.start_service(24011)
+    with processes.run_fleet(tmp_path) as fleet:
+        fleet.start_engine(token_seconds=0.002)
+        fleet.start_service()
         fleet.start_entry(1)
         fleet.accept_contract(1)
         fleet.until_ready(1)
@@ -72,7 +72,7 @@
 def test_stop_finishes_streams_and_bookings(fleet: processes.Fleet) -> None:
     """Fails when SIGTERM cuts a stream, loses a booking or takes work."""
     entry = fleet.processes[-1]
-    service = "http://127.0.0.1:24011"
+    service = f"http://127.0.0.1:{fleet.port('service')}"
     fleet.client.post(service + "/faults", json={"delay_seconds": 1.0})
     headers = dict(processes.CALLER)
     answer = fleet.client.post(fleet.url(1) + "/v1/tickets", headers=headers)
@@ -121,7 +121,8 @@
     """Fails when a first signal cuts or a second one never does."""
     entry = fleet.processes[-1]
     fleet.client.post(
-        "http://127.0.0.1:24010/behaviour", json={"slow_factor": 20.0}
+        f"http://127.0.0.1:{fleet.port('engine')}/behaviour",
+        json={"slow_factor": 20.0},
     )
     thread, out = _start_stream(fleet)
     entry.signal(signal.SIGTERM)
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -78,7 +78,7 @@
         async with stack_lib.run() as stack:
             services = [await stack.add_service() for _ in range(2)]
             kind = endpoints.EndpointKind.SERVICE
-            stack.list_endpoint("gone", kind, "http://127.0.0.1:24999")
+            stack.list_endpoint("gone", kind, "http://127.0.0.1:1")
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(_break, rng, services)
                 async with anyio.create_task_group() as callers:
