--- a/tests/processes.py
+++ b/tests/processes.py
@@ -14,7 +14,7 @@
 import httpx
 
 import builders
-import loopback
+import ports
 
 START_SECONDS: typing.Final = 20.0
 OPERATOR: typing.Final = {"authorization": f"Bearer {builders.SECRET}"}
@@ -74,11 +74,8 @@
 
     def port(self, name: str) -> int:
         """Return the port of a name; other runs of the tests have others."""
-        while name not in self._ports:
-            with loopback.listen() as sock:
-                port = sock.getsockname()[1]
-            if port not in self._ports.values():
-                self._ports[name] = port
+        if name not in self._ports:
+            self._ports[name] = ports.take(1)[0]
         return self._ports[name]
 
     def start(self, *args: str) -> Process:
--- a/tests/stack.py
+++ b/tests/stack.py
@@ -18,7 +18,7 @@
 from hibiscussaddle import serving
 from hibiscussaddle.standins import engine as engine_lib
 from hibiscussaddle.standins import service as service_lib
-import loopback
+import ports
 
 HEADERS = {"authorization": f"Bearer {builders.CUSTOMER_KEY}"}
 
@@ -52,8 +52,7 @@
         self, app: typing.Any, cert: str = "", key: str = ""
     ) -> str:
         """Serve an app and return its address once it answers."""
-        with loopback.listen() as sock:
-            port = sock.getsockname()[1]
+        port = ports.take(1)[0]
         server = serving.Server(app, "127.0.0.1", port, anyio.sleep_forever)
         self._tasks.start_soon(server.serve, cert, key)
         while True:
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -10,6 +10,7 @@
 from hibiscussaddle.policy import tickets
 from hibiscussaddle import service_runs
 from hibiscussaddle.standins import service as service_lib
+import ports
 import stack as stack_lib
 
 CALLS = 60
@@ -78,7 +79,8 @@
         async with stack_lib.run() as stack:
             services = [await stack.add_service() for _ in range(2)]
             kind = endpoints.EndpointKind.SERVICE
-            stack.list_endpoint("gone", kind, "http://127.0.0.1:1")
+            gone = f"http://127.0.0.1:{ports.take(1)[0]}"
+            stack.list_endpoint("gone", kind, gone)
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(_break, rng, services)
                 async with anyio.create_task_group() as callers:
