--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -8,30 +8,18 @@
 import httpx
 import pytest
 
-import ports
 import processes
 
 pytestmark = pytest.mark.process
 
 ENTRIES = 3
-<<<<<<< HEAD
-=======
-# Port of the service, from the base of its fleet.
-SERVICE_OFFSET = 11
->>>>>>> main
 
 
 @pytest.fixture(name="fleet")
 def create_fleet(tmp_path: pathlib.Path) -> abc.Iterator[processes.Fleet]:
     """Run three instances and a service."""
-<<<<<<< HEAD
     with processes.run_fleet(tmp_path) as fleet:
         fleet.start_service()
-=======
-    first = ports.take_range(processes.PORTS)
-    with processes.run_fleet(tmp_path, first) as fleet:
-        fleet.start_service(first + SERVICE_OFFSET)
->>>>>>> main
         for number in range(1, ENTRIES + 1):
             fleet.start_entry(number)
         fleet.accept_contract(1)
@@ -70,11 +58,7 @@
 
 def _runs(fleet: processes.Fleet) -> dict[str, int]:
     runs: dict[str, int] = {}
-<<<<<<< HEAD
     url = f"http://127.0.0.1:{fleet.port('service')}/v1/record"
-=======
-    url = f"http://127.0.0.1:{fleet.base + SERVICE_OFFSET}/v1/record"
->>>>>>> main
     for item in fleet.client.get(url).json():
         runs[item["key"]] = runs.get(item["key"], 0) + 1
     return runs
