--- a/bench/entry_cost.py
+++ b/bench/entry_cost.py
@@ -49,6 +49,11 @@
         self._sent = 0
         self._idle: list[anyio_abc.SocketStream] = []
 
+    async def drop_idle(self) -> None:
+        """Close the kept connections; servers close them after 75 s."""
+        while self._idle:
+            await self._idle.pop().aclose()
+
     async def send(
         self, body: dict[str, typing.Any], is_stream: bool
     ) -> float:
@@ -232,6 +237,7 @@
             f"direct_per_s={rates['direct']:.0f} "
             f"entry_per_s={rates['entry']:.0f}"
         )
+    await callers["entry"].drop_idle()
     if args.requests:
         for count, size in await measure_memory(
             callers["entry"], args.pid, args.requests
--- a/src/hibiscussaddle/policy/successor.py
+++ b/src/hibiscussaddle/policy/successor.py
@@ -9,7 +9,7 @@
 class _Book:
     # Started calls of the whole ledger.
     total: int
-    closed_at: float
+    listed_at: float
     # Seconds on the successor's monotonic clock.
     expires_at: float
     calls: dict[int, tickets.HandedEntry] = dataclasses.field(
@@ -50,7 +50,7 @@
             return False
         if book is None:
             expires_at = now + tickets.KEEP_SECONDS
-            book = _Book(part.total, part.closed_at, expires_at)
+            book = _Book(part.total, part.listed_at, expires_at)
             self._books[part.issuer] = book
         book.calls.update((entry.nonce, entry) for entry in fresh)
         book.bytes += size
@@ -73,7 +73,7 @@
             return tickets.Decision(tickets.Verdict.KEPT, entry.kept)
         # The issuer may have started and forgotten an older ticket, and a
         # missing part may hold this one.
-        is_recent = ticket.issued_at + tickets.START_SECONDS > book.closed_at
+        is_recent = ticket.issued_at + tickets.START_SECONDS > book.listed_at
         if book.is_whole and is_recent:
             return tickets.Decision(tickets.Verdict.NOT_STARTED)
         return tickets.Decision(tickets.Verdict.UNKNOWN)
@@ -88,7 +88,7 @@
             if book.is_whole:
                 calls = book.calls.values()
                 parts += tickets.split(
-                    issuer, book.closed_at, calls, max_bytes
+                    issuer, book.listed_at, calls, max_bytes
                 )
         return tuple(parts)
 
--- a/src/hibiscussaddle/policy/tickets.py
+++ b/src/hibiscussaddle/policy/tickets.py
@@ -107,8 +107,9 @@
     """Carry some of the started calls of a closed ledger."""
 
     issuer: Issuer
-    # Seconds on the issuer's monotonic clock.
-    closed_at: float
+    # When the list was made, in seconds on the issuer's monotonic clock. The
+    # issuer forgets calls until then, also after it has closed the ledger.
+    listed_at: float
     # Started calls of the whole ledger.
     total: int
     entries: tuple[HandedEntry, ...]
@@ -245,7 +246,7 @@
             HandedEntry(nonce, entry.digest, entry.kept)
             for nonce, entry in self._entries.items()
         ]
-        return split(self.issuer, self.closed_at, entries, max_bytes)
+        return split(self.issuer, self._now, entries, max_bytes)
 
     def _advance(self, now: float) -> None:
         self._now = max(self._now, now)
@@ -268,7 +269,7 @@
 
 def split(
     issuer: Issuer,
-    closed_at: float,
+    listed_at: float,
     entries: abc.Collection[HandedEntry],
     max_bytes: int,
 ) -> tuple[HandoverPart, ...]:
@@ -286,7 +287,7 @@
         groups[-1].append(entry)
         used += size
     return tuple(
-        HandoverPart(issuer, closed_at, len(entries), tuple(group))
+        HandoverPart(issuer, listed_at, len(entries), tuple(group))
         for group in groups
     )
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -14,10 +14,14 @@
 import httpx
 
 import builders
+import ports
 
 START_SECONDS: typing.Final = 20.0
+<<<<<<< HEAD
+=======
 # Ports from its base up that a fleet uses.
 PORTS: typing.Final = 60
+>>>>>>> main
 OPERATOR: typing.Final = {"authorization": f"Bearer {builders.SECRET}"}
 CALLER: typing.Final = {"authorization": f"Bearer {builders.CUSTOMER_KEY}"}
 _SOURCES: typing.Final = pathlib.Path(__file__).parent.parent / "src"
@@ -60,19 +64,25 @@
 
 
 class Fleet:
-    """Hold stand-ins and instances on ports from a base up."""
+    """Hold stand-ins and instances on free ports."""
 
-    def __init__(self, folder: pathlib.Path, base: int) -> None:
+    def __init__(self, folder: pathlib.Path) -> None:
         """Start the store and the platform's list."""
         self.folder = folder
-        self.base = base
-        self.store = f"http://127.0.0.1:{base}"
-        self.platform = f"http://127.0.0.1:{base + 1}"
+        self._ports: dict[str, int] = {}
+        self.store = f"http://127.0.0.1:{self.port('store')}"
+        self.platform = f"http://127.0.0.1:{self.port('platform')}"
         self.processes: list[Process] = []
-        self.start("standin", "store", "--port", str(base))
-        self.start("standin", "platform", "--port", str(base + 1))
+        for name in ("store", "platform"):
+            self.start("standin", name, f"--port={self.port(name)}")
         self.client = httpx.Client(timeout=30.0, trust_env=False)
 
+    def port(self, name: str) -> int:
+        """Return the port of a name; other runs of the tests have others."""
+        if name not in self._ports:
+            self._ports[name] = ports.take(1)[0]
+        return self._ports[name]
+
     def start(self, *args: str) -> Process:
         """Start a command of the service."""
         log = self.folder / f"{len(self.processes)}-{'-'.join(args[:2])}.log"
@@ -80,8 +90,9 @@
         self.processes.append(process)
         return process
 
-    def start_engine(self, port: int, **options: object) -> Process:
+    def start_engine(self, **options: object) -> Process:
         """Start a fake engine."""
+        port = self.port("engine")
         more = [f"--{name}={value}" for name, value in options.items()]
         return self.start(
             "standin",
@@ -92,8 +103,9 @@
             *more,
         )
 
-    def start_service(self, port: int) -> Process:
+    def start_service(self) -> Process:
         """Start a fake booking service."""
+        port = self.port("service")
         return self.start(
             "standin",
             "service",
@@ -104,16 +116,21 @@
         )
 
     def start_entry(self, number: int, *more: str) -> Process:
+<<<<<<< HEAD
+        """Start an instance; the first one is the peer to join by."""
+        peer = f"127.0.0.1:{self.port('peers-1')}"
+=======
         """Start an instance; its caller port is base + 20 + 10 x number."""
         port = self.base + 20 + 10 * number
         peer = f"127.0.0.1:{self.base + 20 + 10 + 2}"
+>>>>>>> main
         return self.start(
             "entry",
             f"--instance=entry-{number}",
             "--zone=zone-a",
-            f"--caller_port={port}",
-            f"--operator_port={port + 1}",
-            f"--peer_port={port + 2}",
+            f"--caller_port={self.port(f'callers-{number}')}",
+            f"--operator_port={self.port(f'operators-{number}')}",
+            f"--peer_port={self.port(f'peers-{number}')}",
             f"--peers={peer}",
             f"--store_url={self.store}",
             f"--platform_url={self.platform}",
@@ -122,7 +139,11 @@
 
     def url(self, number: int) -> str:
         """Return the address of an instance for callers."""
+<<<<<<< HEAD
+        return f"http://127.0.0.1:{self.port(f'callers-{number}')}"
+=======
         return f"http://127.0.0.1:{self.base + 20 + 10 * number}"
+>>>>>>> main
 
     def accept_contract(self, number: int) -> None:
         """Put the tests' contract in force through an instance."""
@@ -132,7 +153,11 @@
             "who": "test",
             "reason": "test",
         }
+<<<<<<< HEAD
+        port = self.port(f"operators-{number}")
+=======
         port = self.base + 20 + 10 * number + 1
+>>>>>>> main
         url = f"http://127.0.0.1:{port}/v1/contracts/cereza"
         self.until(
             lambda: (
@@ -165,9 +190,9 @@
 
 
 @contextlib.contextmanager
-def run_fleet(folder: pathlib.Path, base: int) -> abc.Iterator[Fleet]:
+def run_fleet(folder: pathlib.Path) -> abc.Iterator[Fleet]:
     """Run processes until the block ends."""
-    fleet = Fleet(folder, base)
+    fleet = Fleet(folder)
     try:
         yield fleet
     finally:
--- a/tests/stack.py
+++ b/tests/stack.py
@@ -48,11 +48,13 @@
         self.runtime: runtime_lib.Runtime
         self.caller: httpx.AsyncClient
 
-    async def serve(self, app: typing.Any) -> str:
+    async def serve(
+        self, app: typing.Any, cert: str = "", key: str = ""
+    ) -> str:
         """Serve an app and return its address once it answers."""
         port = ports.take(1)[0]
         server = serving.Server(app, "127.0.0.1", port, anyio.sleep_forever)
-        self._tasks.start_soon(server.serve)
+        self._tasks.start_soon(server.serve, cert, key)
         while True:
             try:
                 stream = await anyio.connect_tcp("127.0.0.1", port)
@@ -60,7 +62,7 @@
                 await anyio.sleep(0.01)
                 continue
             await stream.aclose()
-            return f"http://127.0.0.1:{port}"
+            return f"{'https' if cert else 'http'}://127.0.0.1:{port}"
 
     async def add_engine(self, **options: typing.Any) -> engine_lib.Engine:
         """Add a fake engine of model 'base'."""
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -268,6 +268,20 @@
         stateful.run_state_machine_as_test(broken, settings=searched)
 
 
+def test_a_call_forgotten_during_the_drain_is_not_called_unstarted() -> None:
+    """Fails when age is compared with the close and not with the list."""
+    ledger = tickets.Ledger("a", 1, builders.SECRET)
+    text = ledger.issue("cereza", 0.0, random.Random(0))
+    ticket = ledger.parse(text).unwrap()
+    ledger.start(ticket, 0.0)
+    ledger.finish(ticket, None, 0.0)
+    ledger.close(1.0)
+    heir = successor.Successor()
+    for part in ledger.hand_over(tickets.KEEP_SECONDS + 1.0):
+        assert heir.accept(part, 0.0)
+    assert heir.answer(ticket, 0.0).verdict is tickets.Verdict.UNKNOWN
+
+
 def test_a_ticket_answers_only_its_own_request() -> None:
     """Fails when a reused ticket yields the answer of another request."""
     ledger = tickets.Ledger("a", 1, builders.SECRET)
