End the wait of a fault when its instance was started again

The services were idle. Change: faults wait for the scope that they ended; a run that does not end tells the state of its instances. Conclusion: the checker was at fault, not the service.

--- a/tests/histories/faults.py
+++ b/tests/histories/faults.py
@@ -50,8 +50,10 @@
     item = world.rng.choice(world.instances)
     if item.scope is None or item.stopped:
         return
-    item.scope.cancel()
-    while item.scope is not None:
+    scope = item.scope
+    scope.cancel()
+    # Another fault may have started the next incarnation already.
+    while item.scope is scope:
         await anyio.sleep(0.005)
     await anyio.sleep(_pause(world))
     world.start(item)
@@ -65,8 +67,9 @@
     if runtime is None or item.stopped:
         return
     item.stopped = True
+    scope = item.scope
     runtime.lifecycle.request_stop()
-    while item.scope is not None:
+    while item.scope is scope:
         await anyio.sleep(0.005)
     item.stopped = False
     world.start(item)
--- a/tests/histories/run.py
+++ b/tests/histories/run.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from hibiscussaddle.operations import steps as operation
 from histories import checks
 from histories import clients
 from histories import faults
@@ -63,7 +64,8 @@
             with anyio.move_on_after(plan.limit_seconds) as limit:
                 await _work(world, plan)
             if limit.cancelled_caught:
-                world.history.errors.append("the run did not end")
+                text = f"the run did not end: {_describe_state(world)}"
+                world.history.errors.append(text)
     except Exception as exc:
         if not world.started:
             return None
@@ -72,6 +74,26 @@
     return Outcome(plan.seed, world.history, found)
 
 
+def _describe_state(world: world_lib.World) -> str:
+    """Tell which part still works, for the search for the cause."""
+    parts = [f"trained={world.trained}"]
+    for item in world.instances:
+        runtime = item.runtime
+        if runtime is None:
+            parts.append(f"{item.cfg.instance}=down scope={item.scope}")
+            continue
+        running = dict(+runtime.lifecycle.running)
+        waits = [
+            operation.explain(found, found.progress.counts())
+            for found in runtime.steps.runs.values()
+        ]
+        parts.append(
+            f"{item.cfg.instance}={runtime.lifecycle.phase.value} "
+            f"running={running} steps={waits}"
+        )
+    return "; ".join(parts)
+
+
 def _describe(exc: BaseException) -> str:
     if isinstance(exc, BaseExceptionGroup):
         return "; ".join(_describe(item) for item in exc.exceptions)
