--- a/src/hibiscussaddle/policy/facts.py
+++ b/src/hibiscussaddle/policy/facts.py
@@ -3,6 +3,7 @@
 from collections import abc
 import dataclasses
 import enum
+import hashlib
 import typing
 import zlib
 
@@ -41,6 +42,8 @@
     # Id of the instance that made the fact; breaks ties of versions.
     origin: str
     value: typing.Any
+    # Orders facts of one version, such as the marks of one incarnation.
+    rank: int = 0
 
     @property
     def id(self) -> Key:
@@ -63,9 +66,9 @@
         return self.kind not in _UNPUSHED_KINDS
 
     @property
-    def order(self) -> tuple[int, str]:
-        """Return the rank among facts about the same key."""
-        return (self.version, self.origin)
+    def order(self) -> tuple[int, int, str]:
+        """Return the order among facts about the same key."""
+        return (self.version, self.rank, self.origin)
 
 
 def _bucket(key: Key) -> int:
@@ -73,8 +76,16 @@
 
 
 def _checksum(fact: Fact) -> int:
-    text = f"{fact.kind}/{fact.key}/{fact.version}/{fact.origin}"
-    return zlib.crc32(text.encode())
+    order = f"{fact.version}/{fact.rank}/{fact.origin}"
+    text = f"{fact.kind}/{fact.key}/{order}"
+    # Not CRC-32: it is linear, so that the same change of two facts in one
+    # bucket cancelled out, and members that had missed both stayed so.
+    return _hash(text)
+
+
+def _hash(text: str) -> int:
+    digest = hashlib.blake2b(text.encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "big")
 
 
 def encoded_size(fact: Fact) -> int:
@@ -145,7 +156,7 @@
 
     def summary(self, scope: Scope) -> int:
         """Return one checksum of the whole digest."""
-        return zlib.crc32(repr(self._digests[scope]).encode())
+        return _hash(repr(self._digests[scope]))
 
     def digest(self, scope: Scope) -> Digest:
         """Return one checksum for each bucket; equal tables agree."""
