Name the cause when the checker's instances do not start

Cause: a run of 60 histories ended with 'the instances did not start' and nothing told why. Conclusion: the cause is open.

--- a/tests/histories/run.py
+++ b/tests/histories/run.py
@@ -47,17 +47,19 @@
     logging.getLogger("asyncio").disabled = True
     logging.disable(logging.CRITICAL)
     try:
+        why = ""
         for _ in range(_STARTS):
             outcome = anyio.run(play, plan)
-            if outcome is not None:
+            if isinstance(outcome, Outcome):
                 return outcome
-        raise RuntimeError("the instances did not start")
+            why = outcome
+        raise RuntimeError(f"the instances did not start: {why}")
     finally:
         logging.disable(logging.NOTSET)
 
 
-async def play(plan: Plan) -> Outcome | None:
-    """Run clients and faults concurrently, then check the history."""
+async def play(plan: Plan) -> Outcome | str:
+    """Return the outcome of a run, or why its instances did not start."""
     world = world_lib.World(plan.seed)
     try:
         async with world.enter():
@@ -68,7 +70,7 @@
                 world.history.errors.append(text)
     except Exception as exc:
         if not world.started:
-            return None
+            return "; ".join([_describe(exc), *world.history.errors])
         world.history.errors.append(_describe(exc))
     found = checks.find_violations(world.history, world.record())
     return Outcome(plan.seed, world.history, found)
