--- a/tests/histories/run.py
+++ b/tests/histories/run.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from hibiscussaddle.operations import steps as operation
 from histories import checks
 from histories import clients
 from histories import faults
@@ -46,32 +47,55 @@
     logging.getLogger("asyncio").disabled = True
     logging.disable(logging.CRITICAL)
     try:
+        why = ""
         for _ in range(_STARTS):
             outcome = anyio.run(play, plan)
-            if outcome is not None:
+            if isinstance(outcome, Outcome):
                 return outcome
-        raise RuntimeError("the instances did not start")
+            why = outcome
+        raise RuntimeError(f"the instances did not start: {why}")
     finally:
         logging.disable(logging.NOTSET)
 
 
-async def play(plan: Plan) -> Outcome | None:
-    """Run clients and faults concurrently, then check the history."""
+async def play(plan: Plan) -> Outcome | str:
+    """Return the outcome of a run, or why its instances did not start."""
     world = world_lib.World(plan.seed)
     try:
         async with world.enter():
             with anyio.move_on_after(plan.limit_seconds) as limit:
                 await _work(world, plan)
             if limit.cancelled_caught:
-                world.history.errors.append("the run did not end")
+                text = f"the run did not end: {_describe_state(world)}"
+                world.history.errors.append(text)
     except Exception as exc:
         if not world.started:
-            return None
+            return "; ".join([_describe(exc), *world.history.errors])
         world.history.errors.append(_describe(exc))
     found = checks.find_violations(world.history, world.record())
     return Outcome(plan.seed, world.history, found)
 
 
+def _describe_state(world: world_lib.World) -> str:
+    """Tell which part still works, for the search for the cause."""
+    parts = [f"trained={world.trained}"]
+    for item in world.instances:
+        runtime = item.runtime
+        if runtime is None:
+            parts.append(f"{item.cfg.instance}=down scope={item.scope}")
+            continue
+        running = dict(+runtime.lifecycle.running)
+        waits = [
+            operation.explain(found, found.progress.counts())
+            for found in runtime.steps.runs.values()
+        ]
+        parts.append(
+            f"{item.cfg.instance}={runtime.lifecycle.phase.value} "
+            f"running={running} steps={waits}"
+        )
+    return "; ".join(parts)
+
+
 def _describe(exc: BaseException) -> str:
     if isinstance(exc, BaseExceptionGroup):
         return "; ".join(_describe(item) for item in exc.exceptions)
