Place callers' work and samples through the dispatcher

Cause: handlers and the steps controller chose engines at random or by own work only, and retries had a budget of their own. Conclusion: overdue streams of HTTP callers are not moved yet.

--- a/src/hibiscussaddle/callers.py
+++ b/src/hibiscussaddle/callers.py
@@ -1,41 +1,19 @@
 """State of one instance that the answers to callers need."""
 
 import itertools
-import typing
 
 from hibiscussaddle import metrics
+from hibiscussaddle.policy import retries
 from hibiscussaddle.policy import tickets
 
-RETRY_RATIO: typing.Final = 0.1
-# Retries that may follow a quiet time at once.
-RETRY_BURST: typing.Final = 10.0
-
-
-class RetryBudget:
-    """Bound retries to a part of the first attempts."""
-
-    def __init__(self) -> None:
-        """Start with a full burst."""
-        self._tokens = RETRY_BURST
-
-    def earn_request(self) -> None:
-        """Count one first attempt."""
-        self._tokens = min(RETRY_BURST, self._tokens + RETRY_RATIO)
-
-    def take_retry(self) -> bool:
-        """Take one retry; False when the budget is spent."""
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
-
 
 class CallerState:
     """Hold what the answers to callers share."""
 
     def __init__(self) -> None:
         """Start without requests."""
-        self.budget = RetryBudget()
+        # The dispatcher's own, once an instance is wired together.
+        self.budget = retries.Budget()
         self.metrics = metrics.Metrics()
         # Ledgers of instances that stopped and handed over to this one.
         self.successor = tickets.Successor()
--- a/src/hibiscussaddle/choice.py
+++ b/src/hibiscussaddle/choice.py
@@ -7,13 +7,13 @@
 import result
 
 from hibiscussaddle import codes
-from hibiscussaddle import endpoints
 from hibiscussaddle import exchange
+from hibiscussaddle import placement
 from hibiscussaddle import runtime as runtime_lib
 
 MAX_ATTEMPTS: typing.Final = 3
 
-Chosen: typing.TypeAlias = result.Result[endpoints.Endpoint, codes.Refusal]
+Chosen: typing.TypeAlias = result.Result[placement.Placement, codes.Refusal]
 
 
 @contextlib.asynccontextmanager
@@ -22,6 +22,8 @@
     req: exchange.Request,
     target: str,
     avoid: abc.Collection[str] = (),
+    max_tokens: float = 1.0,
+    prefix: str = "",
 ) -> abc.AsyncIterator[Chosen]:
     """Hold an endpoint for one attempt; a refusal is always "not run".
 
@@ -29,18 +31,28 @@
     Endpoints to avoid are used only when there is no other.
     """
     if req.kind is exchange.Kind.MODEL:
+        kind = placement.WorkKind.CHAT
         found = runtime.directory.engines(target)
     else:
+        kind = placement.WorkKind.SERVICE
         found = runtime.directory.services(target)
-    preferred = [ep for ep in found if ep.id not in avoid] or found
-    if preferred:
-        yield result.Ok(runtime.rng.choice(preferred))
-    else:
-        yield exchange.refuse(
-            codes.Code.NO_ENDPOINT, f"{target!r} has no endpoint"
-        )
+    avoided = frozenset(avoid)
+    if all(ep.id in avoided for ep in found):
+        avoided = frozenset()
+    work = placement.Work(
+        kind=kind,
+        contract=req.contract,
+        target=target,
+        deadline=req.deadline,
+        max_tokens=max_tokens,
+        prefix=prefix,
+        avoid=avoided,
+        is_first=not avoid,
+    )
+    async with runtime.dispatcher.place(work) as placed:
+        yield placed
 
 
 def may_retry(runtime: runtime_lib.Runtime, attempts: int) -> bool:
     """Tell whether one more attempt is within the limits."""
-    return attempts < MAX_ATTEMPTS and runtime.callers.budget.take_retry()
+    return attempts < MAX_ATTEMPTS and runtime.dispatcher.budget.take_retry()
--- a/src/hibiscussaddle/controllers/steps.py
+++ b/src/hibiscussaddle/controllers/steps.py
@@ -16,6 +16,7 @@
 from hibiscussaddle import endpoints
 from hibiscussaddle import engine_choice
 from hibiscussaddle import logs
+from hibiscussaddle import placement
 from hibiscussaddle.policy import groups
 from hibiscussaddle.policy import versions
 from hibiscussaddle import runtime as runtime_lib
@@ -139,19 +140,20 @@
         used = set[str]()
         if straggler is not None:
             used.add(run.engine_of.get(straggler, ""))
-        endpoint = self._choose(run, contract, used, now)
-        if endpoint is None:
+        placed = self._choose(run, contract, used, now)
+        if placed is None:
             return False
         attempt = self._begin(run, slot, straggler, now)
         if attempt is None:
+            self._runtime.dispatcher.release(placed)
             return False
         run.blocked = step_table.Blocked.NOTHING
-        run.engine_of[attempt.slot] = endpoint.id
-        self._running[endpoint.id] += 1
+        run.engine_of[attempt.slot] = placed.endpoint.id
+        self._running[placed.endpoint.id] += 1
         scope = anyio.CancelScope()
         run.scopes[attempt.number] = scope
         self._tasks.start_soon(
-            self._attempt, run, attempt, endpoint, contract, scope
+            self._attempt, run, attempt, placed, contract, scope
         )
         return True
 
@@ -175,7 +177,7 @@
         contract: contracts.Contract,
         used: set[str],
         now: float,
-    ) -> endpoints.Endpoint | None:
+    ) -> placement.Placement | None:
         """Return an engine for the step; note why there is none."""
         why = step_table.Blocked
         found = self._runtime.directory.engines(run.spec.model)
@@ -186,8 +188,12 @@
         other = [ep for ep in fresh if ep.id not in used]
         chosen = None
         if self._running.total() < MAX_RUNNING:
-            chosen = engine_choice.choose(
-                other, self._running, self._runtime.rng
+            chosen = engine_choice.place(
+                self._runtime,
+                contract,
+                run.spec.model,
+                run.spec.max_tokens,
+                other,
             )
         if not found:
             run.blocked = why.NO_ENGINE
@@ -252,10 +258,11 @@
         self,
         run: step_table.StepRun,
         attempt: groups.Attempt,
-        endpoint: endpoints.Endpoint,
+        placed: placement.Placement,
         contract: contracts.Contract,
         scope: anyio.CancelScope,
     ) -> None:
+        endpoint = placed.endpoint
         clock = self._runtime.clock
         made: steps.Sample | sample_maker.Lost | None = None
         try:
@@ -263,14 +270,17 @@
                 made = await self._maker.make(
                     run,
                     attempt,
-                    endpoint,
-                    # Callers wait for an answer; samples are made ahead.
-                    max(0, contract.priority - 1),
+                    placed,
                     contract.staleness_versions,
                 )
         finally:
             run.scopes.pop(attempt.number, None)
             self._running[endpoint.id] -= 1
+            if isinstance(made, steps.Sample):
+                placed.finish()
+            elif isinstance(made, sample_maker.Lost) and made.engine_failed:
+                placed.fail()
+            self._runtime.dispatcher.release(placed)
             if isinstance(made, steps.Sample):
                 self._keep(run, attempt, made)
                 self._pauses.pop(endpoint.id, None)
--- a/src/hibiscussaddle/dispatcher.py
+++ b/src/hibiscussaddle/dispatcher.py
@@ -27,6 +27,8 @@
 # Work that waits is looked at again after this time, in case the room was
 # made by another instance.
 TICK_SECONDS: typing.Final = 0.05
+# Extra pause for each other waiter.
+_LOOK_SECONDS: typing.Final = 0.01
 # Work is refused when the expected wait exceeds this part of the allowed
 # one: a shorter queue carries the same load, and drains sooner afterwards.
 REFUSE_PART: typing.Final = 0.5
@@ -72,9 +74,9 @@
         self.prefixes = routing.PrefixMirror()
         self.budget = retries.Budget()
         self.lengths = queueing.LengthModel()
-        # Replaced by the component that holds the leave marks.
-        self.is_marked: abc.Callable[[endpoints.Endpoint], bool] = lambda _: (
-            False
+        # Other components add their own tests.
+        self.is_marked: abc.Callable[[endpoints.Endpoint], bool] = (
+            directory.is_marked
         )
         self._instance = instance
         self._zone = zone
@@ -228,8 +230,7 @@
             pool.waiters.pop(id(shed)).done.set()
         self._pump(pool)
         try:
-            with anyio.move_on_after(entry.start_by - self.clock()):
-                await waiter.done.wait()
+            await self._wait(pool, waiter)
         except BaseException:
             if waiter.placed is not None:
                 self.release(waiter.placed)
@@ -247,6 +248,18 @@
             1.0,
         )
 
+    async def _wait(self, pool: pools.Pool, waiter: pools.Waiter) -> None:
+        while not waiter.done.is_set():
+            left = waiter.entry.start_by - self.clock()
+            if left <= 0:
+                return
+            # Many waiters look less often; each looks for all of them.
+            pause = max(TICK_SECONDS, len(pool.queue) * _LOOK_SECONDS)
+            with anyio.move_on_after(min(left, pause)):
+                await waiter.done.wait()
+            if not waiter.done.is_set():
+                self._pump(pool)
+
     def _pump(self, pool: pools.Pool) -> None:
         blocked: set[tuple[str, queueing.WorkClass]] = set()
         while True:
@@ -317,8 +330,7 @@
             outstanding=self.book.outstanding(ep.id, now),
             token_seconds=self.detector.token_seconds(ep.id),
             weight=0.0 if blocked else self.detector.weight(ep.id, now),
-            marked=ep.state is endpoints.EndpointState.LEAVING
-            or self.is_marked(ep),
+            marked=self.is_marked(ep),
             version=report.version if report else None,
             has_prefix=self.prefixes.has(ep.id, work.prefix),
         )
--- a/src/hibiscussaddle/engine_choice.py
+++ b/src/hibiscussaddle/engine_choice.py
@@ -1,19 +1,33 @@
 """Choose the engine of a sample."""
 
 from collections import abc
-import random
+import math
 
+from hibiscussaddle import contracts
 from hibiscussaddle import endpoints
+from hibiscussaddle import placement
+from hibiscussaddle import runtime as runtime_lib
 
 
-def choose(
-    candidates: abc.Sequence[endpoints.Endpoint],
-    running: abc.Mapping[str, int],
-    rng: random.Random,
-) -> endpoints.Endpoint | None:
-    """Return the less loaded of two random candidates with a free slot."""
-    free = [ep for ep in candidates if running.get(ep.id, 0) < ep.slots]
-    if not free:
+def place(
+    runtime: runtime_lib.Runtime,
+    contract: contracts.Contract,
+    model: str,
+    max_tokens: int,
+    candidates: abc.Iterable[endpoints.Endpoint],
+) -> placement.Placement | None:
+    """Place a sample on a candidate with room now; release it after use."""
+    allowed = {ep.id for ep in candidates}
+    if not allowed:
         return None
-    pair = rng.sample(free, min(2, len(free)))
-    return min(pair, key=lambda ep: running.get(ep.id, 0) / ep.slots)
+    found = runtime.directory.engines(model)
+    work = placement.Work(
+        kind=placement.WorkKind.TRAINER,
+        contract=contract,
+        target=model,
+        # A step has no deadline; its trainer waits.
+        deadline=math.inf,
+        max_tokens=float(max_tokens),
+        avoid=frozenset(ep.id for ep in found) - allowed,
+    )
+    return runtime.dispatcher.try_place(work)
--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -88,6 +88,7 @@
         else None,
     )
     runtime.facts.bind(runtime)
+    runtime.callers.budget = runtime.dispatcher.budget
     return runtime
 
 
--- a/src/hibiscussaddle/generation.py
+++ b/src/hibiscussaddle/generation.py
@@ -11,8 +11,8 @@
 from hibiscussaddle.adapters import engines
 from hibiscussaddle import choice
 from hibiscussaddle import codes
-from hibiscussaddle import endpoints
 from hibiscussaddle import exchange
+from hibiscussaddle import placement
 from hibiscussaddle import runtime as runtime_lib
 
 # A resumed stream computes no token twice, so resumption is not charged to
@@ -20,6 +20,8 @@
 MAX_RESUMPTIONS: typing.Final = 4
 # Time for a crashed engine to come back, when there is no other.
 PAUSE_SECONDS: typing.Final = 0.1
+# Expected length of an answer whose request names no limit.
+DEFAULT_MAX_TOKENS: typing.Final = 256
 
 
 class Failed(Exception):
@@ -69,7 +71,6 @@
         Raises:
             Failed: the answer cannot be completed.
         """
-        self._runtime.callers.budget.earn_request()
         while True:
             attempt = self._attempt()
             try:
@@ -105,7 +106,12 @@
     ) -> abc.AsyncGenerator[list[engines.Chunk], None]:
         model = str(self._body["model"])
         async with choice.hold(
-            self._runtime, self._req, model, self._tried
+            self._runtime,
+            self._req,
+            model,
+            self._tried,
+            self._left(),
+            placement.prefix_of(self._body.get("messages", "")),
         ) as chosen:
             if isinstance(chosen, result.Err):
                 refusal = chosen.err_value
@@ -119,10 +125,16 @@
                 async for batch in attempt:
                     yield batch
 
+    def _left(self) -> float:
+        """Return the most tokens that are still to come."""
+        limit = float(self._body.get("max_tokens", DEFAULT_MAX_TOKENS))
+        return max(1.0, limit - self.tokens)
+
     async def _run_on(
-        self, endpoint: endpoints.Endpoint
+        self, placed: placement.Placement
     ) -> abc.AsyncGenerator[list[engines.Chunk], None]:
         runtime = self._runtime
+        endpoint = placed.endpoint
         # Unique at the engine, whatever id the caller chose.
         request_id = (
             f"{runtime.cfg.instance}-{runtime.incarnation:x}-"
@@ -131,7 +143,7 @@
         body = {
             **self._body,
             "request_id": request_id,
-            "priority": self._req.contract.priority,
+            "priority": placed.engine_priority,
         }
         if self.tokens:
             body["resume_tokens"] = self.tokens
@@ -143,13 +155,21 @@
                 async for batch in batches:
                     for chunk in batch:
                         self._check(chunk, request_id)
+                    placed.got_tokens(sum(chunk.tokens for chunk in batch))
                     # Set first: the engine has made the tokens even if the
                     # caller has gone.
                     self._may_have_run = True
                     yield batch
+                    # The caller's pace is not the endpoint's.
+                    placed.resume()
             has_ended = True
+            placed.finish()
         except engines.NotRun:
             has_ended = True
+            placed.fail()
+            raise
+        except engines.StreamBroken:
+            placed.fail()
             raise
         finally:
             self._tried.add(endpoint.id)
--- a/src/hibiscussaddle/handlers/service_call.py
+++ b/src/hibiscussaddle/handlers/service_call.py
@@ -155,8 +155,6 @@
     An attempt that provably never ran does not count as sent.
     """
     call = services.Call(req.method, _target(req), _headers(req), req.body)
-    budget = runtime.callers.budget
-    budget.earn_request()
     tried: set[str] = set()
     attempts = 0
     last: codes.Refusal | None = None
@@ -170,11 +168,16 @@
             if isinstance(chosen, result.Err):
                 last = last or chosen.err_value
                 break
-            endpoint = chosen.ok_value
+            placed = chosen.ok_value
+            endpoint = placed.endpoint
             seconds = req.deadline - runtime.clock()
             if seconds <= 0:
                 break
             answer = await client.call(endpoint, call, seconds)
+            if isinstance(answer, result.Ok):
+                placed.answered()
+            else:
+                placed.fail()
         attempts += 1
         tried.add(endpoint.id)
         if isinstance(answer, result.Ok):
--- a/src/hibiscussaddle/placement.py
+++ b/src/hibiscussaddle/placement.py
@@ -96,6 +96,15 @@
         self.chunk_tokens = count
         self._last_at = now
 
+    def resume(self) -> None:
+        """Leave out the time since the last tokens from their gap."""
+        self._last_at = self._owner.clock()
+
+    def answered(self) -> None:
+        """Report the answer of a plain service."""
+        self.got_tokens(1)
+        self.finish()
+
     def finish(self) -> None:
         """Report success."""
         self.succeeded = True
--- a/src/hibiscussaddle/policy/routing.py
+++ b/src/hibiscussaddle/policy/routing.py
@@ -122,6 +122,8 @@
         for item in fit
         if item.weight >= 1.0 or rng.random() < item.weight
     ]
+    if not active:
+        active = [item for item in fit if item.weight > 0.0]
     if not active:
         # Waiting for a healthy endpoint is better while one exists.
         healthy = any(
--- a/src/hibiscussaddle/sample_maker.py
+++ b/src/hibiscussaddle/sample_maker.py
@@ -9,7 +9,7 @@
 import anyio
 
 from hibiscussaddle.adapters import engines
-from hibiscussaddle import endpoints
+from hibiscussaddle import placement
 from hibiscussaddle.policy import groups
 from hibiscussaddle.policy import versions
 from hibiscussaddle import runtime as runtime_lib
@@ -43,12 +43,12 @@
         self,
         run: step_table.StepRun,
         attempt: groups.Attempt,
-        endpoint: endpoints.Endpoint,
-        priority: int,
+        placed: placement.Placement,
         bound: int,
     ) -> steps.Sample | Lost:
         """Return the sample, or why there is none."""
         cfg = self._runtime.cfg
+        endpoint = placed.endpoint
         number = next(self._numbers)
         request_id = f"{cfg.instance}-{self._runtime.incarnation:x}-{number}"
         group = attempt.slot // run.spec.samples_per_group
@@ -57,11 +57,11 @@
             "messages": run.spec.groups[group],
             "max_tokens": run.spec.max_tokens,
             "request_id": request_id,
-            "priority": priority,
+            "priority": placed.engine_priority,
         }
         whole = False
         try:
-            made = await self._read(run, attempt, endpoint, body, bound)
+            made = await self._read(run, attempt, placed, body, bound)
             whole = isinstance(made, steps.Sample)
             return made
         except (engines.NotRun, engines.StreamBroken) as exc:
@@ -77,11 +77,12 @@
         self,
         run: step_table.StepRun,
         attempt: groups.Attempt,
-        endpoint: endpoints.Endpoint,
+        placed: placement.Placement,
         body: dict[str, typing.Any],
         bound: int,
     ) -> steps.Sample | Lost:
         table, clock = self._runtime.steps, self._runtime.clock
+        endpoint = placed.endpoint
         trail = versions.Trail()
         text: list[str] = []
         shown: tuple[int, int | None] | None = None
@@ -94,6 +95,7 @@
         )
         async with contextlib.aclosing(stream) as chunks:
             async for chunk in chunks:
+                placed.got_tokens(chunk.tokens)
                 if shown != (chunk.incarnation, chunk.version):
                     shown = (chunk.incarnation, chunk.version)
                     table.note_engine(
