--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,7 +6,9 @@
 
 from bench import cases
 from bench import fleet
+from bench import share_methods
 
+METHODS_CASE: typing.Final = "share_methods"
 QUICK_SCALE: typing.Final = 0.4
 
 
@@ -15,7 +17,9 @@
     parser = argparse.ArgumentParser(prog="bench")
     parser.add_argument("--quick", action="store_true")
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--case", choices=sorted(cases.REGISTRY))
+    parser.add_argument(
+        "--case", choices=[*sorted(cases.REGISTRY), METHODS_CASE]
+    )
     parser.add_argument("--deployment")
     args = parser.parse_args()
     scale = QUICK_SCALE if args.quick else 1.0
@@ -25,7 +29,16 @@
         flush=True,
     )
     began = time.perf_counter()
-    for name in [args.case] if args.case else cases.REGISTRY:
+    if args.case in (None, METHODS_CASE):
+        for method, (error, waste) in share_methods.measure(args.seed).items():
+            print(
+                f"case={METHODS_CASE} method={method} "
+                f"share_error={error:.4f} wasted_capacity={waste:.4f}"
+            )
+    names = [args.case] if args.case else list(cases.REGISTRY)
+    for name in names:
+        if name == METHODS_CASE:
+            continue
         for deployment in fleet.DEPLOYMENTS:
             if args.deployment in (None, deployment.name):
                 _compare(name, deployment, args.seed, scale)
