--- a/src/hibiscussaddle/callers.py
+++ b/src/hibiscussaddle/callers.py
@@ -4,7 +4,7 @@
 
 from hibiscussaddle import metrics
 from hibiscussaddle.policy import retries
-from hibiscussaddle.policy import tickets
+from hibiscussaddle.policy import successor
 
 
 class CallerState:
@@ -16,5 +16,7 @@
         self.budget = retries.Budget()
         self.metrics = metrics.Metrics()
         # Ledgers of instances that stopped and handed over to this one.
-        self.successor = tickets.Successor()
+        self.successor = successor.Successor()
+        # Successors of stopped processes, by instance and incarnation.
+        self.heirs: dict[tuple[str, int], str] = {}
         self.attempts = itertools.count(1)
--- a/src/hibiscussaddle/controllers/steps.py
+++ b/src/hibiscussaddle/controllers/steps.py
@@ -67,6 +67,8 @@
         )
         self._running: collections.Counter[str] = collections.Counter()
         self._scoring = 0
+        # Models and customers whose waiting samples were told.
+        self._wanted: set[tuple[str, str]] = set()
         self._pauses: dict[str, _Pause] = {}
         self._asked: dict[str, float] = {}
         self._newest: dict[steps.StepKey, int] = {}
@@ -93,9 +95,20 @@
         for item in active:
             self._drop_stale(item)
             self._start_scoring(item, now)
+        self._tell_demand(active)
         while active:
             active = [item for item in active if self._start_one(item, now)]
 
+    def _tell_demand(self, active: list[step_table.StepRun]) -> None:
+        """Let the shares know how many samples wait."""
+        wanted = collections.Counter(dict.fromkeys(self._wanted, 0))
+        for item in active:
+            key = (item.spec.model, item.key.customer)
+            wanted[key] += item.progress.counts().pending
+        for (model, customer), count in wanted.items():
+            self._runtime.dispatcher.want(model, customer, count)
+        self._wanted = {key for key, count in wanted.items() if count}
+
     def _forget_endpoints(self) -> None:
         known: tuple[dict[str, typing.Any], ...] = (
             self._table.engines,
--- a/src/hibiscussaddle/operations/status.py
+++ b/src/hibiscussaddle/operations/status.py
@@ -22,6 +22,8 @@
             "phase": runtime.lifecycle.phase.value,
             "running": runtime.lifecycle.total(),
             "endpoints": len(runtime.directory.all()),
+            # Seconds since the store last confirmed the contracts.
+            "contracts_age_seconds": runtime.contracts.age(),
             "members": collections.Counter(
                 member.state.value for member in runtime.members.all()
             ),
