--- a/tests/processes.py
+++ b/tests/processes.py
@@ -17,11 +17,6 @@
 import ports
 
 START_SECONDS: typing.Final = 20.0
-<<<<<<< HEAD
-=======
-# Ports from its base up that a fleet uses.
-PORTS: typing.Final = 60
->>>>>>> main
 OPERATOR: typing.Final = {"authorization": f"Bearer {builders.SECRET}"}
 CALLER: typing.Final = {"authorization": f"Bearer {builders.CUSTOMER_KEY}"}
 _SOURCES: typing.Final = pathlib.Path(__file__).parent.parent / "src"
@@ -116,14 +111,8 @@
         )
 
     def start_entry(self, number: int, *more: str) -> Process:
-<<<<<<< HEAD
         """Start an instance; the first one is the peer to join by."""
         peer = f"127.0.0.1:{self.port('peers-1')}"
-=======
-        """Start an instance; its caller port is base + 20 + 10 x number."""
-        port = self.base + 20 + 10 * number
-        peer = f"127.0.0.1:{self.base + 20 + 10 + 2}"
->>>>>>> main
         return self.start(
             "entry",
             f"--instance=entry-{number}",
@@ -139,11 +128,7 @@
 
     def url(self, number: int) -> str:
         """Return the address of an instance for callers."""
-<<<<<<< HEAD
         return f"http://127.0.0.1:{self.port(f'callers-{number}')}"
-=======
-        return f"http://127.0.0.1:{self.base + 20 + 10 * number}"
->>>>>>> main
 
     def accept_contract(self, number: int) -> None:
         """Put the tests' contract in force through an instance."""
@@ -153,11 +138,7 @@
             "who": "test",
             "reason": "test",
         }
-<<<<<<< HEAD
         port = self.port(f"operators-{number}")
-=======
-        port = self.base + 20 + 10 * number + 1
->>>>>>> main
         url = f"http://127.0.0.1:{port}/v1/contracts/cereza"
         self.until(
             lambda: (
