Split the record of malformed changes from contract changes

No behaviour changes; lint and tests/test_contract_changes.py pass. The full suite was not run again after this move.

--- a/src/hibiscussaddle/contract_changes.py
+++ b/src/hibiscussaddle/contract_changes.py
@@ -26,8 +26,6 @@
 MAX_WHO_CHARS: typing.Final = 100
 MAX_REASON_CHARS: typing.Final = 1000
 RETRY_SECONDS: typing.Final = 0.1
-# A refused change waits no longer than this for its audit entry.
-AUDIT_SECONDS: typing.Final = 2.0
 _ANY_REVISION: typing.Final = -1
 
 Answer: typing.TypeAlias = result.Result[dict[str, typing.Any], codes.Refusal]
@@ -191,7 +189,7 @@
     if accepts:
         # Set before the call, since a deadline can cancel it half-way.
         progress.unsettled_at = seen.store_revision
-    swapped = await _swap(client, change.contract.customer, seen, entry)
+    swapped = await swap(client, change.contract.customer, seen, entry)
     if isinstance(swapped, result.Ok):
         return _to_answer(change, entry)
     progress.last_error = swapped.err_value
@@ -303,12 +301,13 @@
     return f"{ARCHIVE_PREFIX}{customer}/{number}"
 
 
-async def _swap(
+async def swap(
     client: store.StoreClient,
     customer: str,
     seen: Seen,
     entry: documents.AuditEntry,
 ) -> result.Result[int, store.StoreError]:
+    """Record an entry in the document that was seen."""
     document = seen.document.record(entry)
     if document.is_full():
         moved = await _archive(client, customer, document)
@@ -342,52 +341,6 @@
     return result.Ok(document.without_oldest(len(written.ok_value.entries)))
 
 
-async def record_invalid(
-    runtime: runtime_lib.Runtime,
-    customer: str,
-    raw: bytes,
-    refusal: codes.Refusal,
-) -> None:
-    """Add a malformed change to the trail of an existing customer."""
-    logs.event(
-        _LOG, "contract_refused", customer=customer, why=refusal.message
-    )
-    if runtime.store is None:
-        return
-    with anyio.move_on_after(AUDIT_SECONDS):
-        read = await fetch(runtime.store, customer)
-        # A misspelt customer gets no document of its own.
-        if isinstance(read, result.Err) or not read.ok_value.store_revision:
-            return
-        seen = read.ok_value
-        entry = _create_invalid_entry(seen.document, raw, refusal)
-        await _swap(runtime.store, customer, seen, entry)
-
-
-def _create_invalid_entry(
-    document: documents.Document, raw: bytes, refusal: codes.Refusal
-) -> documents.AuditEntry:
-    try:
-        body = dict(json.loads(raw))
-    except (ValueError, TypeError):
-        body = {}
-    expected = body.get("expected_revision")
-    reason = f"{refusal.message}; {body.get('reason', '')}"
-    return documents.AuditEntry(
-        who=str(body.get("who", ""))[:MAX_WHO_CHARS],
-        at=time.time(),
-        # Not the operator's id: a corrected change may come under it.
-        change_id=secrets.token_hex(8),
-        reason=reason[:MAX_REASON_CHARS],
-        revision=document.revision,
-        expected_revision=expected if isinstance(expected, int) else 0,
-        outcome=documents.Outcome.INVALID,
-        before=document.contract,
-        # The malformed document may hold a key in the wrong field.
-        after=None,
-    )
-
-
 def _to_refusal(progress: _Progress, change: Change) -> codes.Refusal:
     if progress.unsettled_at is not None:
         return codes.Refusal(
--- a/src/hibiscussaddle/operations/contracts.py
+++ b/src/hibiscussaddle/operations/contracts.py
@@ -5,6 +5,7 @@
 
 from hibiscussaddle import codes
 from hibiscussaddle import contract_changes
+from hibiscussaddle import contract_refusals
 from hibiscussaddle import operations
 from hibiscussaddle.policy import contract_document as documents
 from hibiscussaddle import runtime as runtime_lib
@@ -50,7 +51,7 @@
     parsed = contract_changes.parse(raw, customer)
     if isinstance(parsed, result.Err):
         refusal = parsed.err_value
-        await contract_changes.record_invalid(runtime, customer, raw, refusal)
+        await contract_refusals.record_invalid(runtime, customer, raw, refusal)
         return parsed
     return await contract_changes.submit(runtime, parsed.ok_value)
 
--- a/tests/test_contract_changes.py
+++ b/tests/test_contract_changes.py
@@ -12,6 +12,7 @@
 import builders
 from hibiscussaddle import codes
 from hibiscussaddle import contract_changes
+from hibiscussaddle import contract_refusals
 from hibiscussaddle.policy import contract_document as documents
 from hibiscussaddle import runtime as runtime_lib
 from hibiscussaddle.standins import store as fake_store
@@ -169,7 +170,7 @@
             await contract_changes.submit(runtime, change(0, "c1"))
             raw = json.dumps({"contract": {"customer": "cereza"}}).encode()
             refusal = codes.Refusal(codes.Code.CONTRACT_INVALID, "no hash")
-            await contract_changes.record_invalid(
+            await contract_refusals.record_invalid(
                 runtime, "cereza", raw, refusal
             )
 
