Look at a bounded sample of endpoints for each choice

Cause: a choice built a candidate for every endpoint of the target and listed them anew each time, so its cost grew with the fleet.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -193,7 +193,7 @@
     guarantees = {f"customer-{c}": 1 / 11 for c in range(11)}
 
     def allocate(demands: dict[str, shares.Demand], _: int) -> None:
-        shares.own_allocation(950.0, guarantees, demands, "entry-0")
+        shares.own_share(950.0, guarantees, demands, "entry-0")
 
     return _measure("shares", size, build, allocate, 50)
 
--- a/src/hibiscussaddle/dispatcher.py
+++ b/src/hibiscussaddle/dispatcher.py
@@ -9,6 +9,7 @@
 import anyio
 import result
 
+from hibiscussaddle import catalog as catalog_lib
 from hibiscussaddle import codes
 from hibiscussaddle import contract_cache
 from hibiscussaddle import endpoints
@@ -27,6 +28,8 @@
 # Work that waits is looked at again after this time, in case the room was
 # made by another instance.
 TICK_SECONDS: typing.Final = 0.05
+# Every endpoint of a large target is looked at no more often than this.
+FULL_SCAN_SECONDS: typing.Final = 0.25
 # Extra pause for each other waiter.
 _LOOK_SECONDS: typing.Final = 0.01
 # Work is refused when the expected wait exceeds this part of the allowed
@@ -88,6 +91,7 @@
         self._breakers: dict[str, retries.Breaker] = {}
         # Revision of the directory that the detector follows.
         self._known = -1
+        self._catalogs: dict[tuple[bool, str], catalog_lib.Catalog] = {}
 
     @contextlib.asynccontextmanager
     async def place(
@@ -176,14 +180,22 @@
             )
         return self._pools[key]
 
-    def _endpoints(self, pool: pools.Pool) -> tuple[endpoints.Endpoint, ...]:
-        if self._directory.revision != self._known:
-            self._known = self._directory.revision
+    def _catalog(self, pool: pools.Pool) -> catalog_lib.Catalog:
+        revision = self._directory.revision
+        if revision != self._known:
+            self._known = revision
             known = self._directory.all()
             self.detector.set_endpoints({ep.id: ep.zone for ep in known})
-        if pool.is_engine:
-            return self._directory.engines(pool.target)
-        return self._directory.services(pool.target)
+        key = (pool.is_engine, pool.target)
+        catalog = self._catalogs.get(key)
+        if catalog is None or catalog.revision != revision:
+            if pool.is_engine:
+                found = self._directory.engines(pool.target)
+            else:
+                found = self._directory.services(pool.target)
+            catalog = catalog_lib.create_catalog(revision, found, self._zone)
+            self._catalogs[key] = catalog
+        return catalog
 
     def _entry(self, work: placement_lib.Work) -> queueing.Entry:
         now = self.clock()
@@ -207,7 +219,7 @@
 
     async def _admit(self, work: placement_lib.Work) -> Placed:
         pool = self._pool(work)
-        if not self._endpoints(pool):
+        if not self._catalog(pool).all:
             return _refuse(
                 codes.Code.NO_ENDPOINT, f"{work.target!r} has no endpoint"
             )
@@ -287,16 +299,12 @@
         work: placement_lib.Work,
         entry: queueing.Entry,
     ) -> endpoints.Endpoint | None:
-        found = self._endpoints(pool)
+        catalog = self._catalog(pool)
         now = self.clock()
         if pool.is_engine and not pool.is_within_share(
-            entry,
-            float(sum(ep.slots for ep in found)),
-            self._guarantees,
-            now,
+            entry, catalog.slots, self._guarantees, now
         ):
             return None
-        candidates = [self._candidate(ep, work, now) for ep in found]
         wish = routing.Wish(
             zone=self._zone,
             expected_tokens=entry.expected_tokens,
@@ -304,6 +312,30 @@
             room=self._room(pool, entry),
             avoid=work.avoid,
         )
+        if not catalog.is_small():
+            sampled = catalog.sample(self._prefix_test(work), self._rng)
+            chosen = self._choose_among(sampled, work, wish, now)
+            # Where few endpoints fit, a sample can miss them all.
+            if chosen is not None or now < pool.scan_after:
+                return chosen
+            pool.scan_after = now + FULL_SCAN_SECONDS
+        return self._choose_among(catalog.all, work, wish, now)
+
+    def _prefix_test(
+        self, work: placement_lib.Work
+    ) -> abc.Callable[[endpoints.Endpoint], bool] | None:
+        if not work.prefix:
+            return None
+        return lambda ep: self.prefixes.has(ep.id, work.prefix)
+
+    def _choose_among(
+        self,
+        found: abc.Iterable[endpoints.Endpoint],
+        work: placement_lib.Work,
+        wish: routing.Wish,
+        now: float,
+    ) -> endpoints.Endpoint | None:
+        candidates = [self._candidate(ep, work, now) for ep in found]
         chosen = routing.choose(candidates, wish, self._rng)
         return None if chosen is None else self._directory.get(chosen.id)
 
--- a/src/hibiscussaddle/pools.py
+++ b/src/hibiscussaddle/pools.py
@@ -69,6 +69,8 @@
         self.queue = queueing.Queue(bound)
         self.waiters: dict[int, Waiter] = {}
         self.running: collections.Counter[str] = collections.Counter()
+        # Monotonic seconds after which all endpoints may be looked at again.
+        self.scan_after = -math.inf
         # Work of each customer that waits outside of the queue.
         self.wanted: dict[str, int] = {}
         self.peers: dict[str, shares.Demand] = {}
