--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -14,6 +14,7 @@
 from hibiscussaddle.adapters import engines as engines_lib
 from hibiscussaddle import contract_cache
 from hibiscussaddle import contracts
+from hibiscussaddle import dispatch_options
 from hibiscussaddle import dispatcher
 from hibiscussaddle import endpoints
 from hibiscussaddle import placement
@@ -141,7 +142,7 @@
         customers: abc.Mapping[str, contracts.Contract],
         ours: bool,
         seed: int,
-        options: dispatcher.Options | None = None,
+        options: dispatch_options.Options | None = None,
     ) -> None:
         """Create everything; needs the running loop."""
         self.deployment = deployment
--- a/src/hibiscussaddle/dispatcher.py
+++ b/src/hibiscussaddle/dispatcher.py
@@ -2,7 +2,6 @@
 
 from collections import abc
 import contextlib
-import dataclasses
 import random
 import typing
 
@@ -12,6 +11,7 @@
 from hibiscussaddle import catalog as catalog_lib
 from hibiscussaddle import codes
 from hibiscussaddle import contract_cache
+from hibiscussaddle import dispatch_options
 from hibiscussaddle import endpoints
 from hibiscussaddle import placement as placement_lib
 from hibiscussaddle.policy import queueing
@@ -37,26 +37,6 @@
 REFUSE_PART: typing.Final = 0.5
 
 
-@dataclasses.dataclass(frozen=True)
-class Options:
-    """Set the limits of the decisions; the benchmarks vary them."""
-
-    # Outstanding work per slot up to which a class is sent to an endpoint.
-    # Short work may wait at the engine, where it goes first. The limit of
-    # long work keeps slots for short work; it holds only while there is
-    # short work, as it would leave a quarter of the slots unused.
-    room: abc.Mapping[queueing.WorkClass, float] = dataclasses.field(
-        default_factory=lambda: {
-            queueing.WorkClass.SHORT: 2.0,
-            queueing.WorkClass.TRAINER: 1.0,
-            queueing.WorkClass.LONG: 0.875,
-        }
-    )
-    max_queued: int = queueing.MAX_QUEUED
-    stall_factor: float = 4.0
-    min_stall_seconds: float = 0.1
-
-
 class Dispatcher:
     """Decide where and when the work of one instance runs."""
 
@@ -68,7 +48,7 @@
         contracts: contract_cache.ContractCache,
         clock: abc.Callable[[], float],
         rng: random.Random,
-        options: Options | None = None,
+        options: dispatch_options.Options | None = None,
     ) -> None:
         """Start without observations."""
         self.clock = clock
@@ -86,7 +66,7 @@
         self._directory = directory
         self._contracts = contracts
         self._rng = rng
-        self._options = options or Options()
+        self._options = options or dispatch_options.Options()
         self._pools: dict[tuple[bool, str], pools.Pool] = {}
         self._breakers: dict[str, retries.Breaker] = {}
         # Revision of the directory that the detector follows.
