--- a/src/hibiscussaddle/draining.py
+++ b/src/hibiscussaddle/draining.py
@@ -45,9 +45,9 @@
             await runtime.lifecycle.wait_idle()
             # Sockets are still open: repeats get their kept results here
             # until peers know the successor.
-            heir = await ticket_forwarding.hand_over(runtime)
-            if heir:
-                membership.update_self(runtime, successor=heir)
+            successor = await ticket_forwarding.hand_over(runtime)
+            if successor:
+                membership.update_self(runtime, successor=successor)
             # Written answers may still wait for a slow reader.
             await close_sockets()
         if limit.cancelled_caught:
