--- a/src/hibiscussaddle/settings.py
+++ b/src/hibiscussaddle/settings.py
@@ -3,6 +3,7 @@
 from collections import abc
 import dataclasses
 import ipaddress
+import os
 import typing
 
 import result
@@ -142,6 +143,10 @@
             return _refuse(name, value, "an http:// or https:// URL")
     if bool(cfg.tls_cert) != bool(cfg.tls_key):
         return _refuse("tls_key", cfg.tls_key, "set together with 'tls_cert'")
+    for name in ("tls_cert", "tls_key", "tls_ca"):
+        value = getattr(cfg, name)
+        if value and not os.path.isfile(value):
+            return _refuse(name, value, "the path of a file that exists")
     if cfg.log_level not in _LEVELS:
         return _refuse("log_level", cfg.log_level, ", ".join(_LEVELS))
     return result.Ok(cfg)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -36,6 +36,7 @@
         ("peer_secret", "short"),
         ("log_level", "loud"),
         ("store_url", "ftp://store"),
+        ("tls_ca", "no-such-file.pem"),
         ("callerport", "1"),
         ("max_body_bytes", "nan"),
     ],
