--- /dev/null
+++ b/src/hibiscussaddle/commands/marks.py
@@ -0,0 +1,35 @@
+"""Commands that endpoints and instances have in common."""
+
+from hibiscussaddle.commands import console
+from hibiscussaddle.commands import orders
+
+
+class MarkCommands:
+    """List targets of one kind and change their leave marks."""
+
+    _kind = ""
+
+    def list(self, address: str = "", output: str = "table") -> None:
+        """List what an instance knows."""
+        found = console.call(address, "GET", f"/v1/{self._kind}")
+        console.show(found[self._kind], output)
+
+    def leave(
+        self,
+        id: str,
+        reason: str = "",
+        address: str = "",
+        output: str = "json",
+    ) -> None:
+        """Take one out: no new work for an endpoint, unready instance."""
+        orders.send(address, self._kind, id, "leave", reason, output)
+
+    def clear(
+        self,
+        id: str,
+        reason: str = "",
+        address: str = "",
+        output: str = "json",
+    ) -> None:
+        """Put one back."""
+        orders.send(address, self._kind, id, "clear", reason, output)
