--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -4,7 +4,9 @@
 settle and to measure, and the process ids. Only reads /proc and /v1/status.
 """
 
+import base64
 import dataclasses
+import json
 import os
 import statistics
 import sys
@@ -73,11 +75,16 @@
 
 def put_contract(client: httpx.Client) -> None:
     """Give the store one contract, so that instances become ready."""
-    url = f"{STORE_URL}/v1/kv/contract/cereza"
+    first = json.loads(os.environ["FIRST_CONTRACT"])
+    value = base64.b64encode(json.dumps(first["value"]).encode()).decode()
+    change = {
+        "expected": [{"key": "contract/cereza", "revision": 0}],
+        "put": [{"key": "contract/cereza", "value": value}],
+    }
     until = time.monotonic() + START_SECONDS
     while time.monotonic() < until:
         try:
-            client.put(url, content=os.environ["FIRST_CONTRACT"])
+            client.post(STORE_URL + "/-/kv-txn", json=change)
             return
         except httpx.HTTPError:
             time.sleep(0.2)
--- a/src/hibiscussaddle/adapters/connections.py
+++ b/src/hibiscussaddle/adapters/connections.py
@@ -109,3 +109,14 @@
         finally:
             if transport is not None:
                 await self._pool.give_back(self._origin, transport)
+
+
+def create_client() -> httpx.AsyncClient:
+    """Return an HTTP client that adds no headers of its own.
+
+    Endpoints get the headers of the caller; an Accept-Encoding of ours
+    would change the bytes of their answers.
+    """
+    client = httpx.AsyncClient(transport=OriginTransport(), trust_env=False)
+    client.headers.clear()
+    return client
--- a/src/hibiscussaddle/adapters/store.py
+++ b/src/hibiscussaddle/adapters/store.py
@@ -4,14 +4,24 @@
 from collections import abc
 import dataclasses
 import enum
+import functools
+import logging
 import random
 import time
 import typing
 
 import anyio
 import httpx
+import msgspec
 import result
 
+from hibiscussaddle import logs
+from hibiscussaddle.platform import store_wire
+
+_LOG = logging.getLogger(__name__)
+# Longest part of an answer that a log line repeats, in characters.
+_SHOWN_CHARS: typing.Final = 80
+
 
 class StoreFailure(enum.Enum):
     """List why a store call failed."""
@@ -24,23 +34,48 @@
     # The call may have taken effect.
     UNKNOWN = "unknown"
     MISSING = "missing"
+    # The store no longer has the changes that a watch asked for.
+    HISTORY_GONE = "history_gone"
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreEntry:
+    """Hold one key's bytes and revision; a deleted key has no bytes."""
+
+    key: str
+    data: bytes | None
+    revision: int
+    lease: int = 0
+
+    @functools.cached_property
+    def value(self) -> typing.Any:
+        """Return the decoded JSON; None when deleted or not JSON."""
+        if self.data is None:
+            return None
+        try:
+            return msgspec.json.decode(self.data)
+        except ValueError as exc:
+            logs.event(
+                _LOG,
+                "store_value_malformed",
+                logging.WARNING,
+                key=self.key,
+                revision=self.revision,
+                why=exc,
+            )
+            return None
 
 
 @dataclasses.dataclass(frozen=True)
 class StoreError:
-    """Carry a store failure and the current revision of the key."""
+    """Carry a store failure and the current state of expected keys."""
 
     failure: StoreFailure
     revision: int = 0
+    current: tuple[StoreEntry, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True)
-class StoreEntry:
-    """Hold one key's value and revision; a deleted key has no value."""
-
-    key: str
-    value: typing.Any
-    revision: int
+Put = store_wire.Put
 
 
 # Seconds of budget that can be saved up for a burst.
@@ -98,7 +133,8 @@
         self._wait = self._first
 
 
-Answer: typing.TypeAlias = result.Result[dict[str, typing.Any], StoreError]
+Answer: typing.TypeAlias = result.Result[bytes, StoreError]
+_T = typing.TypeVar("_T")
 
 
 class StoreClient:
@@ -123,84 +159,89 @@
 
     async def get(self, key: str) -> result.Result[StoreEntry, StoreError]:
         """Return one entry."""
-        answer = await self._call("read", "GET", f"/v1/kv/{key}")
-        return answer.map(_to_entry)
+        answer = await self._call(store_wire.get(key))
+        item = _decode(answer, store_wire.decode_item)
+        return item.map(_to_entry)
 
     async def scan(
-        self, prefix: str
+        self, prefix: str, stale: bool = False, after: str = ""
     ) -> result.Result[tuple[list[StoreEntry], int], StoreError]:
-        """Return the entries of a prefix and the store's revision."""
-        answer = await self._call(
-            "read", "GET", "/v1/kv", params={"prefix": prefix}
-        )
-        return answer.map(
-            lambda body: (
-                [_to_entry(item) for item in body["entries"]],
-                int(body["revision"]),
-            )
-        )
+        """Return the entries of a prefix and the store's revision.
+
+        The revision is that of the first page, so that a watch from it
+        repeats what changed between the pages. A stale listing costs less
+        and may be seconds old.
+        """
+        entries: list[StoreEntry] = []
+        first: int | None = None
+        while True:
+            call = store_wire.scan(prefix, after, stale)
+            page = _decode(await self._call(call), store_wire.decode_page)
+            if isinstance(page, result.Err):
+                return page
+            found = page.ok_value
+            entries += [_to_entry(item) for item in found.items]
+            first = found.revision if first is None else first
+            if not found.has_more or not found.items:
+                return result.Ok((entries, first))
+            after = found.items[-1].key
 
     async def put(
         self,
         key: str,
         value: object,
         expected_revision: int,
-        lease: str | None = None,
+        lease: int = 0,
+    ) -> result.Result[int, StoreError]:
+        """Swap the value, encoded as JSON; return the new revision."""
+        put = Put(key, msgspec.json.encode(value), lease)
+        return await self.commit({key: expected_revision}, [put])
+
+    async def commit(
+        self,
+        expected: abc.Mapping[str, int],
+        puts: abc.Iterable[Put] = (),
+        removes: abc.Iterable[str] = (),
+        timeout: float | None = None,
     ) -> result.Result[int, StoreError]:
-        """Swap the value; return the new revision."""
-        body = {
-            "value": value,
-            "expected_revision": expected_revision,
-            "lease": lease,
-        }
-        answer = await self._call("write", "PUT", f"/v1/kv/{key}", json=body)
-        return answer.map(lambda found: int(found["revision"]))
+        """Change all keys if each has its revision; 0 means absent."""
+        call = store_wire.commit(expected, puts, removes)
+        answer = await self._call(call, timeout)
+        return _decode(answer, store_wire.decode_revision)
 
     async def grant(
         self, ttl: float, holder: str
-    ) -> result.Result[str, StoreError]:
-        """Create a lease of ttl seconds; return its id."""
-        body = {"ttl": ttl, "holder": holder}
-        answer = await self._call("lease", "POST", "/v1/leases", json=body)
-        return answer.map(lambda found: str(found["lease"]))
+    ) -> result.Result[int, StoreError]:
+        """Create a lease of ttl seconds; return its number."""
+        answer = await self._call(store_wire.grant(ttl))
+        return _decode(answer, store_wire.decode_lease)
 
-    async def renew(self, lease: str) -> result.Result[None, StoreError]:
+    async def renew(self, lease: int) -> result.Result[None, StoreError]:
         """Extend a lease; MISSING when it has lapsed."""
-        answer = await self._call("lease", "POST", f"/v1/leases/{lease}/renew")
+        answer = await self._call(store_wire.renew(lease))
         return answer.map(lambda _: None)
 
-    async def revoke(self, lease: str) -> result.Result[None, StoreError]:
+    async def revoke(self, lease: int) -> result.Result[None, StoreError]:
         """End a lease and delete its keys."""
-        answer = await self._call("lease", "DELETE", f"/v1/leases/{lease}")
+        answer = await self._call(store_wire.revoke(lease))
         return answer.map(lambda _: None)
 
     async def watch(
         self, prefix: str, after: int, timeout: float
     ) -> result.Result[tuple[list[StoreEntry], int], StoreError]:
         """Wait for changes after a revision, at most timeout seconds."""
-        params = {"prefix": prefix, "after": after, "timeout": timeout}
-        answer = await self._call(
-            "watch",
-            "GET",
-            "/v1/watch",
-            params=params,
-            timeout=timeout + self._timeout,
-        )
-        return answer.map(
-            lambda body: (
-                [_to_entry(item) for item in body["events"]],
-                int(body["revision"]),
+        call = store_wire.watch(prefix, after, timeout)
+        answer = await self._call(call, timeout + self._timeout)
+        page = _decode(answer, store_wire.decode_events)
+        return page.map(
+            lambda found: (
+                [_to_entry(item) for item in found.items],
+                found.revision,
             )
         )
 
     async def _call(
-        self,
-        kind: str,
-        method: str,
-        path: str,
-        params: dict[str, typing.Any] | None = None,
-        json: object = None,
-        timeout: float | None = None,
+        self, call: store_wire.Call, timeout: float | None = None
     ) -> Answer:
         wait = self._budget.reserve(self._timeout)
         if wait is None:
@@ -208,44 +249,79 @@
             return result.Err(StoreError(StoreFailure.DOWN))
         if wait > 0:
             await anyio.sleep(wait)
-        self.calls[kind] += 1
+        self.calls[call.kind] += 1
+        limit = timeout or self._timeout
         try:
-            resp = await self._client.request(
-                method,
-                self._url + path,
-                params=params,
-                json=json,
-                timeout=timeout or self._timeout,
-            )
+            with anyio.fail_after(limit):
+                resp = await self._client.request(
+                    call.method,
+                    self._url + call.path,
+                    params=call.params,
+                    json=call.json,
+                    timeout=limit,
+                )
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
             return result.Err(StoreError(StoreFailure.DOWN))
-        except httpx.HTTPError:
-            return result.Err(StoreError(StoreFailure.UNKNOWN))
-        try:
-            answer = _to_answer(resp)
-        except (ValueError, KeyError, TypeError):
-            # Something between the store and this instance answered.
+        except (httpx.HTTPError, TimeoutError):
             return result.Err(StoreError(StoreFailure.UNKNOWN))
+        answer = _to_answer(resp)
         if not resp.is_server_error:
             self.answered_at = time.monotonic()
         return answer
 
 
 def _to_answer(resp: httpx.Response) -> Answer:
-    if resp.status_code == httpx.codes.CONFLICT:
-        revision = int(resp.json()["revision"])
-        return result.Err(StoreError(StoreFailure.CONFLICT, revision))
-    if resp.status_code == httpx.codes.NOT_FOUND:
+    status = resp.status_code
+    if resp.is_success:
+        return result.Ok(resp.content)
+    if status == httpx.codes.PRECONDITION_FAILED:
+        return _to_conflict(resp.content)
+    if status == httpx.codes.NOT_FOUND:
         return result.Err(StoreError(StoreFailure.MISSING))
-    if resp.status_code == httpx.codes.SERVICE_UNAVAILABLE:
+    if status == httpx.codes.GONE:
+        return result.Err(StoreError(StoreFailure.HISTORY_GONE))
+    if status in (
+        httpx.codes.SERVICE_UNAVAILABLE,
+        httpx.codes.TOO_MANY_REQUESTS,
+    ):
         return result.Err(StoreError(StoreFailure.DOWN))
-    if resp.is_error:
+    return result.Err(StoreError(StoreFailure.UNKNOWN))
+
+
+def _to_conflict(body: bytes) -> Answer:
+    items = _decode(result.Ok(body), store_wire.decode_conflict)
+    if isinstance(items, result.Err):
+        return items
+    current = tuple(_to_entry(item) for item in items.ok_value)
+    revision = current[0].revision if current else 0
+    error = StoreError(StoreFailure.CONFLICT, revision, current)
+    return result.Err(error)
+
+
+def _decode(
+    answer: Answer, decode: abc.Callable[[bytes], _T]
+) -> result.Result[_T, StoreError]:
+    if isinstance(answer, result.Err):
+        return answer
+    try:
+        return result.Ok(decode(answer.ok_value))
+    except ValueError as exc:
+        # Something between the store and this instance answered.
+        log_malformed(exc, answer.ok_value)
         return result.Err(StoreError(StoreFailure.UNKNOWN))
-    body = resp.json()
-    if not isinstance(body, dict):
-        raise TypeError(type(body).__name__)
-    return result.Ok(body)
 
 
-def _to_entry(item: dict[str, typing.Any]) -> StoreEntry:
-    return StoreEntry(item["key"], item["value"], int(item["revision"]))
+def log_malformed(why: ValueError, data: bytes = b"") -> None:
+    """Log a value or an answer that can't be decoded."""
+    shown = data[:_SHOWN_CHARS].decode("latin-1")
+    logs.event(
+        _LOG,
+        "store_answer_malformed",
+        logging.WARNING,
+        why=why,
+        answer=shown or "-",
+    )
+
+
+def _to_entry(item: store_wire.Item) -> StoreEntry:
+    return StoreEntry(item.key, item.data, item.revision, item.lease)
--- a/src/hibiscussaddle/adapters/store_watch.py
+++ b/src/hibiscussaddle/adapters/store_watch.py
@@ -38,6 +38,9 @@
         after = self._after
         answer = await self._client.watch("", after, WATCH_SECONDS)
         if isinstance(answer, result.Err):
+            if answer.err_value.failure is store.StoreFailure.HISTORY_GONE:
+                self._after = None
+                return result.Ok(None)
             return answer
         entries, revision = answer.ok_value
         if self._after != after:
--- /dev/null
+++ b/src/hibiscussaddle/batches/__init__.py
@@ -0,0 +1,1 @@
+"""Batches of items: durable log, owner, reads and scheduling."""
--- /dev/null
+++ b/src/hibiscussaddle/batches/model.py
@@ -0,0 +1,147 @@
+"""Batches, their items and their results, and how the store keeps them."""
+
+import dataclasses
+import enum
+import typing
+
+import msgspec
+
+# Batches are cut into values below the store's limit of a megabyte, in bytes.
+PART_BYTES: typing.Final = 600_000
+# One transaction holds at most 32 entries, of which the head and the owner
+# take two.
+MAX_PARTS: typing.Final = 30
+
+
+@dataclasses.dataclass(frozen=True)
+class Item:
+    """Describe one request of a batch."""
+
+    id: str
+    # Absolute path at the endpoint.
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    # Prompt tokens and the most output tokens.
+    tokens: int
+    # Items of one group share their prompt and count together.
+    group: str = ""
+    # Estimate of output tokens, None when the caller gave none.
+    expected_output: float | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Batch:
+    """Describe one accepted batch."""
+
+    id: str
+    route: str
+    host: str
+    items: tuple[Item, ...]
+    # Wall-clock seconds of the submission.
+    submitted_at: float
+    model: str = ""
+    step: int | None = None
+    # Oldest weight version that may generate its events.
+    min_version: int = 0
+    # Complete groups that the trainer waits for; 0 waits for all items.
+    groups_wanted: int = 0
+
+
+class Outcome(enum.Enum):
+    """Tell how an item ended."""
+
+    COMPLETED = "completed"
+    # Given up; it does not run again.
+    DEAD = "dead"
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """Hold the listed result of one item; it never changes."""
+
+    item_id: str
+    outcome: Outcome
+    # Data of all events in order, separated by line feeds.
+    text: str = ""
+    # Weight versions that generated the events, ascending.
+    versions: tuple[int, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Head:
+    """Hold what readers need of a batch without its items."""
+
+    total: int
+    parts: int
+    submitted_at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Owner:
+    """Name the instance that runs a batch and lists its results."""
+
+    instance: str
+    incarnation: int
+
+
+def head_key(batch_id: str) -> str:
+    """Return the key of a batch's head."""
+    return f"batch/{batch_id}/head"
+
+
+def parts_prefix(batch_id: str) -> str:
+    """Return the prefix of a batch's items."""
+    return f"batch/{batch_id}/part/"
+
+
+def part_key(batch_id: str, number: int) -> str:
+    """Return the key of one part of a batch's items."""
+    return f"{parts_prefix(batch_id)}{number:02}"
+
+
+def log_prefix(batch_id: str) -> str:
+    """Return the prefix of a batch's listed results."""
+    return f"batch/{batch_id}/log/"
+
+
+def log_key(batch_id: str, number: int) -> str:
+    """Return the key of one entry of a batch's result log."""
+    return f"{log_prefix(batch_id)}{number:06}"
+
+
+def end_key(batch_id: str) -> str:
+    """Return the key that exists once a batch is ended."""
+    return f"batch/{batch_id}/end"
+
+
+OWNER_PREFIX: typing.Final = "owner/"
+
+
+def owner_key(batch_id: str) -> str:
+    """Return the key of the record that names a batch's owner."""
+    return OWNER_PREFIX + batch_id
+
+
+def encode_parts(batch: Batch) -> list[bytes]:
+    """Return the batch cut into values for the store."""
+    data = msgspec.msgpack.encode(batch)
+    return [
+        data[start : start + PART_BYTES]
+        for start in range(0, len(data), PART_BYTES)
+    ]
+
+
+def decode_parts(parts: list[bytes]) -> Batch:
+    """Return the batch of its parts; ValueError when it is malformed."""
+    return msgspec.msgpack.decode(b"".join(parts), type=Batch)
+
+
+def encode_results(results: list[Result]) -> bytes:
+    """Return one entry of the result log."""
+    return msgspec.msgpack.encode(results)
+
+
+def decode_results(data: bytes) -> list[Result]:
+    """Return the results of a log entry; ValueError when malformed."""
+    return msgspec.msgpack.decode(data, type=list[Result])
--- /dev/null
+++ b/src/hibiscussaddle/batches/owners.py
@@ -0,0 +1,216 @@
+"""Own batches: accept them, run them, take over those of lost instances."""
+
+import logging
+import time
+import typing
+
+import anyio
+from anyio import abc as anyio_abc
+import result
+
+from hibiscussaddle.adapters import store
+from hibiscussaddle.batches import model
+from hibiscussaddle.batches import runner
+from hibiscussaddle.batches import storage
+from hibiscussaddle.fleet import presence as presence_lib
+from hibiscussaddle import logs
+
+_LOG = logging.getLogger(__name__)
+
+# Waits between the reads that find out whether an acceptance without an
+# answer took effect, in seconds. The store may carry a call out seconds late.
+_SETTLE_SECONDS: typing.Final = (0.3, 0.7, 1.5, 3.0, 6.0)
+# Wait before a failed takeover is repeated, in seconds.
+_RETRY_SECONDS: typing.Final = 0.3
+# How often batches without a live owner are looked for, in seconds. Only
+# covers what a lost event left behind.
+_SWEEP_SECONDS: typing.Final = 5.0
+# An owner that is not a member at two sweeps in a row is gone.
+_SWEEP_SIGHTINGS: typing.Final = 2
+
+
+class BatchOwners:
+    """Run the batches that this instance owns."""
+
+    def __init__(
+        self,
+        tools: runner.Tools,
+        presence: presence_lib.Presence,
+    ) -> None:
+        """Start without batches; run() needs to be started."""
+        self.running: dict[str, runner.BatchRunner] = {}
+        self._tools = tools
+        self._presence = presence
+        self._storage = tools.storage
+        me = presence.me
+        self._me = model.Owner(me.instance, me.incarnation)
+        self._tasks: anyio_abc.TaskGroup | None = None
+        self._gone: set[str] = set()
+        self._claim_now = anyio.Event()
+        self._stopping = False
+        presence.on_gone = self._note_gone
+
+    async def run(self) -> None:
+        """Run batches and take over orphans until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            # Batches of the process that ran here before.
+            self._gone.add(self._me.instance)
+            self._claim_now.set()
+            tasks.start_soon(self._sweep)
+            while True:
+                await self._claim_now.wait()
+                self._claim_now = anyio.Event()
+                if not await self._claim_orphans():
+                    await anyio.sleep(_RETRY_SECONDS)
+                    self._claim_now.set()
+
+    async def accept(
+        self, batch: model.Batch, timeout: float
+    ) -> result.Result[None, store.StoreError]:
+        """Keep a batch and start it; Ok as well when it is known already."""
+        answer = await self._storage.accept(batch, self._me, timeout)
+        if isinstance(answer, result.Ok):
+            record = storage.OwnerRecord(batch.id, self._me, answer.ok_value)
+            self._start(batch, record, ())
+            return result.Ok(None)
+        failure = answer.err_value.failure
+        if failure is store.StoreFailure.CONFLICT:
+            return result.Ok(None)
+        if failure is store.StoreFailure.UNKNOWN and self._tasks is not None:
+            self._tasks.start_soon(self._settle, batch.id)
+        return answer
+
+    def stop(self) -> None:
+        """Take no more batches over."""
+        self._stopping = True
+
+    async def release(self) -> None:
+        """Give every batch up, so that others continue them at once."""
+        for owned in list(self.running.values()):
+            owned.stop("instance_stopping")
+            answer = await self._storage.release(owned.record)
+            logs.event(
+                _LOG,
+                "batch_released",
+                batch=owned.batch.id,
+                done=isinstance(answer, result.Ok),
+            )
+
+    def _start(
+        self,
+        batch: model.Batch,
+        record: storage.OwnerRecord,
+        log: typing.Sequence[storage.LogEntry],
+    ) -> None:
+        if self._tasks is None:
+            raise RuntimeError("run() must be started before a batch")
+        owned = runner.BatchRunner(self._tools, batch, record, log)
+        before = self.running.get(batch.id)
+        if before is not None:
+            before.stop("restarted")
+        self.running[batch.id] = owned
+        self._tasks.start_soon(self._run, owned)
+
+    async def _run(self, owned: runner.BatchRunner) -> None:
+        try:
+            await owned.run()
+        finally:
+            if self.running.get(owned.batch.id) is owned:
+                del self.running[owned.batch.id]
+
+    async def _settle(self, batch_id: str) -> None:
+        """Start a batch whose acceptance took effect without an answer."""
+        for wait in _SETTLE_SECONDS:
+            await anyio.sleep(wait)
+            if batch_id in self.running:
+                return
+            found = await self._storage.owner(batch_id)
+            if isinstance(found, result.Ok):
+                if found.ok_value.owner == self._me:
+                    await self._resume(found.ok_value)
+                return
+
+    def _note_gone(self, instance: str) -> None:
+        if self._presence.heir(instance) == self._me.instance:
+            self._gone.add(instance)
+            self._claim_now.set()
+
+    async def _sweep(self) -> None:
+        seen: dict[str, int] = {}
+        while True:
+            await anyio.sleep(_SWEEP_SECONDS)
+            members = self._presence.members
+            if min(members, default="") != self._me.instance:
+                seen.clear()
+                continue
+            found = await self._storage.owners()
+            if isinstance(found, result.Err):
+                continue
+            lost = {
+                record.owner.instance
+                for record in found.ok_value
+                if self._is_lost(record.owner)
+            }
+            seen = {name: seen.get(name, 0) + 1 for name in lost}
+            ready = {n for n, c in seen.items() if c >= _SWEEP_SIGHTINGS}
+            if ready:
+                self._gone |= ready
+                self._claim_now.set()
+
+    def _is_lost(self, owner: model.Owner) -> bool:
+        member = self._presence.members.get(owner.instance)
+        return member is None or member.incarnation != owner.incarnation
+
+    async def _claim_orphans(self) -> bool:
+        """Take over batches of lost owners; tell whether all is done."""
+        if self._stopping or not self._gone:
+            return True
+        gone = set(self._gone)
+        found = await self._storage.owners()
+        if isinstance(found, result.Err):
+            return False
+        done = True
+        for record in found.ok_value:
+            owner = record.owner
+            if owner.instance not in gone and owner.instance:
+                continue
+            if owner == self._me and record.batch_id in self.running:
+                continue
+            if owner.instance != self._me.instance and owner.instance:
+                if not self._is_lost(owner):
+                    continue
+            done = await self._claim(record) and done
+        if done:
+            self._gone -= gone
+        return done
+
+    async def _claim(self, record: storage.OwnerRecord) -> bool:
+        answer = await self._storage.take_over(record, self._me)
+        if isinstance(answer, result.Err):
+            failure = answer.err_value.failure
+            # On a conflict another instance was faster or the batch ended.
+            return failure is store.StoreFailure.CONFLICT
+        logs.event(
+            _LOG,
+            "batch_taken_over",
+            batch=record.batch_id,
+            owner_before=record.owner.instance,
+            revision_before=record.revision,
+        )
+        taken = storage.OwnerRecord(record.batch_id, self._me, answer.ok_value)
+        return await self._resume(taken)
+
+    async def _resume(self, record: storage.OwnerRecord) -> bool:
+        """Continue an owned batch after its listed results."""
+        started = time.monotonic()
+        while True:
+            batch = await self._storage.batch(record.batch_id)
+            log = await self._storage.log_after(record.batch_id, "")
+            if isinstance(batch, result.Ok) and isinstance(log, result.Ok):
+                break
+            if time.monotonic() - started > sum(_SETTLE_SECONDS):
+                return False
+            await anyio.sleep(_RETRY_SECONDS)
+        self._start(batch.ok_value, record, log.ok_value[0])
+        return True
--- /dev/null
+++ b/src/hibiscussaddle/batches/placement.py
@@ -0,0 +1,203 @@
+"""Choose the engine of each run and find runs that should move.
+
+Pure decisions: time is passed in, nothing is sent.
+"""
+
+from collections import abc
+import dataclasses
+import statistics
+import typing
+
+from hibiscussaddle import endpoints
+
+# An engine whose events are this many times slower than the median of the
+# others gets no new runs while others have room. Neighbours slow engines
+# 2.5 times for moments, which is not worth a move.
+SLOW_FACTOR: typing.Final = 2.2
+# A run whose engine sends nothing for this long moves, in seconds. Loading
+# weights pauses runs for about a second, which a move avoids.
+STALL_SECONDS: typing.Final = 0.6
+# The same for the first event, which waits for a slot and the prompt.
+FIRST_EVENT_SECONDS: typing.Final = 1.2
+# Events of one engine that are needed to judge its pace: with fewer, the
+# prompts that are read between the first events look like slowness.
+_MIN_EVENTS: typing.Final = 24
+# Events of one run that are needed to judge it.
+MIN_RUN_EVENTS: typing.Final = 3
+# Weight of the newest event in the pace of an engine.
+_SMOOTHING: typing.Final = 0.15
+# An engine that refused a run as full gets the next one after this time.
+_FULL_SECONDS: typing.Final = 0.1
+# The same after a failure, doubled for each one in a row up to the limit.
+_FAILED_SECONDS: typing.Final = 0.25
+_MAX_FAILED_SECONDS: typing.Final = 4.0
+# A slow engine is tried again after this time: slowness ends.
+_SLOW_SECONDS: typing.Final = 3.0
+# Cost in runs of leaving the engine that holds the group's prompt.
+_GROUP_BONUS: typing.Final = 2.0
+
+
+@dataclasses.dataclass
+class EngineState:
+    """Hold what this instance observed of one engine incarnation."""
+
+    incarnation: int = 0
+    running: int = 0
+    # Smoothed seconds between two events of a run.
+    pace: float | None = None
+    events: int = 0
+    observed_at: float = 0.0
+    blocked_until: float = 0.0
+    failures: int = 0
+    # Newest weight version that a response named, by model.
+    version: int = 0
+
+
+class Placement:
+    """Track engines and choose among them."""
+
+    def __init__(self) -> None:
+        """Start without observations."""
+        self._states: dict[str, EngineState] = {}
+
+    def state(self, endpoint: endpoints.Endpoint) -> EngineState:
+        """Return the state of an endpoint's incarnation."""
+        state = self._states.get(endpoint.id)
+        if state is None or state.incarnation != endpoint.incarnation:
+            state = EngineState(endpoint.incarnation)
+            self._states[endpoint.id] = state
+        return state
+
+    def choose(
+        self,
+        candidates: abc.Sequence[endpoints.Endpoint],
+        now: float,
+        near: str = "",
+        avoid: abc.Container[str] = (),
+    ) -> endpoints.Endpoint | None:
+        """Return the engine for a run, None while none has room.
+
+        The engine named by near holds the group's prompt.
+        """
+        typical = self.typical_pace(candidates)
+        best: tuple[float, endpoints.Endpoint] | None = None
+        for endpoint in candidates:
+            state = self.state(endpoint)
+            if state.running >= endpoint.slots or now < state.blocked_until:
+                continue
+            if endpoint.id in avoid:
+                continue
+            if self.is_slow(state, typical, now):
+                continue
+            load = (state.running + 1) / endpoint.slots
+            bonus = _GROUP_BONUS / endpoint.slots if endpoint.id == near else 0
+            cost = load * self._pace_factor(state, typical) - bonus
+            if best is None or cost < best[0]:
+                best = (cost, endpoint)
+        return best[1] if best else None
+
+    def has_room(
+        self,
+        candidates: abc.Iterable[endpoints.Endpoint],
+        now: float,
+        other_than: str,
+    ) -> bool:
+        """Tell whether a run could move away from an engine."""
+        found = [ep for ep in candidates if ep.id != other_than]
+        return self.choose(found, now) is not None
+
+    def typical_pace(
+        self, candidates: abc.Iterable[endpoints.Endpoint]
+    ) -> float | None:
+        """Return the median seconds between events of these engines."""
+        paces = [
+            state.pace
+            for state in map(self.state, candidates)
+            if state.pace is not None and state.events >= _MIN_EVENTS
+        ]
+        # The lower median, so that with two engines one slow one shows.
+        return statistics.median_low(paces) if paces else None
+
+    def is_slow(
+        self, state: EngineState, typical: float | None, now: float
+    ) -> bool:
+        """Tell whether an engine is much slower than the others."""
+        if typical is None or state.pace is None:
+            return False
+        if state.events < _MIN_EVENTS:
+            return False
+        if state.running == 0 and now - state.observed_at > _SLOW_SECONDS:
+            return False
+        return state.pace > SLOW_FACTOR * typical
+
+    def is_lagging(
+        self,
+        endpoint: endpoints.Endpoint,
+        typical: float | None,
+        run_pace: float | None,
+        now: float,
+    ) -> bool:
+        """Tell whether a run is slow because its engine is slow."""
+        if typical is None or run_pace is None:
+            return False
+        if run_pace < SLOW_FACTOR * typical:
+            return False
+        return self.is_slow(self.state(endpoint), typical, now)
+
+    def started(self, endpoint: endpoints.Endpoint) -> None:
+        """Count a run."""
+        self.state(endpoint).running += 1
+
+    def ended(self, endpoint: endpoints.Endpoint) -> None:
+        """Count the end of a run."""
+        state = self._states.get(endpoint.id)
+        if state is not None and state.incarnation == endpoint.incarnation:
+            state.running = max(0, state.running - 1)
+
+    def observe_gap(
+        self, endpoint: endpoints.Endpoint, seconds: float, now: float
+    ) -> None:
+        """Note the time between two events of a run."""
+        state = self.state(endpoint)
+        state.events += 1
+        state.observed_at = now
+        state.failures = 0
+        before = state.pace if state.pace is not None else seconds
+        state.pace = before + _SMOOTHING * (seconds - before)
+
+    def refused(self, endpoint: endpoints.Endpoint, now: float) -> None:
+        """Note that an engine had no room."""
+        self.state(endpoint).blocked_until = now + _FULL_SECONDS
+
+    def failed(self, endpoint: endpoints.Endpoint, now: float) -> None:
+        """Note that an engine broke off or did not answer."""
+        state = self.state(endpoint)
+        wait = min(_MAX_FAILED_SECONDS, _FAILED_SECONDS * 2**state.failures)
+        state.failures += 1
+        state.blocked_until = now + wait
+
+    @staticmethod
+    def _pace_factor(state: EngineState, typical: float | None) -> float:
+        if typical is None or state.pace is None:
+            return 1.0
+        return max(0.5, state.pace / typical)
+
+
+def order_items(
+    groups: abc.Mapping[str, abc.Sequence[float]],
+) -> list[tuple[str, int]]:
+    """Return (group, index) in the order in which items start.
+
+    The values are expected output tokens. Groups with the longest item
+    start first, so that the last runs to end are not the longest ones; the
+    items of a group stay together because they share a prompt.
+    """
+    longest = sorted(
+        groups, key=lambda group: max(groups[group], default=0.0), reverse=True
+    )
+    order: list[tuple[str, int]] = []
+    for group in longest:
+        lengths = groups[group]
+        by_length = sorted(range(len(lengths)), key=lengths.__getitem__)
+        order += [(group, index) for index in reversed(by_length)]
+    return order
--- /dev/null
+++ b/src/hibiscussaddle/batches/runner.py
@@ -0,0 +1,364 @@
+"""Run the items of one owned batch and list their results."""
+
+from collections import abc
+import dataclasses
+import logging
+import time
+import typing
+
+import anyio
+import result
+
+from hibiscussaddle.adapters import store
+from hibiscussaddle.batches import events
+from hibiscussaddle.batches import model
+from hibiscussaddle.batches import placement
+from hibiscussaddle.batches import runs
+from hibiscussaddle.batches import storage
+from hibiscussaddle import endpoints
+from hibiscussaddle.fleet import view as view_lib
+from hibiscussaddle import logs
+from hibiscussaddle.routes import routing_config
+
+_LOG = logging.getLogger(__name__)
+
+# Results that end within this time share one write of the store, in seconds.
+# Trainers poll about twice a second.
+FLUSH_SECONDS: typing.Final = 0.15
+# An entry of the result log stays well below the store's limit, in bytes.
+_MAX_ENTRY_BYTES: typing.Final = 600_000
+# How often an item looks for an engine with room, in seconds.
+_PLACE_SECONDS: typing.Final = 0.02
+# How often running items are checked for stalls, in seconds.
+_CHECK_SECONDS: typing.Final = 0.1
+# Waits between attempts of a write that failed, in seconds.
+_RETRY_SECONDS: typing.Final = 0.2
+# Longest wait of the watch that notices a batch's end, in seconds.
+_OWNER_WATCH_SECONDS: typing.Final = 10.0
+# Attempts of an item on a route that is gone from the configuration.
+_DEFAULT_ATTEMPTS: typing.Final = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Tools:
+    """Hold what every batch runner of an instance shares."""
+
+    storage: storage.BatchStorage
+    view: view_lib.View
+    engines: placement.Placement
+    items: runs.ItemRunner
+
+
+class BatchRunner:
+    """Own one batch until it is complete, ended or taken over."""
+
+    def __init__(
+        self,
+        tools: Tools,
+        batch: model.Batch,
+        record: storage.OwnerRecord,
+        log: abc.Sequence[storage.LogEntry] = (),
+    ) -> None:
+        """Continue after the results that are listed already."""
+        self.batch = batch
+        self.record = record
+        self._tools = tools
+        self._listed = {
+            found.item_id for entry in log for found in entry.results
+        }
+        self._log_number = len(log)
+        self._ready: list[model.Result] = []
+        self._new_result = anyio.Event()
+        self._progress = {
+            item.id: runs.Progress(item, events.Transcript())
+            for item in batch.items
+            if item.id not in self._listed
+        }
+        self._group_engines: dict[str, str] = {}
+        self._scope = anyio.CancelScope()
+        self.why_stopped = ""
+
+    def stop(self, why: str) -> None:
+        """Stop all runs; nothing more is listed."""
+        if not self.why_stopped:
+            self.why_stopped = why
+        self._scope.cancel()
+
+    async def run(self) -> None:
+        """Run until the batch is complete or stop() is called."""
+        logs.event(
+            _LOG,
+            "batch_started",
+            batch=self.batch.id,
+            step=self.batch.step,
+            items=len(self.batch.items),
+            listed=len(self._listed),
+            owner_revision=self.record.revision,
+        )
+        with self._scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._watch_owner)
+                tasks.start_soon(self._check_runs)
+                for progress in self._ordered():
+                    tasks.start_soon(self._run_item, progress)
+                await self._list_results()
+                self.why_stopped = self.why_stopped or "complete"
+                tasks.cancel_scope.cancel()
+        logs.event(
+            _LOG,
+            "batch_stopped",
+            batch=self.batch.id,
+            why=self.why_stopped,
+            listed=len(self._listed),
+        )
+
+    def _ordered(self) -> list[runs.Progress]:
+        groups: dict[str, list[runs.Progress]] = {}
+        for progress in self._progress.values():
+            groups.setdefault(progress.item.group, []).append(progress)
+        expected = {
+            group: [p.item.expected_output or 0.0 for p in found]
+            for group, found in groups.items()
+        }
+        order = placement.order_items(expected)
+        return [groups[group][index] for group, index in order]
+
+    async def _run_item(self, progress: runs.Progress) -> None:
+        while True:
+            if self._is_given_up(progress):
+                found = model.Result(progress.item.id, model.Outcome.DEAD)
+                self._add_result(found)
+                return
+            endpoint = await self._place(progress)
+            end = await self._tools.items.run(progress, self.batch, endpoint)
+            if end is runs.RunEnd.COMPLETE and self._is_valid(progress):
+                self._complete(progress)
+                return
+            if end is runs.RunEnd.FAILED:
+                progress.failures += 1
+            elif end is runs.RunEnd.IMPOSSIBLE:
+                progress.failures = self._max_attempts()
+            elif end in (runs.RunEnd.OTHER_ENDPOINT, runs.RunEnd.NOT_RUN):
+                now = time.monotonic()
+                self._tools.engines.refused(endpoint, now)
+
+    def _is_valid(self, progress: runs.Progress) -> bool:
+        transcript = progress.transcript
+        if not transcript.versions:
+            return False
+        stale = min(transcript.versions) < self.batch.min_version
+        route = self._route()
+        single = route is not None and route.single_version
+        if stale or (single and len(transcript.versions) > 1):
+            logs.event(
+                _LOG,
+                "run_discarded",
+                item=progress.item.id,
+                versions=sorted(transcript.versions),
+                min_version=self.batch.min_version,
+            )
+            transcript.clear()
+            return False
+        return True
+
+    def _complete(self, progress: runs.Progress) -> None:
+        transcript = progress.transcript
+        self._add_result(
+            model.Result(
+                progress.item.id,
+                model.Outcome.COMPLETED,
+                "\n".join(transcript.texts),
+                tuple(sorted(transcript.versions)),
+            )
+        )
+
+    def _add_result(self, found: model.Result) -> None:
+        self._ready.append(found)
+        self._progress.pop(found.item_id, None)
+        self._new_result.set()
+
+    def _is_given_up(self, progress: runs.Progress) -> bool:
+        if progress.failures >= self._max_attempts():
+            return True
+        route = self._route()
+        if route is None or not route.retention:
+            return False
+        return time.time() - self.batch.submitted_at > route.retention
+
+    def _max_attempts(self) -> int:
+        route = self._route()
+        return route.max_attempts if route else _DEFAULT_ATTEMPTS
+
+    def _route(self) -> routing_config.Route | None:
+        cfg = self._tools.view.config
+        return cfg.route(self.batch.route) if cfg else None
+
+    async def _place(self, progress: runs.Progress) -> endpoints.Endpoint:
+        """Wait for an engine with room."""
+        group = progress.item.group
+        while True:
+            endpoint = self._tools.engines.choose(
+                self._candidates(progress.item),
+                time.monotonic(),
+                self._group_engines.get(group, ""),
+                {progress.left} if progress.left else (),
+            )
+            progress.left = ""
+            if endpoint is not None:
+                if group:
+                    self._group_engines.setdefault(group, endpoint.id)
+                return endpoint
+            await anyio.sleep(_PLACE_SECONDS)
+
+    def _candidates(self, item: model.Item) -> list[endpoints.Endpoint]:
+        route = self._route()
+        if route is None:
+            return []
+        service = route.service_for(item.id)
+        directory = self._tools.view.directory
+        return [
+            endpoint
+            for endpoint in directory.routable(directory.all())
+            if endpoint.service == service and self._may_use(endpoint)
+        ]
+
+    def _may_use(self, endpoint: endpoints.Endpoint) -> bool:
+        if not self.batch.model:
+            return True
+        listed = endpoint.weight_version(self.batch.model)
+        if listed is None:
+            return False
+        seen = self._tools.engines.state(endpoint).version
+        return max(listed, seen) >= self.batch.min_version
+
+    async def _check_runs(self) -> None:
+        """Move runs whose engine stalls or is slow."""
+        while True:
+            await anyio.sleep(_CHECK_SECONDS)
+            now = time.monotonic()
+            for progress in list(self._progress.values()):
+                why = self._why_move(progress, now)
+                if why and progress.scope is not None:
+                    self._move(progress, why, now)
+
+    def _why_move(self, progress: runs.Progress, now: float) -> str:
+        endpoint = progress.endpoint
+        if endpoint is None or progress.scope is None:
+            return ""
+        candidates = self._candidates(progress.item)
+        engines = self._tools.engines
+        if not engines.has_room(candidates, now, endpoint.id):
+            return ""
+        since = now - (progress.event_at or progress.started_at)
+        limit = placement.STALL_SECONDS
+        if progress.event_at is None:
+            limit = placement.FIRST_EVENT_SECONDS
+        if since > limit:
+            return "stalled"
+        typical = engines.typical_pace(candidates)
+        if engines.is_lagging(endpoint, typical, progress.pace(), now):
+            return "slow"
+        return ""
+
+    def _move(self, progress: runs.Progress, why: str, now: float) -> None:
+        endpoint = progress.endpoint
+        if endpoint is None or progress.scope is None:
+            return
+        logs.event(
+            _LOG,
+            "run_moved",
+            item=progress.item.id,
+            endpoint=endpoint.id,
+            why=why,
+            last_event=progress.transcript.last_id,
+        )
+        progress.left = endpoint.id
+        if why == "stalled":
+            self._tools.engines.failed(endpoint, now)
+        progress.scope.cancel()
+
+    async def _list_results(self) -> None:
+        """Append results to the log until every item is listed."""
+        total = len(self.batch.items)
+        while len(self._listed) < total:
+            if not self._ready:
+                self._new_result = anyio.Event()
+                await self._new_result.wait()
+                await anyio.sleep(FLUSH_SECONDS)
+            found = _take(self._ready)
+            complete = len(self._listed) + len(found) == total
+            if not await self._append(found, complete):
+                return
+            self._log_number += 1
+            self._listed.update(entry.item_id for entry in found)
+
+    async def _append(self, found: list[model.Result], complete: bool) -> bool:
+        """Repeat one append until its outcome is known."""
+        key = model.log_key(self.batch.id, self._log_number)
+        data = model.encode_results(found)
+        while True:
+            answer = await self._tools.storage.append(
+                self.batch.id,
+                self.record.revision,
+                self._log_number,
+                found,
+                complete,
+            )
+            if isinstance(answer, result.Ok):
+                return True
+            error = answer.err_value
+            if error.failure is store.StoreFailure.CONFLICT:
+                if any(e.key == key and e.data == data for e in error.current):
+                    # An earlier attempt took effect without an answer.
+                    return True
+                self.stop("ownership_lost")
+                return False
+            logs.event(
+                _LOG,
+                "results_not_stored",
+                logging.WARNING,
+                batch=self.batch.id,
+                results=len(found),
+                why=error.failure.value,
+            )
+            await anyio.sleep(_RETRY_SECONDS)
+
+    async def _watch_owner(self) -> None:
+        """Stop when the batch is ended or another instance took it over."""
+        after = self.record.revision
+        while True:
+            answer = await self._tools.storage.watch_owner(
+                self.batch.id, after, _OWNER_WATCH_SECONDS
+            )
+            if isinstance(answer, result.Ok):
+                entries, after = answer.ok_value
+                if any(e.revision > self.record.revision for e in entries):
+                    if not self._is_complete():
+                        self.stop("owner_changed")
+                        return
+                continue
+            owner = await self._tools.storage.owner(self.batch.id)
+            if isinstance(owner, result.Ok):
+                after = max(after, owner.ok_value.revision)
+                if owner.ok_value.revision != self.record.revision:
+                    self.stop("owner_changed")
+                    return
+            elif owner.err_value.failure is store.StoreFailure.MISSING:
+                if not self._is_complete():
+                    self.stop("owner_removed")
+                    return
+            await anyio.sleep(_RETRY_SECONDS)
+
+    def _is_complete(self) -> bool:
+        """Tell whether every item ran; the last append may be under way."""
+        return not self._progress
+
+
+def _take(ready: list[model.Result]) -> list[model.Result]:
+    """Remove and return results for one log entry."""
+    found: list[model.Result] = []
+    size = 0
+    while ready and (not found or size < _MAX_ENTRY_BYTES):
+        found.append(ready.pop(0))
+        size += len(found[-1].text.encode())
+    return found
--- /dev/null
+++ b/src/hibiscussaddle/batches/storage.py
@@ -0,0 +1,200 @@
+"""Keep batches, their owners and their result logs in the store."""
+
+import dataclasses
+import typing
+
+import msgspec
+import result
+
+from hibiscussaddle.adapters import store
+from hibiscussaddle.batches import model
+
+Failure: typing.TypeAlias = store.StoreError
+_T = typing.TypeVar("_T")
+
+
+@dataclasses.dataclass(frozen=True)
+class OwnerRecord:
+    """Hold an owner with the revision that fences its writes."""
+
+    batch_id: str
+    owner: model.Owner
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class LogEntry:
+    """Hold one entry of a result log."""
+
+    key: str
+    results: tuple[model.Result, ...]
+
+
+class BatchStorage:
+    """Read and write batches; every write is a compare-and-swap."""
+
+    def __init__(self, client: store.StoreClient) -> None:
+        """Use the store's one client."""
+        self._client = client
+
+    async def accept(
+        self, batch: model.Batch, owner: model.Owner, timeout: float
+    ) -> result.Result[int, Failure]:
+        """Keep a new batch; return the revision of its owner record."""
+        parts = model.encode_parts(batch)
+        head = model.Head(len(batch.items), len(parts), batch.submitted_at)
+        puts = [
+            store.Put(model.part_key(batch.id, number), part)
+            for number, part in enumerate(parts)
+        ]
+        puts.append(
+            store.Put(model.head_key(batch.id), msgspec.json.encode(head))
+        )
+        puts.append(_put_owner(batch.id, owner))
+        expected = {model.head_key(batch.id): 0}
+        return await self._client.commit(expected, puts, timeout=timeout)
+
+    async def head(self, batch_id: str) -> result.Result[model.Head, Failure]:
+        """Return the head of a batch; MISSING when it does not exist."""
+        found = await self._client.get(model.head_key(batch_id))
+        return _decode(
+            found.map(lambda entry: entry.data or b""),
+            lambda data: msgspec.json.decode(data, type=model.Head),
+        )
+
+    async def batch(
+        self, batch_id: str
+    ) -> result.Result[model.Batch, Failure]:
+        """Return a batch with its items; MISSING when it does not exist."""
+        found = await self._client.scan(model.parts_prefix(batch_id))
+        if isinstance(found, result.Err):
+            return found
+        parts = [entry.data or b"" for entry in found.ok_value[0]]
+        if not parts:
+            return result.Err(store.StoreError(store.StoreFailure.MISSING))
+        return _decode(result.Ok(parts), model.decode_parts)
+
+    async def owner(
+        self, batch_id: str
+    ) -> result.Result[OwnerRecord, Failure]:
+        """Return who runs a batch; MISSING when it is complete or ended."""
+        found = await self._client.get(model.owner_key(batch_id))
+        if isinstance(found, result.Err):
+            return found
+        return _decode(found, _to_owner)
+
+    async def owners(self) -> result.Result[list[OwnerRecord], Failure]:
+        """Return the owners of all batches that are not complete."""
+        found = await self._client.scan(model.OWNER_PREFIX)
+        if isinstance(found, result.Err):
+            return found
+        return _decode(
+            result.Ok(found.ok_value[0]),
+            lambda entries: [_to_owner(entry) for entry in entries],
+        )
+
+    async def take_over(
+        self, record: OwnerRecord, owner: model.Owner
+    ) -> result.Result[int, Failure]:
+        """Replace an owner; writes of the one before fail from then on."""
+        expected = {model.owner_key(record.batch_id): record.revision}
+        puts = [_put_owner(record.batch_id, owner)]
+        return await self._client.commit(expected, puts)
+
+    async def log_after(
+        self, batch_id: str, last_key: str
+    ) -> result.Result[tuple[list[LogEntry], int], Failure]:
+        """Return log entries after a key and the store's revision."""
+        prefix = model.log_prefix(batch_id)
+        found = await self._client.scan(prefix, after=last_key)
+        return _decode(found, lambda answer: (_to_log(answer[0]), answer[1]))
+
+    async def watch_log(
+        self, batch_id: str, after: int, wait: float
+    ) -> result.Result[tuple[list[LogEntry], int], Failure]:
+        """Wait for log entries after a revision, at most wait seconds."""
+        prefix = model.log_prefix(batch_id)
+        found = await self._client.watch(prefix, after, wait)
+        return _decode(found, lambda answer: (_to_log(answer[0]), answer[1]))
+
+    async def append(
+        self,
+        batch_id: str,
+        owner_revision: int,
+        number: int,
+        results: list[model.Result],
+        complete: bool,
+    ) -> result.Result[int, Failure]:
+        """List results while the owner record is unchanged.
+
+        The last append of a batch also removes its owner record.
+        """
+        owner_key = model.owner_key(batch_id)
+        key = model.log_key(batch_id, number)
+        put = store.Put(key, model.encode_results(results))
+        return await self._client.commit(
+            {owner_key: owner_revision, key: 0},
+            [put],
+            [owner_key] if complete else [],
+        )
+
+    async def release(
+        self, record: OwnerRecord
+    ) -> result.Result[int, Failure]:
+        """Give a batch up so that any instance may take it over at once."""
+        return await self.take_over(record, model.Owner("", 0))
+
+    async def end(self, batch_id: str) -> result.Result[int, Failure]:
+        """Mark a batch as ended and remove its owner record."""
+        return await self._client.commit(
+            {},
+            [store.Put(model.end_key(batch_id), b"{}")],
+            [model.owner_key(batch_id)],
+        )
+
+    async def is_ended(self, batch_id: str) -> result.Result[bool, Failure]:
+        """Tell whether a batch is ended."""
+        found = await self._client.get(model.end_key(batch_id))
+        if isinstance(found, result.Ok):
+            return result.Ok(True)
+        if found.err_value.failure is store.StoreFailure.MISSING:
+            return result.Ok(False)
+        return found
+
+    async def watch_owner(
+        self, batch_id: str, after: int, wait: float
+    ) -> result.Result[tuple[list[store.StoreEntry], int], Failure]:
+        """Wait for a change of a batch's owner record."""
+        return await self._client.watch(model.owner_key(batch_id), after, wait)
+
+
+def _put_owner(batch_id: str, owner: model.Owner) -> store.Put:
+    data = msgspec.json.encode(owner)
+    return store.Put(model.owner_key(batch_id), data)
+
+
+def _to_owner(entry: store.StoreEntry) -> OwnerRecord:
+    owner = msgspec.json.decode(entry.data or b"", type=model.Owner)
+    batch_id = entry.key.removeprefix(model.OWNER_PREFIX)
+    return OwnerRecord(batch_id, owner, entry.revision)
+
+
+def _to_log(entries: list[store.StoreEntry]) -> list[LogEntry]:
+    return [
+        LogEntry(entry.key, tuple(model.decode_results(entry.data)))
+        for entry in entries
+        if entry.data is not None
+    ]
+
+
+def _decode(
+    found: result.Result[typing.Any, Failure],
+    decode: typing.Callable[[typing.Any], _T],
+) -> result.Result[_T, Failure]:
+    if isinstance(found, result.Err):
+        return found
+    try:
+        return result.Ok(decode(found.ok_value))
+    except ValueError as exc:
+        store.log_malformed(exc)
+        return result.Err(store.StoreError(store.StoreFailure.UNKNOWN))
--- a/src/hibiscussaddle/cli.py
+++ b/src/hibiscussaddle/cli.py
@@ -36,6 +36,16 @@
         logs.configure(cfg.log_level, cfg.instance, cfg.zone)
         anyio.run(entry_lib.run, cfg, backend_options={"use_uvloop": True})
 
+    def gateway(self, **flags: object) -> None:
+        """Run a gateway instance on a hosting platform."""
+        # Imported here, so that each command loads only what it runs.
+        from hibiscussaddle import gateway_process
+        from hibiscussaddle import gateway_settings
+
+        cfg = console.unwrap(gateway_settings.load(flags, console.environ()))
+        logs.configure(cfg.log_level, cfg.instance, cfg.zone, sys.stdout)
+        anyio.run(gateway_process.run, cfg)
+
     def settings(self, output: str = "table", **flags: object) -> None:
         """Print the settings that 'entry' would use."""
         cfg = console.unwrap(settings_lib.load(flags, console.environ()))
--- a/src/hibiscussaddle/endpoints.py
+++ b/src/hibiscussaddle/endpoints.py
@@ -36,6 +36,12 @@
     models: tuple[str, ...] = ()
     service: str = ""
     slots: int = 8
+    # Version of the weights that each model holds, where it is listed.
+    weight_versions: tuple[tuple[str, int], ...] = ()
+
+    def weight_version(self, model: str) -> int | None:
+        """Return the listed version of a model's weights."""
+        return dict(self.weight_versions).get(model)
 
 
 def parse(item: abc.Mapping[str, typing.Any]) -> Endpoint | None:
--- /dev/null
+++ b/src/hibiscussaddle/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What an instance knows of the fleet: endpoints, members, configuration."""
--- /dev/null
+++ b/src/hibiscussaddle/fleet/feed.py
@@ -0,0 +1,115 @@
+"""Follow the keys of one prefix of the store."""
+
+from collections import abc
+import logging
+import random
+import time
+import typing
+
+import anyio
+import result
+
+from hibiscussaddle.adapters import store
+from hibiscussaddle import logs
+
+_LOG = logging.getLogger(__name__)
+
+Handler: typing.TypeAlias = abc.Callable[[list[store.StoreEntry]], None]
+
+# Waits between attempts while the store fails, in seconds: short against
+# the two seconds within which a configuration must be in force.
+_FIRST_RETRY: typing.Final = 0.1
+_LONGEST_RETRY: typing.Final = 0.6
+
+
+class Feed:
+    """Give every key of a prefix, then each change."""
+
+    def __init__(
+        self,
+        client: store.StoreClient,
+        prefix: str,
+        on_listing: Handler,
+        on_changes: Handler,
+        wait: float,
+        pause: float = 0.0,
+        on_failure: abc.Callable[[], None] = lambda: None,
+    ) -> None:
+        """Set the longest wait of a watch and the pause after one.
+
+        Both are in seconds. A pause gathers changes that come singly, since
+        each answer of the store counts as one call.
+        """
+        self.prefix = prefix
+        # Monotonic seconds of the newest answer.
+        self.current_at: float | None = None
+        # Monotonic seconds of the newest failure.
+        self.failed_at = float("-inf")
+        self._client = client
+        self._on_listing = on_listing
+        self._on_changes = on_changes
+        self._wait = wait
+        self._pause = pause
+        self._on_failure = on_failure
+        self._after: int | None = None
+        self._backoff = store.Backoff(
+            random.Random(), _FIRST_RETRY, _LONGEST_RETRY
+        )
+
+    async def run(self) -> None:
+        """Follow the prefix until cancelled."""
+        while True:
+            failure = await self.step()
+            if failure is None:
+                self._backoff.reset()
+                await anyio.sleep(self._pause)
+            else:
+                await anyio.sleep(self._backoff.next())
+
+    async def step(self) -> store.StoreFailure | None:
+        """Make one call; return why it failed."""
+        if self._after is None:
+            answer = await self._client.scan(self.prefix)
+            handler = self._on_listing
+        else:
+            answer = await self._client.watch(
+                self.prefix, self._after, self._wait
+            )
+            handler = self._on_changes
+        if isinstance(answer, result.Err):
+            return self._fail(answer.err_value.failure)
+        entries, revision = answer.ok_value
+        if self._after is not None and revision < self._after:
+            # An answer from before what is known is not the newest state.
+            return self._fail(store.StoreFailure.UNKNOWN)
+        if self.failed_at != float("-inf") and self.is_failing():
+            logs.event(_LOG, "store_regained", prefix=self.prefix)
+        self._after = revision
+        self.current_at = time.monotonic()
+        handler(entries)
+        return None
+
+    def is_failing(self) -> bool:
+        """Tell whether the newest call failed."""
+        return self.current_at is None or self.failed_at > self.current_at
+
+    def age(self, now: float) -> float:
+        """Return the seconds since an answer was overdue, 0 if none is."""
+        if self.current_at is None:
+            return float("inf")
+        return max(0.0, now - self.current_at - self._wait - self._pause)
+
+    def _fail(self, failure: store.StoreFailure) -> store.StoreFailure:
+        if not self.is_failing() or self.failed_at == float("-inf"):
+            logs.event(
+                _LOG,
+                "store_lost",
+                logging.WARNING,
+                prefix=self.prefix,
+                why=failure.value,
+            )
+        self.failed_at = time.monotonic()
+        self._on_failure()
+        if failure is store.StoreFailure.HISTORY_GONE:
+            self._after = None
+        return failure
--- /dev/null
+++ b/src/hibiscussaddle/fleet/presence.py
@@ -0,0 +1,135 @@
+"""Show that this instance lives, and know which others do.
+
+Each instance keeps a key under a lease of the store. A key that vanishes
+means that its instance stopped, froze or lost the store.
+"""
+
+import hashlib
+import logging
+import typing
+
+import anyio
+import msgspec
+import result
+
+from hibiscussaddle.adapters import store
+from hibiscussaddle import logs
+
+_LOG = logging.getLogger(__name__)
+
+PREFIX: typing.Final = "lease/member/"
+# Time after which a silent instance loses its batches, in seconds. Shorter
+# leases make more false takeovers while the store is slow.
+LEASE_SECONDS: typing.Final = 2.4
+# Three renewals fit into one lease.
+_RENEW_SECONDS: typing.Final = 0.7
+_RETRY_SECONDS: typing.Final = 0.2
+
+
+class Member(msgspec.Struct, frozen=True):
+    """Describe a live instance."""
+
+    instance: str
+    zone: str
+    # Wall-clock milliseconds of the start of its process.
+    incarnation: int
+
+
+class Presence:
+    """Renew this instance's key and follow those of the others."""
+
+    def __init__(self, client: store.StoreClient, me: Member) -> None:
+        """Register at the first call of run()."""
+        self.me = me
+        self.members: dict[str, Member] = {}
+        # Called with each instance whose key vanished.
+        self.on_gone: typing.Callable[[str], None] = lambda _: None
+        self._client = client
+        self._lease = 0
+        self._stopped = False
+
+    @property
+    def is_registered(self) -> bool:
+        """Tell whether the newest renewal succeeded."""
+        return self._lease != 0
+
+    async def run(self) -> None:
+        """Register and renew until cancelled."""
+        while True:
+            if self._lease == 0:
+                done = await self._register()
+            else:
+                done = await self._renew()
+            await anyio.sleep(_RENEW_SECONDS if done else _RETRY_SECONDS)
+
+    async def leave(self) -> None:
+        """Remove this instance's key."""
+        lease, self._lease = self._lease, 0
+        if lease:
+            await self._client.revoke(lease)
+
+    def heir(self, instance: str) -> str:
+        """Return the member that takes over what an instance owned."""
+        live = [name for name in self.members if name != instance]
+        return max(live, key=lambda name: _rank(instance, name), default="")
+
+    def put_listing(self, entries: list[store.StoreEntry]) -> None:
+        """Take a complete listing of members."""
+        gone = set(self.members) - {
+            entry.key.removeprefix(PREFIX) for entry in entries
+        }
+        self.put_changes(entries)
+        for name in gone:
+            self._remove(name)
+
+    def put_changes(self, entries: list[store.StoreEntry]) -> None:
+        """Take changes of members' keys."""
+        for entry in entries:
+            if not entry.key.startswith(PREFIX):
+                continue
+            if entry.data is None:
+                self._remove(entry.key.removeprefix(PREFIX))
+                continue
+            try:
+                member = msgspec.json.decode(entry.data, type=Member)
+            except ValueError as exc:
+                store.log_malformed(exc, entry.data)
+                continue
+            if self.members.get(member.instance) != member:
+                self.members[member.instance] = member
+                logs.event(_LOG, "member_seen", member=member.instance)
+
+    def _remove(self, instance: str) -> None:
+        if self.members.pop(instance, None) is not None:
+            logs.event(_LOG, "member_gone", member=instance)
+            self.on_gone(instance)
+
+    async def _register(self) -> bool:
+        granted = await self._client.grant(LEASE_SECONDS, self.me.instance)
+        if isinstance(granted, result.Err):
+            return False
+        key = PREFIX + self.me.instance
+        put = store.Put(key, msgspec.json.encode(self.me), granted.ok_value)
+        # Without a condition: only this instance writes its key, and the
+        # lease of a process before must not delete it.
+        done = await self._client.commit({}, [put])
+        if isinstance(done, result.Err):
+            return False
+        self._lease = granted.ok_value
+        logs.event(_LOG, "member_registered", lease=self._lease)
+        return True
+
+    async def _renew(self) -> bool:
+        lease = self._lease
+        renewed = await self._client.renew(lease)
+        if isinstance(renewed, result.Ok):
+            return True
+        if renewed.err_value.failure is store.StoreFailure.MISSING:
+            logs.event(_LOG, "member_lease_lost", logging.WARNING, lease=lease)
+            self._lease = 0
+        return False
+
+
+def _rank(instance: str, candidate: str) -> bytes:
+    key = f"{instance}/{candidate}".encode()
+    return hashlib.blake2b(key, digest_size=8).digest()
--- /dev/null
+++ b/src/hibiscussaddle/gateway.py
@@ -0,0 +1,207 @@
+"""Decisions of a gateway instance for the calls that reach it."""
+
+from collections import abc
+import contextlib
+import logging
+import time
+import typing
+
+import result
+
+from hibiscussaddle.adapters import store
+from hibiscussaddle.batches import model
+from hibiscussaddle.batches import owners
+from hibiscussaddle.batches import reader as reader_lib
+from hibiscussaddle.batches import storage
+from hibiscussaddle import codes
+from hibiscussaddle.fleet import feed
+from hibiscussaddle.fleet import view as view_lib
+from hibiscussaddle import logs
+from hibiscussaddle.routes import forward
+from hibiscussaddle.routes import routing_config
+
+_LOG = logging.getLogger(__name__)
+
+# An instance sends callers elsewhere when an answer of the store is overdue
+# by this time, in seconds.
+OVERDUE_SECONDS: typing.Final = 1.5
+# Retry-After while the store does not answer, in seconds: the next attempt
+# reaches another instance, which may reach it.
+_STORE_RETRY_SECONDS: typing.Final = 0.2
+# Longest time of one attempt to keep a batch, in seconds.
+_ACCEPT_SECONDS: typing.Final = 1.2
+# Attempts to keep a batch while answers are lost.
+_ACCEPT_ATTEMPTS: typing.Final = 3
+
+
+class Gateway:
+    """Answer requests, batches and reads."""
+
+    def __init__(
+        self,
+        view: view_lib.View,
+        forwarder: forward.Forwarder,
+        batches: storage.BatchStorage,
+        batch_owners: owners.BatchOwners,
+        feeds: abc.Sequence[feed.Feed],
+    ) -> None:
+        """Combine the parts of one instance."""
+        self.reader = reader_lib.BatchReader(batches)
+        self.stopping = False
+        self.running = 0
+        self._view = view
+        self._forwarder = forwarder
+        self._batches = batches
+        self._owners = batch_owners
+        self._feeds = feeds
+
+    @property
+    def limits(self) -> routing_config.Limits:
+        """Return the limits of callers in force."""
+        cfg = self._view.config
+        return cfg.limits if cfg else routing_config.Limits()
+
+    @contextlib.contextmanager
+    def count_request(self) -> abc.Iterator[None]:
+        """Count a request while it is answered."""
+        self.running += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
+
+    def why_not_ready(self) -> str:
+        """Return why callers should go elsewhere; empty when ready."""
+        if self.stopping:
+            return "stopping"
+        if self._view.config is None:
+            return "no configuration yet"
+        if not self._view.listed:
+            return "no endpoints listed yet"
+        now = time.monotonic()
+        for followed in self._feeds:
+            if followed.age(now) > OVERDUE_SECONDS:
+                return f"the store does not answer for {followed.prefix}"
+        return ""
+
+    def find_route(
+        self, host: str, path: str
+    ) -> result.Result[routing_config.Route, codes.Refusal]:
+        """Return the route of a request."""
+        cfg = self._view.config
+        if cfg is None:
+            return result.Err(
+                codes.Refusal(
+                    codes.Code.NOT_READY,
+                    "no configuration yet",
+                    _STORE_RETRY_SECONDS,
+                )
+            )
+        route = cfg.match(host, path)
+        if route is None:
+            return result.Err(
+                codes.Refusal(
+                    codes.Code.NOT_FOUND,
+                    f"configuration {cfg.version} has no route for "
+                    f"{host}{path}",
+                )
+            )
+        return result.Ok(route)
+
+    async def forward(
+        self, req: forward.CallerRequest, route: routing_config.Route
+    ) -> forward.Answer:
+        """Return an endpoint's answer, or why there is none."""
+        answer = await self._forwarder.forward(req, route)
+        if isinstance(answer, forward.EndpointAnswer):
+            logs.event(
+                _LOG,
+                "request_answered",
+                request=req.id,
+                route=route.name,
+                endpoint=answer.endpoint_id,
+                status=answer.status,
+                seconds=time.monotonic() - req.arrived_at,
+            )
+        return answer
+
+    async def submit(
+        self, batch: model.Batch, patience: float
+    ) -> codes.Refusal | None:
+        """Keep a batch; return why it was not kept."""
+        if self.stopping:
+            return codes.Refusal(
+                codes.Code.STOPPING,
+                "this instance stops",
+                _STORE_RETRY_SECONDS,
+            )
+        if len(model.encode_parts(batch)) > model.MAX_PARTS:
+            return codes.Refusal(
+                codes.Code.TOO_LARGE,
+                f"a batch has at most {model.MAX_PARTS} parts of "
+                f"{model.PART_BYTES} bytes",
+            )
+        until = time.monotonic() + patience
+        may_be_kept = False
+        for _ in range(_ACCEPT_ATTEMPTS):
+            left = until - time.monotonic()
+            if left <= 0:
+                break
+            answer = await self._owners.accept(
+                batch, min(left, _ACCEPT_SECONDS)
+            )
+            if isinstance(answer, result.Ok):
+                logs.event(
+                    _LOG,
+                    "batch_accepted",
+                    batch=batch.id,
+                    step=batch.step,
+                    items=len(batch.items),
+                    min_version=batch.min_version,
+                )
+                return None
+            failure = answer.err_value.failure
+            if failure is store.StoreFailure.UNKNOWN:
+                may_be_kept = True
+            elif not may_be_kept:
+                return _store_refusal(failure)
+        return codes.Refusal(
+            codes.Code.ACCEPTANCE_UNKNOWN,
+            "the store did not say whether it kept the batch",
+        )
+
+    async def end_batch(self, batch_id: str) -> codes.Refusal | None:
+        """End a batch; return why it was not ended."""
+        known = await self.reader.known(batch_id)
+        if isinstance(known, result.Err):
+            return read_refusal(known.err_value, batch_id)
+        answer = await self._batches.end(batch_id)
+        if isinstance(answer, result.Err):
+            if answer.err_value.failure is not store.StoreFailure.UNKNOWN:
+                return read_refusal(answer.err_value, batch_id)
+            return codes.Refusal(
+                codes.Code.ACCEPTANCE_UNKNOWN,
+                "the store did not say whether it ended the batch",
+            )
+        owned = self._owners.running.get(batch_id)
+        if owned is not None:
+            owned.stop("ended")
+        logs.event(_LOG, "batch_ended", batch=batch_id)
+        return None
+
+
+def read_refusal(error: store.StoreError, batch_id: str) -> codes.Refusal:
+    """Return the refusal of a read that the store did not answer."""
+    if error.failure is store.StoreFailure.MISSING:
+        return codes.Refusal(
+            codes.Code.NOT_FOUND, f"batch {batch_id!r} or its item is unknown"
+        )
+    return _store_refusal(error.failure)
+
+
+def _store_refusal(failure: store.StoreFailure) -> codes.Refusal:
+    return codes.Refusal(
+        codes.Code.STORE_UNAVAILABLE,
+        f"the store failed: {failure.value}",
+        _STORE_RETRY_SECONDS,
+    )
--- /dev/null
+++ b/src/hibiscussaddle/gateway_process.py
@@ -0,0 +1,271 @@
+"""Run one gateway instance: its ports, its feeds and its stop."""
+
+from collections import abc
+import dataclasses
+import gc
+import logging
+import random
+import signal
+import time
+import typing
+
+import anyio
+from anyio import abc as anyio_abc
+import httpx
+
+from hibiscussaddle.adapters import connections
+from hibiscussaddle.adapters import store
+from hibiscussaddle.batches import owners
+from hibiscussaddle.batches import placement
+from hibiscussaddle.batches import runner
+from hibiscussaddle.batches import runs
+from hibiscussaddle.batches import storage
+from hibiscussaddle.fleet import feed
+from hibiscussaddle.fleet import presence as presence_lib
+from hibiscussaddle.fleet import retirement
+from hibiscussaddle.fleet import view as view_lib
+from hibiscussaddle import gateway as gateway_lib
+from hibiscussaddle import gateway_settings
+from hibiscussaddle import logs
+from hibiscussaddle.platform import config_wire
+from hibiscussaddle.platform import endpoint_wire
+from hibiscussaddle.platform import ingress
+from hibiscussaddle.routes import balance
+from hibiscussaddle.routes import forward
+from hibiscussaddle import serving
+from hibiscussaddle import weight_lease
+from hibiscussaddle.weights import claim
+from hibiscussaddle.weights import controller as weight_controller
+
+_LOG = logging.getLogger(__name__)
+
+# Longest waits of watches, in seconds. They bound how long a silent
+# connection goes unnoticed; configuration must be in force within 2 s.
+_OPERATOR_WAIT: typing.Final = 3.0
+_ENDPOINT_WAIT: typing.Final = 2.0
+_LEASE_WAIT: typing.Final = 5.0
+# Endpoints change several times a second; one answer gathers the changes of
+# this time. A leaving endpoint must get no work after 2 s.
+_ENDPOINT_PAUSE: typing.Final = 0.6
+# A store that answers at all answers within this time, in seconds.
+_STORE_SECONDS: typing.Final = 1.2
+# After SIGTERM the balancer needs two failed checks, one a second, until it
+# sends no new connections.
+_UNREADY_SECONDS: typing.Final = 2.5
+# Part of the grace time that is kept for handing batches over and closing
+# connections, in seconds.
+_CLOSE_SECONDS: typing.Final = 2.0
+_IDLE_CHECK_SECONDS: typing.Final = 0.05
+_EXPIRE_SECONDS: typing.Final = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """Hold the parts of one instance."""
+
+    cfg: gateway_settings.GatewaySettings
+    client: httpx.AsyncClient
+    view: view_lib.View
+    feeds: tuple[feed.Feed, ...]
+    presence: presence_lib.Presence
+    batch_owners: owners.BatchOwners
+    lease: weight_lease.WeightLease
+    weights: weight_controller.WeightController
+    retirement: retirement.Retirement
+    gateway: gateway_lib.Gateway
+
+    @property
+    def loops(
+        self,
+    ) -> tuple[
+        abc.Callable[[], abc.Coroutine[typing.Any, typing.Any, None]], ...
+    ]:
+        """Return what runs until the instance stops."""
+        return (
+            *(followed.run for followed in self.feeds),
+            self.presence.run,
+            self.batch_owners.run,
+            self.lease.run,
+            self.weights.run,
+            self.retirement.run,
+        )
+
+
+def create_parts(cfg: gateway_settings.GatewaySettings) -> Parts:
+    """Return the parts of an instance."""
+    client = connections.create_client()
+    store_client = store.StoreClient(
+        client,
+        f"http://{cfg.store_address}",
+        _STORE_SECONDS,
+        cfg.store_calls_per_second,
+    )
+    incarnation = time.time_ns() // 1_000_000
+    me = presence_lib.Member(cfg.instance, cfg.zone, incarnation)
+    view = view_lib.create_view()
+    presence = presence_lib.Presence(store_client, me)
+    claims = claim.Claim(presence, weight_lease.FLEET)
+    held = weight_lease.WeightLease(
+        store_client,
+        weight_lease.FLEET,
+        f"{cfg.instance}/{incarnation}",
+        weight_controller.LEASE,
+        may_claim=claims.may_claim,
+    )
+    feeds = _create_feeds(store_client, view, presence, claims)
+    batches = storage.BatchStorage(store_client)
+    engines = placement.Placement()
+    tools = runner.Tools(
+        batches, view, engines, runs.ItemRunner(client, engines)
+    )
+    batch_owners = owners.BatchOwners(tools, presence)
+    balancer = balance.Balancer(cfg.zone, random.Random())
+    forwarder = forward.Forwarder(client, view, balancer)
+    return Parts(
+        cfg=cfg,
+        client=client,
+        view=view,
+        feeds=feeds,
+        presence=presence,
+        batch_owners=batch_owners,
+        lease=held,
+        weights=weight_controller.WeightController(
+            client, view, held, cfg.instance
+        ),
+        retirement=retirement.Retirement(store_client, view, held),
+        gateway=gateway_lib.Gateway(
+            view, forwarder, batches, batch_owners, feeds
+        ),
+    )
+
+
+def _create_feeds(
+    client: store.StoreClient,
+    view: view_lib.View,
+    presence: presence_lib.Presence,
+    claims: claim.Claim,
+) -> tuple[feed.Feed, ...]:
+    def put_lease_listing(entries: list[store.StoreEntry]) -> None:
+        presence.put_listing(entries)
+        claims.put_listing(entries)
+
+    def put_lease_changes(entries: list[store.StoreEntry]) -> None:
+        presence.put_changes(entries)
+        claims.put_changes(entries)
+
+    return (
+        feed.Feed(
+            client,
+            config_wire.OPERATOR_PREFIX,
+            view.put_operator_entries,
+            view.put_operator_entries,
+            _OPERATOR_WAIT,
+        ),
+        feed.Feed(
+            client,
+            endpoint_wire.ENDPOINT_PREFIX,
+            view.put_endpoint_listing,
+            view.put_endpoint_entries,
+            _ENDPOINT_WAIT,
+            _ENDPOINT_PAUSE,
+            view.note_outage,
+        ),
+        feed.Feed(
+            client,
+            weight_lease.PREFIX,
+            put_lease_listing,
+            put_lease_changes,
+            _LEASE_WAIT,
+        ),
+    )
+
+
+async def run(cfg: gateway_settings.GatewaySettings) -> None:
+    """Run an instance until SIGTERM stops it."""
+    parts = create_parts(cfg)
+    gc.collect()
+    gc.freeze()
+    logs.event(
+        _LOG,
+        "started",
+        incarnation=parts.presence.me.incarnation,
+        callers=cfg.caller_address or "-",
+        store=cfg.store_address,
+    )
+    stop = anyio.Event()
+    closing = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_handle_signals, stop)
+        servers = _start_servers(parts, closing, tasks)
+        for loop in parts.loops:
+            tasks.start_soon(loop)
+        tasks.start_soon(_expire_endpoints, parts.view)
+        await stop.wait()
+        await _drain(parts)
+        closing.set()
+        for server in servers:
+            await server.wait()
+        tasks.cancel_scope.cancel()
+    await parts.client.aclose()
+    logs.event(_LOG, "stopped")
+
+
+def _start_servers(
+    parts: Parts, closing: anyio.Event, tasks: anyio_abc.TaskGroup
+) -> list[serving.Server]:
+    servers = []
+    for address, app in (
+        (parts.cfg.caller_address, ingress.Ingress(parts.gateway)),
+        (parts.cfg.ready_address, ingress.create_ready_app(parts.gateway)),
+    ):
+        if not address:
+            continue
+        host, _, port = address.rpartition(":")
+        server = serving.Server(app, host, int(port), closing.wait)
+        servers.append(server)
+        tasks.start_soon(server.serve)
+    return servers
+
+
+async def _handle_signals(stop: anyio.Event) -> None:
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                # Settings come from the environment of the process.
+                logs.event(_LOG, "reload_ignored", signal="SIGHUP")
+                continue
+            logs.event(_LOG, "stop_requested", signal=number.name)
+            stop.set()
+
+
+async def _expire_endpoints(view: view_lib.View) -> None:
+    while True:
+        await anyio.sleep(_EXPIRE_SECONDS)
+        view.expire(view.clock())
+
+
+async def _drain(parts: Parts) -> None:
+    """Let running work end, then hand the rest over."""
+    gateway = parts.gateway
+    gateway.stopping = True
+    parts.batch_owners.stop()
+    started = time.monotonic()
+    limit = max(0.0, parts.cfg.grace_seconds - _CLOSE_SECONDS)
+    while True:
+        await anyio.sleep(_IDLE_CHECK_SECONDS)
+        elapsed = time.monotonic() - started
+        busy = gateway.running or parts.batch_owners.running
+        if elapsed >= limit or (elapsed >= _UNREADY_SECONDS and not busy):
+            break
+    with anyio.move_on_after(_CLOSE_SECONDS / 2):
+        await parts.batch_owners.release()
+        await parts.presence.leave()
+        await parts.lease.release()
+    logs.event(
+        _LOG,
+        "drained",
+        seconds=time.monotonic() - started,
+        running=gateway.running,
+    )
--- /dev/null
+++ b/src/hibiscussaddle/gateway_settings.py
@@ -0,0 +1,74 @@
+"""Settings of a gateway instance, read from flags and the environment."""
+
+from collections import abc
+import dataclasses
+import typing
+
+import result
+
+from hibiscussaddle import codes
+from hibiscussaddle import settings
+
+# Set by the hosting platform for every process; its file is not read, since
+# the deployment passes each value that is needed as a variable.
+_PLATFORM_VARIABLE: typing.Final = settings.ENV_PREFIX + "CONFIG"
+
+
+@dataclasses.dataclass(frozen=True)
+class GatewaySettings:
+    """Hold every setting of one gateway instance."""
+
+    instance: str = settings.field("", "unique name of this instance")
+    zone: str = settings.field("", "availability zone of this instance")
+    caller_address: str = settings.field(
+        "", "host:port for callers; empty for an instance that serves none"
+    )
+    ready_address: str = settings.field(
+        "", "host:port of the readiness check; empty serves none"
+    )
+    metrics_address: str = settings.field(
+        "", "host:port of the metrics; empty serves none"
+    )
+    store_address: str = settings.field("", "host:port of the store")
+    store_calls_per_second: float = settings.field(
+        100.0, "budget of store calls of this instance", 1, 10_000
+    )
+    grace_seconds: float = settings.field(
+        8.0, "time from SIGTERM until the process is killed", 1, 3600
+    )
+    log_level: str = settings.field("info", "debug, info, warning or error")
+
+
+def load(
+    flags: abc.Mapping[str, object], environ: abc.Mapping[str, str]
+) -> result.Result[GatewaySettings, codes.Refusal]:
+    """Return checked settings of a gateway instance."""
+    known = {
+        name: value
+        for name, value in environ.items()
+        if name != _PLATFORM_VARIABLE
+    }
+    return settings.convert(GatewaySettings, flags, known).and_then(_check)
+
+
+def _check(
+    cfg: GatewaySettings,
+) -> result.Result[GatewaySettings, codes.Refusal]:
+    for name in ("instance", "zone", "store_address"):
+        if not getattr(cfg, name):
+            return settings.refuse(name, "", "a non-empty text")
+    for name in (
+        "caller_address",
+        "ready_address",
+        "metrics_address",
+        "store_address",
+    ):
+        value = getattr(cfg, name)
+        host, _, port = value.rpartition(":")
+        if value and not (host and port.isdigit()):
+            return settings.refuse(name, value, "host:port")
+    if cfg.log_level not in settings.LEVELS:
+        return settings.refuse(
+            "log_level", cfg.log_level, ", ".join(settings.LEVELS)
+        )
+    return result.Ok(cfg)
--- a/src/hibiscussaddle/logs.py
+++ b/src/hibiscussaddle/logs.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import sys
+import typing
 
 _PLAIN = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/@+,"
@@ -31,9 +32,17 @@
     logger.log(level, "event=%s %s", name, pairs)
 
 
-def configure(level: str, instance: str, zone: str) -> None:
-    """Send log lines to standard error with time, level and place."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure(
+    level: str,
+    instance: str,
+    zone: str,
+    stream: typing.TextIO | None = None,
+) -> None:
+    """Send log lines to a stream with time, level and place.
+
+    Without a stream they go to standard error.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(
         logging.Formatter(
             "time=%(asctime)s.%(msecs)03d level=%(levelname)s "
--- /dev/null
+++ b/src/hibiscussaddle/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between the hosting platform's wire formats and our types."""
--- /dev/null
+++ b/src/hibiscussaddle/platform/config_wire.py
@@ -0,0 +1,124 @@
+"""Operator's documents in the store, decoded into routing configuration."""
+
+import typing
+
+import msgspec
+
+from hibiscussaddle.routes import routing_config
+
+CONFIG_KEY: typing.Final = "op/config"
+OPERATOR_PREFIX: typing.Final = "op/"
+_VERSION_PREFIX: typing.Final = "op/version/"
+_RETIRE_PREFIX: typing.Final = "op/retire/"
+_RETIRE_STATUS_PREFIX: typing.Final = "status/retire/"
+
+_KINDS: typing.Final = {
+    "idempotent": routing_config.RouteKind.IDEMPOTENT,
+    "non_idempotent": routing_config.RouteKind.NON_IDEMPOTENT,
+    "streaming": routing_config.RouteKind.STREAM,
+    "rollout": routing_config.RouteKind.BATCH,
+    "batch": routing_config.RouteKind.BATCH,
+}
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float
+    priority: int = 5
+    service: str = ""
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    resumable: bool = False
+    # Counted from the batch's first submission.
+    result_deadline_ms: float = 0.0
+    retention_s: float = 0.0
+    single_version: bool = False
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 33_554_432
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Version(msgspec.Struct):
+    model: str
+    version: int
+
+
+def decode_config(data: bytes) -> routing_config.RoutingConfig:
+    """Return the configuration; ValueError when it is malformed."""
+    found = msgspec.json.decode(data, type=_Config)
+    limits = routing_config.Limits(
+        found.limits.max_header_bytes,
+        found.limits.max_body_bytes,
+        found.limits.header_timeout_ms / 1000,
+        found.limits.idle_timeout_ms / 1000,
+    )
+    routes = tuple(_to_route(route) for route in found.routes)
+    return routing_config.RoutingConfig(found.version, routes, limits)
+
+
+def decode_named_version(key: str, data: bytes) -> tuple[str, int] | None:
+    """Return model and version of a trainer's note; None for other keys."""
+    if not key.startswith(_VERSION_PREFIX):
+        return None
+    found = msgspec.json.decode(data, type=_Version)
+    return found.model, found.version
+
+
+def retired_instance(key: str) -> str | None:
+    """Return the instance that the operator asks to empty."""
+    if not key.startswith(_RETIRE_PREFIX):
+        return None
+    return key.removeprefix(_RETIRE_PREFIX)
+
+
+def encode_retired(instance: str) -> tuple[str, bytes]:
+    """Return the key and value that tell that an instance is empty."""
+    value = msgspec.json.encode({"state": "completed"})
+    return _RETIRE_STATUS_PREFIX + instance, value
+
+
+def _to_route(route: _Route) -> routing_config.Route:
+    kind = _KINDS.get(route.kind)
+    if kind is None:
+        raise ValueError(
+            f"route {route.name!r} has kind {route.kind!r}; "
+            f"allowed: {', '.join(_KINDS)}"
+        )
+    splits = tuple(
+        routing_config.Split(split.service, split.weight)
+        for split in route.traffic_split
+    )
+    return routing_config.Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        kind=kind,
+        splits=splits or (routing_config.Split(route.service, 1.0),),
+        timeout=route.timeout_ms / 1000,
+        target=route.target_latency_ms / 1000,
+        priority=route.priority,
+        max_attempts=max(1, route.max_attempts),
+        resumable=route.resumable,
+        results_due=route.result_deadline_ms / 1000,
+        retention=route.retention_s,
+        single_version=route.single_version,
+    )
--- /dev/null
+++ b/src/hibiscussaddle/platform/store_wire.py
@@ -0,0 +1,198 @@
+"""Messages of the platform's key-value store, decoded into store types."""
+
+import base64
+from collections import abc
+import dataclasses
+import typing
+
+import msgspec
+
+# Longest wait that the store accepts for a watch, in milliseconds.
+_LONGEST_WAIT_MS: typing.Final = 30_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """Describe one HTTP call of the store."""
+
+    # "read", "stale_read", "write", "lease", "renew" or "watch"; the store
+    # prices each differently.
+    kind: str
+    method: str
+    path: str
+    params: abc.Mapping[str, str | int] | None = None
+    json: object = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Item:
+    """Hold one key as the store returned it."""
+
+    key: str
+    # None for a deleted key.
+    data: bytes | None
+    revision: int
+    lease: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Page:
+    """Hold part of a listing or the events of a watch."""
+
+    items: tuple[Item, ...]
+    # The revision that the answer reflects; a watch continues from here.
+    revision: int
+    has_more: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Put:
+    """Write one key; a lease of 0 keeps it until it is removed."""
+
+    key: str
+    data: bytes
+    lease: int = 0
+
+
+class _Item(msgspec.Struct, rename="camel"):
+    key: str
+    revision: int
+    value: str = ""
+    lease: int = 0
+    deleted: bool = False
+
+
+class _Range(msgspec.Struct, rename="camel"):
+    items: list[_Item]
+    # The store's revision, not that of an item.
+    current_rev: int
+    has_more: bool = False
+
+
+class _Events(msgspec.Struct, rename="camel"):
+    events: list[_Item]
+    current_rev: int
+
+
+class _Conflict(msgspec.Struct):
+    items: list[_Item]
+
+
+class _Revision(msgspec.Struct):
+    revision: int
+
+
+class _Lease(msgspec.Struct, rename="camel"):
+    lease: int
+    # The store may grant another time than was asked for.
+    ttl_ms: int
+
+
+def get(key: str) -> Call:
+    """Return the call that reads one key."""
+    return Call("read", "GET", "/-/kv-key", {"key": key})
+
+
+def scan(prefix: str, after: str, stale: bool) -> Call:
+    """Return the call that lists a prefix after a key."""
+    params: dict[str, str | int] = {"prefix": prefix}
+    if after:
+        params["after"] = after
+    if stale:
+        params["allowStale"] = 1
+    kind = "stale_read" if stale else "read"
+    return Call(kind, "GET", "/-/kv-range", params)
+
+
+def watch(prefix: str, after: int, seconds: float) -> Call:
+    """Return the call that waits for changes after a revision."""
+    wait = min(_LONGEST_WAIT_MS, int(seconds * 1000))
+    params: dict[str, str | int] = {
+        "prefix": prefix,
+        "after": after,
+        "waitMs": wait,
+    }
+    return Call("watch", "GET", "/-/kv-watch", params)
+
+
+def commit(
+    expected: abc.Mapping[str, int],
+    puts: abc.Iterable[Put],
+    removes: abc.Iterable[str],
+) -> Call:
+    """Return the call that changes keys if revisions are as expected."""
+    body = {
+        "expected": [
+            {"key": key, "revision": revision}
+            for key, revision in expected.items()
+        ],
+        "put": [
+            {
+                "key": put.key,
+                "value": base64.b64encode(put.data).decode(),
+                "lease": put.lease,
+            }
+            for put in puts
+        ],
+        "remove": list(removes),
+    }
+    return Call("write", "POST", "/-/kv-txn", json=body)
+
+
+def grant(ttl: float) -> Call:
+    """Return the call that creates a lease of ttl seconds."""
+    ttl_ms = int(ttl * 1000)
+    return Call("lease", "POST", "/-/kv-lease", json={"ttlMs": ttl_ms})
+
+
+def renew(lease: int) -> Call:
+    """Return the call that extends a lease."""
+    return Call("renew", "POST", f"/-/kv-keep/{lease}")
+
+
+def revoke(lease: int) -> Call:
+    """Return the call that ends a lease."""
+    return Call("lease", "DELETE", f"/-/kv-lease-end/{lease}")
+
+
+def decode_item(body: bytes) -> Item:
+    """Return the key of an answer to get()."""
+    return _to_item(msgspec.json.decode(body, type=_Item))
+
+
+def decode_page(body: bytes) -> Page:
+    """Return the listing of an answer to scan()."""
+    found = msgspec.json.decode(body, type=_Range)
+    items = tuple(_to_item(item) for item in found.items)
+    return Page(items, found.current_rev, found.has_more)
+
+
+def decode_events(body: bytes) -> Page:
+    """Return the changes of an answer to watch()."""
+    found = msgspec.json.decode(body, type=_Events)
+    items = tuple(_to_item(item) for item in found.events)
+    return Page(items, found.current_rev)
+
+
+def decode_conflict(body: bytes) -> tuple[Item, ...]:
+    """Return the current keys of a commit that lost."""
+    found = msgspec.json.decode(body, type=_Conflict)
+    return tuple(_to_item(item) for item in found.items)
+
+
+def decode_revision(body: bytes) -> int:
+    """Return the revision of a commit that took effect."""
+    return msgspec.json.decode(body, type=_Revision).revision
+
+
+def decode_lease(body: bytes) -> int:
+    """Return the number of a new lease."""
+    return msgspec.json.decode(body, type=_Lease).lease
+
+
+def _to_item(item: _Item) -> Item:
+    if item.deleted or item.revision == 0:
+        return Item(item.key, None, item.revision)
+    # A value that is not base64 raises ValueError, like a malformed body.
+    data = base64.b64decode(item.value, validate=True)
+    return Item(item.key, data, item.revision, item.lease)
--- a/src/hibiscussaddle/policy/lease.py
+++ b/src/hibiscussaddle/policy/lease.py
@@ -21,6 +21,10 @@
     effect_seconds: float = 4.0
     # Part of the ttl after which the lease is renewed.
     renew_part: float = 0.3
+    # Wait of a successor before its first unguarded effect, after a holder
+    # that lapsed and after one that released; None takes ttl and effect.
+    successor_seconds: float | None = None
+    released_seconds: float = 0.0
     # Shortest and longest wait before a failed call is repeated.
     retry_seconds: float = 0.5
     claim_seconds: float = 2.0
@@ -66,7 +70,7 @@
 
     step: Step
     holder: str
-    lease: str = ""
+    lease: int = 0
     expected_revision: int = 0
     number: int = 0
     released: bool = False
@@ -77,7 +81,7 @@
     """Carry what a store call returned; unused fields keep defaults."""
 
     outcome: Outcome
-    lease: str = ""
+    lease: int = 0
     revision: int = 0
     # Holder that the key names; empty when the key is absent.
     holder: str = ""
@@ -98,7 +102,7 @@
     def _reset(self, retry_at: float) -> None:
         self._step = Step.READ_KEY
         self._retry_at = retry_at
-        self._lease = ""
+        self._lease = 0
         self._key_revision = 0
         self._claimed_at = 0.0
         self._fence_revision = 0
@@ -113,8 +117,8 @@
         return f"{self._name}/{self._attempt}"
 
     @property
-    def lease(self) -> str:
-        """Return the store's id of the lease, empty without one."""
+    def lease(self) -> int:
+        """Return the store's number of the lease, 0 without one."""
         return self._lease
 
     @property
@@ -249,7 +253,11 @@
         # Above the old number even if the store's revisions started over.
         self._number = max(self._key_revision, fence.number + 1)
         wait = self.cfg.ttl + self.cfg.effect_seconds
-        if not fence.holder or fence.released:
+        if self.cfg.successor_seconds is not None:
+            wait = self.cfg.successor_seconds
+        if fence.released:
+            wait = self.cfg.released_seconds
+        if not fence.holder:
             wait = 0.0
         self._unguarded_from = self._claimed_at + wait
         self._step = Step.PUT_FENCE
--- /dev/null
+++ b/src/hibiscussaddle/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes of requests: configuration, choice of endpoint, forwarding."""
--- a/src/hibiscussaddle/settings.py
+++ b/src/hibiscussaddle/settings.py
@@ -14,13 +14,14 @@
 HIDDEN: typing.Final = "(hidden)"
 
 
-def _field(
+def field(
     default: object,
     description: str,
     low: float | None = None,
     high: float | None = None,
     secret: bool = False,
 ) -> typing.Any:
+    """Declare one setting with its range."""
     metadata = {
         "description": description,
         "low": low,
@@ -34,38 +35,38 @@
 class Settings:
     """Hold every setting of one entry instance."""
 
-    instance: str = _field("", "unique name of this entry instance")
-    zone: str = _field("", "availability zone of this entry instance")
-    region: str = _field("region-1", "region of the availability zone")
-    host: str = _field("127.0.0.1", "IP address to listen on")
-    caller_port: int = _field(8080, "HTTP port for callers", 1, 65535)
-    operator_port: int = _field(8081, "HTTP port for operators", 1, 65535)
-    peer_port: int = _field(8082, "TCP port for peers", 1, 65535)
-    peers: tuple[str, ...] = _field((), "host:port of peers to join by")
-    store_url: str = _field("", "base URL of the key-value service")
-    platform_url: str = _field("", "base URL of the platform's list")
-    weight_store_url: str = _field("", "base URL of the weight store")
-    scorer_url: str = _field("", "base URL of the scoring service")
-    data_folder: str = _field("", "folder for bulk data; empty keeps nothing")
-    operator_secret: str = _field("", "secret of operators", secret=True)
-    peer_secret: str = _field("", "secret shared by peers", secret=True)
-    tls_cert: str = _field("", "PEM certificate file; empty turns TLS off")
-    tls_key: str = _field("", "PEM private key file")
-    tls_ca: str = _field("", "PEM file of the authority that peers trust")
-    log_level: str = _field("info", "debug, info, warning or error")
-    store_calls_per_second: float = _field(
+    instance: str = field("", "unique name of this entry instance")
+    zone: str = field("", "availability zone of this entry instance")
+    region: str = field("region-1", "region of the availability zone")
+    host: str = field("127.0.0.1", "IP address to listen on")
+    caller_port: int = field(8080, "HTTP port for callers", 1, 65535)
+    operator_port: int = field(8081, "HTTP port for operators", 1, 65535)
+    peer_port: int = field(8082, "TCP port for peers", 1, 65535)
+    peers: tuple[str, ...] = field((), "host:port of peers to join by")
+    store_url: str = field("", "base URL of the key-value service")
+    platform_url: str = field("", "base URL of the platform's list")
+    weight_store_url: str = field("", "base URL of the weight store")
+    scorer_url: str = field("", "base URL of the scoring service")
+    data_folder: str = field("", "folder for bulk data; empty keeps nothing")
+    operator_secret: str = field("", "secret of operators", secret=True)
+    peer_secret: str = field("", "secret shared by peers", secret=True)
+    tls_cert: str = field("", "PEM certificate file; empty turns TLS off")
+    tls_key: str = field("", "PEM private key file")
+    tls_ca: str = field("", "PEM file of the authority that peers trust")
+    log_level: str = field("info", "debug, info, warning or error")
+    store_calls_per_second: float = field(
         5.0, "budget of store calls of this instance", 0.1, 1000
     )
-    weight_orders_per_second: float = _field(
+    weight_orders_per_second: float = field(
         100.0, "rate of the weight store, shared by the zones", 0.1, 10_000
     )
-    max_body_bytes: int = _field(
+    max_body_bytes: int = field(
         1 << 20, "largest request body, in bytes", 1024, 64 << 20
     )
-    max_concurrent: int = _field(
+    max_concurrent: int = field(
         2000, "requests in progress at once", 1, 100_000
     )
-    drain_seconds: float = _field(
+    drain_seconds: float = field(
         3600.0, "longest wait for running work at a planned stop", 1, 86_400
     )
 
@@ -81,13 +82,14 @@
 
 
 _REQUIRED = ("instance", "zone", "operator_secret", "peer_secret")
-_LEVELS = ("debug", "info", "warning", "error")
+LEVELS = ("debug", "info", "warning", "error")
 _MIN_SECRET_CHARS = 16
 
 
-def _refuse(
+def refuse(
     name: str, value: object, allowed: str
 ) -> result.Err[codes.Refusal]:
+    """Return the refusal of one setting."""
     return result.Err(
         codes.Refusal(
             codes.Code.SETTING_INVALID,
@@ -110,57 +112,65 @@
     try:
         number = kind(str(raw))
     except ValueError:
-        return _refuse(fld.name, raw, allowed)
+        return refuse(fld.name, raw, allowed)
     if not low <= number <= high:
-        return _refuse(fld.name, raw, allowed)
+        return refuse(fld.name, raw, allowed)
     return result.Ok(number)
 
 
 def _check(cfg: Settings) -> result.Result[Settings, codes.Refusal]:
     for name in _REQUIRED:
         if not getattr(cfg, name):
-            return _refuse(name, "", "a non-empty text")
+            return refuse(name, "", "a non-empty text")
     for name in ("operator_secret", "peer_secret"):
         if len(getattr(cfg, name)) < _MIN_SECRET_CHARS:
-            return _refuse(
+            return refuse(
                 name, HIDDEN, f"at least {_MIN_SECRET_CHARS} characters"
             )
     for name in ("instance", "zone", "region"):
         value = getattr(cfg, name)
         if not value.replace("-", "").replace("_", "").isalnum():
-            return _refuse(name, value, "letters, digits, '-' and '_'")
+            return refuse(name, value, "letters, digits, '-' and '_'")
     try:
         ipaddress.ip_address(cfg.host)
     except ValueError:
-        return _refuse("host", cfg.host, "an IP address")
+        return refuse("host", cfg.host, "an IP address")
     for peer in cfg.peers:
         host, _, port = peer.rpartition(":")
         if not host or not port.isdigit():
-            return _refuse("peers", peer, "host:port, separated by commas")
+            return refuse("peers", peer, "host:port, separated by commas")
     for name in ("store_url", "platform_url", "weight_store_url"):
         value = getattr(cfg, name)
         if value and not value.startswith(("http://", "https://")):
-            return _refuse(name, value, "an http:// or https:// URL")
+            return refuse(name, value, "an http:// or https:// URL")
     if bool(cfg.tls_cert) != bool(cfg.tls_key):
-        return _refuse("tls_key", cfg.tls_key, "set together with 'tls_cert'")
+        return refuse("tls_key", cfg.tls_key, "set together with 'tls_cert'")
     for name in ("tls_cert", "tls_key", "tls_ca"):
         value = getattr(cfg, name)
         if value and not os.path.isfile(value):
-            return _refuse(name, value, "the path of a file that exists")
-    if cfg.log_level not in _LEVELS:
-        return _refuse("log_level", cfg.log_level, ", ".join(_LEVELS))
+            return refuse(name, value, "the path of a file that exists")
+    if cfg.log_level not in LEVELS:
+        return refuse("log_level", cfg.log_level, ", ".join(LEVELS))
     return result.Ok(cfg)
 
 
-def load(
-    flags: abc.Mapping[str, object], environ: abc.Mapping[str, str]
-) -> result.Result[Settings, codes.Refusal]:
-    """Return checked settings; a flag goes before the environment."""
-    fields = {fld.name: fld for fld in dataclasses.fields(Settings)}
+_T = typing.TypeVar("_T")
+
+
+def convert(
+    kind: type[_T],
+    flags: abc.Mapping[str, object],
+    environ: abc.Mapping[str, str],
+) -> result.Result[_T, codes.Refusal]:
+    """Return settings of a kind; a flag goes before the environment."""
+    fields = {
+        fld.name: fld
+        for fld in dataclasses.fields(kind)  # type: ignore[arg-type]
+    }
     values: dict[str, typing.Any] = {}
     for name, raw in flags.items():
         if name not in fields:
-            return _refuse(name, raw, "one of " + ", ".join(sorted(fields)))
+            return refuse(name, raw, "one of " + ", ".join(sorted(fields)))
     for name, fld in fields.items():
         raw = flags.get(name, environ.get(ENV_PREFIX + name.upper()))
         if raw is None:
@@ -172,5 +182,12 @@
     for key in environ:
         name = key.removeprefix(ENV_PREFIX).lower()
         if key.startswith(ENV_PREFIX) and name not in fields:
-            return _refuse(key, environ[key], "a known setting name")
-    return _check(Settings(**values))
+            return refuse(key, environ[key], "a known setting name")
+    return result.Ok(kind(**values))
+
+
+def load(
+    flags: abc.Mapping[str, object], environ: abc.Mapping[str, str]
+) -> result.Result[Settings, codes.Refusal]:
+    """Return checked settings of an entry instance."""
+    return convert(Settings, flags, environ).and_then(_check)
--- a/src/hibiscussaddle/standins/store.py
+++ b/src/hibiscussaddle/standins/store.py
@@ -1,5 +1,6 @@
 """Fake key-value service: compare-and-swap, leases and watches."""
 
+import base64
 from collections import abc
 import dataclasses
 import itertools
@@ -7,6 +8,7 @@
 import typing
 
 import anyio
+import msgspec
 from starlette import applications
 from starlette import requests
 from starlette import responses
@@ -15,25 +17,34 @@
 from hibiscussaddle.standins import faults as faults_lib
 
 MAX_VALUE_BYTES: typing.Final = 1 << 20
+# A transaction of full size: 32 values of a megabyte, as base64.
+MAX_BODY_BYTES: typing.Final = 45 << 20
+MAX_PAGE_ITEMS: typing.Final = 500
 MAX_WATCH_SECONDS: typing.Final = 30.0
 
 
 @dataclasses.dataclass(frozen=True)
 class Entry:
-    """Hold one key's value with its revision and lease."""
+    """Hold one key's bytes with its revision and lease."""
 
     key: str
-    value: typing.Any
+    # None for a deleted key.
+    data: bytes | None
     revision: int
-    lease: str | None = None
+    lease: int = 0
+    created: int = 0
+
+    @property
+    def value(self) -> typing.Any:
+        """Return the bytes decoded as JSON."""
+        return None if self.data is None else msgspec.json.decode(self.data)
 
 
 @dataclasses.dataclass
 class Lease:
     """Hold one lease and its expiry on the service's clock."""
 
-    id: str
-    holder: str
+    id: int
     ttl: float
     expires_at: float
 
@@ -45,8 +56,10 @@
         """Start empty at revision 0."""
         self.revision = 0
         self.entries: dict[str, Entry] = {}
-        self.leases: dict[str, Lease] = {}
+        self.leases: dict[int, Lease] = {}
         self.changes: list[Entry] = []
+        # Changes up to this revision are no longer known.
+        self.history_from = 0
         self.calls: dict[str, int] = {}
         # Watches that wait now, and the most that ever waited at once.
         self.watching = 0
@@ -67,22 +80,20 @@
         for lease in lapsed:
             self.revoke(lease.id)
 
-    def revoke(self, lease_id: str) -> None:
+    def revoke(self, lease_id: int) -> None:
         """Delete a lease and every key attached to it."""
         self.leases.pop(lease_id, None)
         attached = [e for e in self.entries.values() if e.lease == lease_id]
         for entry in attached:
-            self.entries.pop(entry.key)
-            self._record(Entry(entry.key, None, self._next_revision()))
+            self.remove(entry.key)
 
-    def grant(self, ttl: float, holder: str) -> Lease:
+    def grant(self, ttl: float) -> Lease:
         """Create a lease."""
-        lease_id = f"lease-{next(self._ids)}"
-        lease = Lease(lease_id, holder, ttl, self._now() + ttl)
+        lease = Lease(next(self._ids), ttl, self._now() + ttl)
         self.leases[lease.id] = lease
         return lease
 
-    def renew(self, lease_id: str) -> Lease | None:
+    def renew(self, lease_id: int) -> Lease | None:
         """Extend a lease that has not lapsed."""
         self.expire()
         lease = self.leases.get(lease_id)
@@ -91,20 +102,45 @@
         return lease
 
     def put(
-        self, key: str, value: typing.Any, expected: int, lease: str | None
+        self,
+        key: str,
+        value: typing.Any,
+        expected: int,
+        lease: int | None = None,
     ) -> Entry | None:
-        """Swap the value if the revision matches; None on a conflict."""
+        """Swap a JSON value if the revision matches; None on a conflict."""
         self.expire()
-        current = self.entries.get(key)
-        if (current.revision if current else 0) != expected:
+        if self.revision_of(key) != expected:
             return None
-        if lease is not None and lease not in self.leases:
+        if lease and lease not in self.leases:
             return None
-        entry = Entry(key, value, self._next_revision(), lease)
+        return self.write(key, msgspec.json.encode(value), lease or 0)
+
+    def revision_of(self, key: str) -> int:
+        """Return the revision of a key, 0 when it does not exist."""
+        current = self.entries.get(key)
+        return current.revision if current else 0
+
+    def write(self, key: str, data: bytes, lease: int = 0) -> Entry:
+        """Set a key without a condition."""
+        revision = self._next_revision()
+        current = self.entries.get(key)
+        created = current.created if current else revision
+        entry = Entry(key, data, revision, lease, created)
         self.entries[key] = entry
         self._record(entry)
         return entry
 
+    def remove(self, key: str) -> None:
+        """Delete a key if it exists."""
+        if self.entries.pop(key, None) is not None:
+            self._record(Entry(key, None, self._next_revision()))
+
+    def forget_history(self) -> None:
+        """Drop the changes so far; older watches are told so."""
+        self.changes.clear()
+        self.history_from = self.revision
+
     def changes_after(self, prefix: str, after: int) -> list[Entry]:
         """Return the changes of a prefix later than a revision."""
         found = []
@@ -130,7 +166,50 @@
 
 
 def _to_dict(entry: Entry) -> dict[str, typing.Any]:
-    return dataclasses.asdict(entry)
+    if entry.data is None:
+        return {
+            "key": entry.key,
+            "revision": entry.revision,
+            "deleted": True,
+        }
+    return {
+        "key": entry.key,
+        "value": base64.b64encode(entry.data).decode(),
+        "revision": entry.revision,
+        "created": entry.created,
+        "lease": entry.lease,
+    }
+
+
+def _current(store: Store, key: str) -> dict[str, typing.Any]:
+    entry = store.entries.get(key)
+    return {"key": key, "revision": 0} if entry is None else _to_dict(entry)
+
+
+def commit(
+    store: Store, body: dict[str, typing.Any]
+) -> responses.JSONResponse:
+    """Apply a transaction if every revision is as expected."""
+    expected = body.get("expected", [])
+    if any(store.revision_of(e["key"]) != e["revision"] for e in expected):
+        items = [_current(store, e["key"]) for e in expected]
+        return responses.JSONResponse({"items": items}, status_code=412)
+    puts = body.get("put", [])
+    limit = MAX_VALUE_BYTES * 4 // 3 + 4
+    if any(len(put["value"]) > limit for put in puts):
+        return responses.JSONResponse(
+            {"error": "value too large"}, status_code=413
+        )
+    if any(p.get("lease") and p["lease"] not in store.leases for p in puts):
+        return responses.JSONResponse(
+            {"error": "lease lapsed"}, status_code=404
+        )
+    for put in puts:
+        data = base64.b64decode(put["value"], validate=True)
+        store.write(put["key"], data, put.get("lease", 0))
+    for key in body.get("remove", []):
+        store.remove(key)
+    return responses.JSONResponse({"revision": store.revision})
 
 
 def create_app(store: Store) -> applications.Starlette:
@@ -153,50 +232,44 @@
         return routing.Route(path, endpoint, methods=[method])
 
     async def get(req: requests.Request) -> responses.Response:
-        entry = store.entries.get(req.path_params["key"])
+        entry = store.entries.get(req.query_params["key"])
         if entry is None:
-            return responses.JSONResponse(
-                {"revision": store.revision}, status_code=404
-            )
-        return responses.JSONResponse(_to_dict(entry))
+            return responses.JSONResponse({}, status_code=404)
+        return responses.JSONResponse(
+            {**_to_dict(entry), "currentRev": store.revision}
+        )
 
     async def scan(req: requests.Request) -> responses.Response:
         prefix = req.query_params.get("prefix", "")
+        after = req.query_params.get("after", "")
         found = [
             _to_dict(entry)
             for key, entry in sorted(store.entries.items())
-            if key.startswith(prefix)
+            if key.startswith(prefix) and key > after
         ]
+        page = found[:MAX_PAGE_ITEMS]
         return responses.JSONResponse(
-            {"entries": found, "revision": store.revision}
+            {
+                "items": page,
+                "hasMore": len(found) > len(page),
+                "currentRev": store.revision,
+            }
         )
 
-    async def put(req: requests.Request) -> responses.Response:
+    async def txn(req: requests.Request) -> responses.Response:
         raw = await req.body()
-        if len(raw) > MAX_VALUE_BYTES:
+        if len(raw) > MAX_BODY_BYTES:
             return responses.JSONResponse(
                 {"error": "value too large"}, status_code=413
             )
-        body = await req.json()
-        key = req.path_params["key"]
-        entry = store.put(
-            key,
-            body["value"],
-            int(body["expected_revision"]),
-            body.get("lease"),
-        )
-        if entry is None:
-            current = store.entries.get(key)
-            revision = current.revision if current else 0
-            return responses.JSONResponse(
-                {"revision": revision}, status_code=409
-            )
-        return responses.JSONResponse({"revision": entry.revision})
+        return commit(store, await req.json())
 
     async def grant(req: requests.Request) -> responses.Response:
         body = await req.json()
-        lease = store.grant(float(body["ttl"]), str(body["holder"]))
-        return responses.JSONResponse({"lease": lease.id, "ttl": lease.ttl})
+        lease = store.grant(body["ttlMs"] / 1000)
+        return responses.JSONResponse(
+            {"lease": lease.id, "ttlMs": int(lease.ttl * 1000)}
+        )
 
     async def renew(req: requests.Request) -> responses.Response:
         lease = store.renew(req.path_params["id"])
@@ -204,7 +277,7 @@
             return responses.JSONResponse(
                 {"error": "lease lapsed"}, status_code=404
             )
-        return responses.JSONResponse({"lease": lease.id, "ttl": lease.ttl})
+        return responses.JSONResponse({"ttlMs": int(lease.ttl * 1000)})
 
     async def revoke(req: requests.Request) -> responses.Response:
         store.revoke(req.path_params["id"])
@@ -213,9 +286,10 @@
     async def watch(req: requests.Request) -> responses.Response:
         prefix = req.query_params.get("prefix", "")
         after = int(req.query_params.get("after", "0"))
-        timeout = min(
-            float(req.query_params.get("timeout", "10")), MAX_WATCH_SECONDS
-        )
+        wait_ms = int(req.query_params.get("waitMs", "10000"))
+        timeout = min(wait_ms / 1000, MAX_WATCH_SECONDS)
+        if after < store.history_from:
+            return responses.JSONResponse({}, status_code=410)
         store.watching += 1
         store.most_watching = max(store.most_watching, store.watching)
         try:
@@ -226,7 +300,7 @@
             store.watching -= 1
         events = [_to_dict(e) for e in store.changes_after(prefix, after)]
         return responses.JSONResponse(
-            {"events": events, "revision": store.revision}
+            {"events": events, "currentRev": store.revision}
         )
 
     async def calls(_: requests.Request) -> responses.Response:
@@ -241,13 +315,13 @@
 
     return applications.Starlette(
         routes=[
-            route("/v1/kv", "GET", "read", scan),
-            route("/v1/kv/{key:path}", "GET", "read", get),
-            route("/v1/kv/{key:path}", "PUT", "write", put),
-            route("/v1/leases", "POST", "write", grant),
-            route("/v1/leases/{id}/renew", "POST", "write", renew),
-            route("/v1/leases/{id}", "DELETE", "write", revoke),
-            route("/v1/watch", "GET", "watch", watch),
+            route("/-/kv-key", "GET", "read", get),
+            route("/-/kv-range", "GET", "read", scan),
+            route("/-/kv-txn", "POST", "write", txn),
+            route("/-/kv-lease", "POST", "write", grant),
+            route("/-/kv-keep/{id:int}", "POST", "write", renew),
+            route("/-/kv-lease-end/{id:int}", "DELETE", "write", revoke),
+            route("/-/kv-watch", "GET", "watch", watch),
             routing.Route("/calls", calls),
             routing.Route("/expire", expire, methods=["POST"]),
             faults_lib.create_route(store.faults),
--- a/src/hibiscussaddle/weight_lease.py
+++ b/src/hibiscussaddle/weight_lease.py
@@ -15,6 +15,15 @@
 
 _LOG = logging.getLogger(__name__)
 IDLE_SECONDS: typing.Final = 0.1
+# Prefix of the keys that exist only while their lease is held.
+PREFIX: typing.Final = "lease/"
+# Name used in place of a zone by a lease for the whole fleet.
+FLEET: typing.Final = "fleet"
+
+
+def lease_key(zone: str) -> str:
+    """Return the key that exists while a zone's lease is held."""
+    return f"{PREFIX}weights/{zone}"
 
 
 def clock() -> float:
@@ -32,12 +41,18 @@
         name: str,
         cfg: lease.LeaseConfig | None = None,
         now: abc.Callable[[], float] = clock,
+        may_claim: abc.Callable[[], bool] = lambda: True,
     ) -> None:
-        """Contend for a zone under a name that is unique for ever."""
+        """Contend for a zone under a name that is unique for ever.
+
+        A contender that follows the lease's key claims only when the key is
+        absent, which saves the reads of all others.
+        """
         self.machine = lease.Lease(cfg or lease.LeaseConfig(), name)
         self.clock = now
         self._client = client
-        self._key = f"lease/weights/{zone}"
+        self._may_claim = may_claim
+        self._key = lease_key(zone)
         self._fence_key = f"fence/weights/{zone}"
         self._logged: str | None = None
 
@@ -49,6 +64,10 @@
         """Claim and renew until cancelled."""
         while True:
             call = self.machine.next_call(self.clock())
+            claims = call is not None and call.step is lease.Step.READ_KEY
+            if claims and not self._may_claim():
+                await anyio.sleep(IDLE_SECONDS)
+                continue
             if call is None:
                 wait = self.machine.wait_seconds(self.clock())
                 await anyio.sleep(max(IDLE_SECONDS, wait))
--- /dev/null
+++ b/src/hibiscussaddle/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-out of weight versions over all engines of the fleet."""
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -61,7 +61,7 @@
             )
         if call.step is step.GRANT:
             self.granted += 1
-            name = f"lease-{self.granted}"
+            name = self.granted
             self.leases[name] = self.now + CFG.ttl
             return lease.Reply(outcome.OK, lease=name)
         if call.step is step.RENEW:
