Send no waiting watch while the store fails

The watch of op/ that was sent into the silent outage hung for its wait of 3 s and 1.2 s more after the store was back. Ruled out: the balancer's path and the order of versions; the log shows the listing only at 34.0 s. Change: while the store fails, watches do not wait. A test holds it; it failed before.

--- a/src/hibiscussaddle/fleet/feed.py
+++ b/src/hibiscussaddle/fleet/feed.py
@@ -72,9 +72,10 @@
             answer = await self._client.scan(self.prefix)
             handler = self._on_listing
         else:
-            answer = await self._client.watch(
-                self.prefix, self._after, self._wait
-            )
+            # On a connection that went silent a call hangs for all of its
+            # wait, so none waits until the store answers again.
+            wait = 0.0 if self.is_failing() else self._wait
+            answer = await self._client.watch(self.prefix, self._after, wait)
             handler = self._on_changes
         if isinstance(answer, result.Err):
             return self._fail(answer.err_value.failure)
