Run all batches of a route on one instance and keep refused connections

Each step was run by the instance that accepted it, with a pool of its own, and a refusal whose body was not read closed its connection. Change: the instance that accepts a batch hands it to the one that all members rank first for its route, and takes it back when that one does not answer in 0.3 s; refusals are read to their end.

--- /dev/null
+++ b/src/hibiscussaddle/batches/handoff.py
@@ -0,0 +1,137 @@
+"""Hand accepted batches to the instance that runs a route's batches.
+
+One instance runs all batches of a route, so that its connections to the
+engines and what it learnt of their pace serve step after step. Any other
+instance that accepts a batch passes it on.
+"""
+
+import logging
+import typing
+
+import anyio
+import httpx
+import msgspec
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from hibiscussaddle.batches import model
+from hibiscussaddle.batches import storage
+from hibiscussaddle.fleet import presence as presence_lib
+from hibiscussaddle import logs
+
+_LOG = logging.getLogger(__name__)
+
+_BATCHES_PATH: typing.Final = "/v1/batches"
+_REMINDERS_PATH: typing.Final = "/v1/batches/reminders"
+# A peer that lives answers in milliseconds; after this time the instance
+# that accepted a batch runs it itself, in seconds.
+_TIMEOUT_SECONDS: typing.Final = 0.3
+
+
+class Message(msgspec.Struct, frozen=True):
+    """Carry the owner record that names the receiver of a batch."""
+
+    batch_id: str
+    owner: model.Owner
+    revision: int
+    # None reminds the receiver of a batch that it owns already.
+    batch: model.Batch | None = None
+
+    def record(self) -> storage.OwnerRecord:
+        """Return the owner record."""
+        return storage.OwnerRecord(self.batch_id, self.owner, self.revision)
+
+
+class Receiver(typing.Protocol):
+    """Take batches from peers."""
+
+    def adopt(self, batch: model.Batch, record: storage.OwnerRecord) -> bool:
+        """Run a batch; tell whether it is taken."""
+
+    def remind(self, record: storage.OwnerRecord) -> bool:
+        """Run a batch of this instance unless it runs already."""
+
+
+class Handoff:
+    """Send batches to peers."""
+
+    def __init__(self, client: httpx.AsyncClient) -> None:
+        """Use a shared HTTP client."""
+        self._client = client
+
+    async def send(
+        self,
+        member: presence_lib.Member,
+        batch: model.Batch,
+        record: storage.OwnerRecord,
+    ) -> bool:
+        """Tell whether the member runs the batch from now on."""
+        message = Message(batch.id, record.owner, record.revision, batch)
+        why = await self._post(member, message)
+        logs.event(
+            _LOG,
+            "batch_handed_off",
+            batch=batch.id,
+            member=member.instance,
+            why=why or "-",
+        )
+        return not why
+
+    async def remind(
+        self, member: presence_lib.Member, record: storage.OwnerRecord
+    ) -> None:
+        """Make sure that an owner runs its batch."""
+        message = Message(record.batch_id, record.owner, record.revision)
+        why = await self._post(member, message)
+        if why:
+            logs.event(
+                _LOG,
+                "reminder_failed",
+                batch=record.batch_id,
+                member=member.instance,
+                why=why,
+            )
+
+    async def _post(
+        self, member: presence_lib.Member, message: Message
+    ) -> str:
+        """Return why the member did not take a message, empty if it did."""
+        path = _BATCHES_PATH if message.batch else _REMINDERS_PATH
+        try:
+            with anyio.fail_after(_TIMEOUT_SECONDS):
+                resp = await self._client.post(
+                    f"http://{member.peer_address}{path}",
+                    content=msgspec.msgpack.encode(message),
+                    timeout=_TIMEOUT_SECONDS,
+                )
+        except (httpx.HTTPError, TimeoutError) as exc:
+            return str(exc) or type(exc).__name__
+        if resp.status_code == httpx.codes.ACCEPTED:
+            return ""
+        return f"status {resp.status_code}"
+
+
+def create_app(receiver: Receiver) -> typing.Any:
+    """Return the ASGI app that takes batches from peers."""
+
+    async def take(req: requests.Request) -> responses.Response:
+        try:
+            message = msgspec.msgpack.decode(await req.body(), type=Message)
+        except ValueError as exc:
+            logs.event(_LOG, "handoff_malformed", logging.WARNING, why=exc)
+            return responses.Response(status_code=400)
+        record = message.record()
+        if message.batch is None:
+            taken = receiver.remind(record)
+        else:
+            taken = receiver.adopt(message.batch, record)
+        return responses.Response(status_code=202 if taken else 409)
+
+    return applications.Starlette(
+        routes=[
+            routing.Route(path, take, methods=["POST"])
+            for path in (_BATCHES_PATH, _REMINDERS_PATH)
+        ]
+    )
--- a/src/hibiscussaddle/batches/owners.py
+++ b/src/hibiscussaddle/batches/owners.py
@@ -9,6 +9,7 @@
 import result
 
 from hibiscussaddle.adapters import store
+from hibiscussaddle.batches import handoff
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import runner
 from hibiscussaddle.batches import storage
@@ -36,11 +37,13 @@
         self,
         tools: runner.Tools,
         presence: presence_lib.Presence,
+        handoffs: handoff.Handoff,
     ) -> None:
         """Start without batches; run() needs to be started."""
         self.running: dict[str, runner.BatchRunner] = {}
         self._tools = tools
         self._presence = presence
+        self._handoffs = handoffs
         self._storage = tools.storage
         me = presence.me
         self._me = model.Owner(me.instance, me.incarnation)
@@ -69,18 +72,66 @@
         self, batch: model.Batch, timeout: float
     ) -> result.Result[None, store.StoreError]:
         """Keep a batch and start it; Ok as well when it is known already."""
-        answer = await self._storage.accept(batch, self._me, timeout)
+        member = self._presence.member_for(batch.route)
+        owner = self._me
+        if member is not None and member.instance != owner.instance:
+            owner = model.Owner(member.instance, member.incarnation)
+        answer = await self._storage.accept(batch, owner, timeout)
         if isinstance(answer, result.Ok):
-            record = storage.OwnerRecord(batch.id, self._me, answer.ok_value)
-            self._start(batch, record, ())
+            record = storage.OwnerRecord(batch.id, owner, answer.ok_value)
+            if owner == self._me or member is None:
+                self._start(batch, record, ())
+            else:
+                self._spawn(self._hand_off, member, batch, record)
             return result.Ok(None)
         failure = answer.err_value.failure
         if failure is store.StoreFailure.CONFLICT:
             return result.Ok(None)
-        if failure is store.StoreFailure.UNKNOWN and self._tasks is not None:
-            self._tasks.start_soon(self._settle, batch.id)
+        if failure is store.StoreFailure.UNKNOWN:
+            self._spawn(self._settle, batch.id)
         return answer
 
+    def adopt(self, batch: model.Batch, record: storage.OwnerRecord) -> bool:
+        """Run a batch that a peer accepted; tell whether it is taken."""
+        if self._stopping or record.owner != self._me:
+            return False
+        if batch.id not in self.running:
+            self._start(batch, record, ())
+        return True
+
+    def remind(self, record: storage.OwnerRecord) -> bool:
+        """Run a batch that the store says is this instance's."""
+        if self._stopping or record.owner != self._me:
+            return False
+        if record.batch_id not in self.running:
+            self._spawn(self._resume_quietly, record)
+        return True
+
+    async def _resume_quietly(self, record: storage.OwnerRecord) -> None:
+        await self._resume(record)
+
+    async def _hand_off(
+        self,
+        member: presence_lib.Member,
+        batch: model.Batch,
+        record: storage.OwnerRecord,
+    ) -> None:
+        if await self._handoffs.send(member, batch, record):
+            return
+        while not await self._claim(record):
+            await anyio.sleep(_RETRY_SECONDS)
+
+    def _spawn(
+        self,
+        job: typing.Callable[
+            ..., typing.Coroutine[typing.Any, typing.Any, None]
+        ],
+        *args: object,
+    ) -> None:
+        if self._tasks is None:
+            raise RuntimeError("run() must be started before a batch")
+        self._tasks.start_soon(job, *args)
+
     def stop(self) -> None:
         """Take no more batches over."""
         self._stopping = True
@@ -103,14 +154,12 @@
         record: storage.OwnerRecord,
         log: typing.Sequence[storage.LogEntry],
     ) -> None:
-        if self._tasks is None:
-            raise RuntimeError("run() must be started before a batch")
         owned = runner.BatchRunner(self._tools, batch, record, log)
         before = self.running.get(batch.id)
         if before is not None:
             before.stop("restarted")
         self.running[batch.id] = owned
-        self._tasks.start_soon(self._run, owned)
+        self._spawn(self._run, owned)
 
     async def _run(self, owned: runner.BatchRunner) -> None:
         try:
@@ -127,8 +176,8 @@
                 return
             found = await self._storage.owner(batch_id)
             if isinstance(found, result.Ok):
-                if found.ok_value.owner == self._me:
-                    await self._resume(found.ok_value)
+                # Its owner was never told, so this instance takes it.
+                await self._claim(found.ok_value)
                 return
 
     def _note_gone(self, instance: str) -> None:
@@ -157,6 +206,10 @@
             if ready:
                 self._gone |= ready
                 self._claim_now.set()
+            for record in found.ok_value:
+                member = members.get(record.owner.instance)
+                if member is not None and not self._is_lost(record.owner):
+                    await self._handoffs.remind(member, record)
 
     def _is_lost(self, owner: model.Owner) -> bool:
         member = self._presence.members.get(owner.instance)
@@ -212,5 +265,6 @@
             if time.monotonic() - started > sum(_SETTLE_SECONDS):
                 return False
             await anyio.sleep(_RETRY_SECONDS)
-        self._start(batch.ok_value, record, log.ok_value[0])
+        if record.batch_id not in self.running:
+            self._start(batch.ok_value, record, log.ok_value[0])
         return True
--- a/src/hibiscussaddle/batches/placement.py
+++ b/src/hibiscussaddle/batches/placement.py
@@ -26,8 +26,11 @@
 MIN_RUN_EVENTS: typing.Final = 3
 # Weight of the newest event in the pace of an engine.
 _SMOOTHING: typing.Final = 0.15
-# An engine that refused a run as full gets the next one after this time.
-_FULL_SECONDS: typing.Final = 0.1
+# An engine that refused a run gets the next one after this time, doubled
+# for each refusal in a row up to the limit. Engines refuse while they are
+# full and for the second in which they load weights.
+_REFUSED_SECONDS: typing.Final = 0.1
+_MAX_REFUSED_SECONDS: typing.Final = 0.4
 # The same after a failure, doubled for each one in a row up to the limit.
 _FAILED_SECONDS: typing.Final = 0.25
 _MAX_FAILED_SECONDS: typing.Final = 4.0
@@ -49,6 +52,7 @@
     observed_at: float = 0.0
     blocked_until: float = 0.0
     failures: int = 0
+    refusals: int = 0
     # Newest weight version that a response named, by model.
     version: int = 0
 
@@ -162,12 +166,19 @@
         state.events += 1
         state.observed_at = now
         state.failures = 0
+        state.refusals = 0
         before = state.pace if state.pace is not None else seconds
         state.pace = before + _SMOOTHING * (seconds - before)
 
     def refused(self, endpoint: endpoints.Endpoint, now: float) -> None:
         """Note that an engine had no room."""
-        self.state(endpoint).blocked_until = now + _FULL_SECONDS
+        state = self.state(endpoint)
+        if now < state.blocked_until:
+            # Several runs were sent before the first refusal.
+            return
+        wait = _REFUSED_SECONDS * 2**state.refusals
+        state.refusals += 1
+        state.blocked_until = now + min(_MAX_REFUSED_SECONDS, wait)
 
     def failed(self, endpoint: endpoints.Endpoint, now: float) -> None:
         """Note that an engine broke off or did not answer."""
--- a/src/hibiscussaddle/batches/runs.py
+++ b/src/hibiscussaddle/batches/runs.py
@@ -164,6 +164,8 @@
         if echoed not in (None, progress.item.id):
             raise events.MalformedStream(f"response belongs to {echoed}")
         if resp.status_code != httpx.codes.OK:
+            # A connection whose answer is read to its end serves again.
+            await resp.aread()
             return self._refused(progress, endpoint, resp)
         try:
             version = int(resp.headers[endpoint_wire.WEIGHT_VERSION])
--- a/src/hibiscussaddle/fleet/presence.py
+++ b/src/hibiscussaddle/fleet/presence.py
@@ -33,6 +33,8 @@
     zone: str
     # Wall-clock milliseconds of the start of its process.
     incarnation: int
+    # host:port at which peers reach it.
+    peer_address: str = ""
 
 
 class Presence:
@@ -73,6 +75,14 @@
         live = [name for name in self.members if name != instance]
         return max(live, key=lambda name: _rank(instance, name), default="")
 
+    def member_for(self, subject: str) -> Member | None:
+        """Return the member that all instances prefer for a subject."""
+        return max(
+            self.members.values(),
+            key=lambda member: _rank(subject, member.instance),
+            default=None,
+        )
+
     def put_listing(self, entries: list[store.StoreEntry]) -> None:
         """Take a complete listing of members."""
         gone = set(self.members) - {
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -15,6 +15,7 @@
 
 from hibiscussaddle.adapters import connections
 from hibiscussaddle.adapters import store
+from hibiscussaddle.batches import handoff
 from hibiscussaddle.batches import owners
 from hibiscussaddle.batches import placement
 from hibiscussaddle.batches import runner
@@ -41,12 +42,12 @@
 
 # Longest waits of watches, in seconds. They bound how long a silent
 # connection goes unnoticed; configuration must be in force within 2 s.
-_OPERATOR_WAIT: typing.Final = 3.0
+_OPERATOR_WAIT: typing.Final = 2.0
 _ENDPOINT_WAIT: typing.Final = 2.0
 _LEASE_WAIT: typing.Final = 5.0
 # Endpoints change several times a second; one answer gathers the changes of
 # this time. A leaving endpoint must get no work after 2 s.
-_ENDPOINT_PAUSE: typing.Final = 0.6
+_ENDPOINT_PAUSE: typing.Final = 0.9
 # A store that answers at all answers within this time, in seconds.
 _STORE_SECONDS: typing.Final = 1.2
 # After SIGTERM the balancer needs two failed checks, one a second, until it
@@ -65,6 +66,7 @@
 
     cfg: gateway_settings.GatewaySettings
     client: httpx.AsyncClient
+    store: store.StoreClient
     view: view_lib.View
     feeds: tuple[feed.Feed, ...]
     presence: presence_lib.Presence
@@ -101,7 +103,9 @@
         cfg.store_calls_per_second,
     )
     incarnation = time.time_ns() // 1_000_000
-    me = presence_lib.Member(cfg.instance, cfg.zone, incarnation)
+    me = presence_lib.Member(
+        cfg.instance, cfg.zone, incarnation, cfg.peer_address
+    )
     view = view_lib.create_view()
     presence = presence_lib.Presence(store_client, me)
     claims = claim.Claim(presence, weight_lease.FLEET)
@@ -118,12 +122,13 @@
     tools = runner.Tools(
         batches, view, engines, runs.ItemRunner(client, engines)
     )
-    batch_owners = owners.BatchOwners(tools, presence)
+    batch_owners = owners.BatchOwners(tools, presence, handoff.Handoff(client))
     balancer = balance.Balancer(cfg.zone, random.Random())
     forwarder = forward.Forwarder(client, view, balancer)
     return Parts(
         cfg=cfg,
         client=client,
+        store=store_client,
         view=view,
         feeds=feeds,
         presence=presence,
@@ -207,7 +212,12 @@
             await server.wait()
         tasks.cancel_scope.cancel()
     await parts.client.aclose()
-    logs.event(_LOG, "stopped")
+    calls = parts.store.calls
+    logs.event(
+        _LOG,
+        "stopped",
+        **{f"store_calls_{kind}": count for kind, count in calls.items()},
+    )
 
 
 def _start_servers(
@@ -216,6 +226,7 @@
     servers = []
     for address, app in (
         (parts.cfg.caller_address, ingress.Ingress(parts.gateway)),
+        (parts.cfg.peer_address, handoff.create_app(parts.batch_owners)),
         (parts.cfg.ready_address, ingress.create_ready_app(parts.gateway)),
     ):
         if not address:
--- a/src/hibiscussaddle/gateway_settings.py
+++ b/src/hibiscussaddle/gateway_settings.py
@@ -26,6 +26,9 @@
     ready_address: str = settings.field(
         "", "host:port of the readiness check; empty serves none"
     )
+    peer_address: str = settings.field(
+        "", "host:port for peers; empty takes no batches from them"
+    )
     metrics_address: str = settings.field(
         "", "host:port of the metrics; empty serves none"
     )
@@ -60,6 +63,7 @@
     for name in (
         "caller_address",
         "ready_address",
+        "peer_address",
         "metrics_address",
         "store_address",
     ):
