Reach the store through a peer while it is cut off from one instance

Ruled out: engines' room (a quarter used) and the order of waves. Change: calls go through a peer from the first failure on; a probe finds out when the store answers again. Lease calls give up after 0.6 s.

--- a/src/hibiscussaddle/adapters/store.py
+++ b/src/hibiscussaddle/adapters/store.py
@@ -15,6 +15,7 @@
 import msgspec
 import result
 
+from hibiscussaddle.adapters import store_paths
 from hibiscussaddle import logs
 from hibiscussaddle.platform import store_wire
 
@@ -78,6 +79,9 @@
 Put = store_wire.Put
 
 
+# Lease calls are short and urgent: a holder whose call hangs needs time to
+# repeat it before its lease ends, in seconds.
+_LEASE_SECONDS: typing.Final = 0.6
 # Seconds of budget that can be saved up for a burst.
 _BURST_SECONDS: typing.Final = 2.0
 
@@ -142,14 +146,12 @@
 
     def __init__(
         self,
-        client: httpx.AsyncClient,
-        url: str,
+        path: store_paths.Path,
         timeout: float = 2.0,
         calls_per_second: float = 5.0,
     ) -> None:
-        """Use a shared HTTP client; the timeout is in seconds."""
-        self._client = client
-        self._url = url.rstrip("/")
+        """Call over a path; the timeout is in seconds."""
+        self._path = path
         self._timeout = timeout
         self._budget = CallBudget(calls_per_second)
         # Calls sent by kind, and calls held back by the budget.
@@ -251,18 +253,13 @@
             await anyio.sleep(wait)
         self.calls[call.kind] += 1
         limit = timeout or self._timeout
+        if call.kind in ("lease", "renew"):
+            limit = min(limit, _LEASE_SECONDS)
         try:
-            with anyio.fail_after(limit):
-                resp = await self._client.request(
-                    call.method,
-                    self._url + call.path,
-                    params=call.params,
-                    json=call.json,
-                    timeout=limit,
-                )
+            resp = await self._path.send(call, limit)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
             return result.Err(StoreError(StoreFailure.DOWN))
-        except (httpx.HTTPError, TimeoutError):
+        except httpx.HTTPError:
             return result.Err(StoreError(StoreFailure.UNKNOWN))
         answer = _to_answer(resp)
         if not resp.is_server_error:
@@ -325,3 +322,14 @@
 
 def _to_entry(item: store_wire.Item) -> StoreEntry:
     return StoreEntry(item.key, item.data, item.revision, item.lease)
+
+
+def create_client(
+    client: httpx.AsyncClient,
+    url: str,
+    timeout: float = 2.0,
+    calls_per_second: float = 5.0,
+) -> StoreClient:
+    """Return a client that calls the store directly."""
+    path = store_paths.DirectPath(client, url)
+    return StoreClient(path, timeout, calls_per_second)
--- /dev/null
+++ b/src/hibiscussaddle/adapters/store_paths.py
@@ -0,0 +1,220 @@
+"""Ways to the store: directly, or through a peer that reaches it.
+
+Some instances may be cut off from the store while their peers are not. A
+peer passes calls on unchanged, so a lease or a batch is kept through it.
+"""
+
+from collections import abc
+import logging
+import typing
+
+import anyio
+import httpx
+import msgspec
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from hibiscussaddle import logs
+from hibiscussaddle.platform import store_wire
+
+_LOG = logging.getLogger(__name__)
+
+RELAY_PATH: typing.Final = "/v1/store"
+# How often the direct way is tried while peers are used, in seconds.
+_PROBE_SECONDS: typing.Final = 1.0
+# A store that answers at all answers within this time, in seconds; sixty
+# times its usual answer is 0.24 s.
+_PROBE_TIMEOUT: typing.Final = 0.6
+# A peer gives up before the caller does, so that its answer still arrives,
+# in seconds.
+_RELAY_MARGIN: typing.Final = 0.05
+
+# Statuses with which the store turns an instance away.
+_TURNED_AWAY: typing.Final = (
+    httpx.codes.SERVICE_UNAVAILABLE,
+    httpx.codes.TOO_MANY_REQUESTS,
+)
+
+
+class Path(typing.Protocol):
+    """Carry one call to the store."""
+
+    async def send(
+        self, call: store_wire.Call, timeout: float
+    ) -> httpx.Response:
+        """Return the store's answer; raise httpx errors without one."""
+
+
+class DirectPath:
+    """Call the store over HTTP."""
+
+    def __init__(self, client: httpx.AsyncClient, url: str) -> None:
+        """Use a shared HTTP client."""
+        self._client = client
+        self._url = url.rstrip("/")
+
+    async def send(
+        self, call: store_wire.Call, timeout: float
+    ) -> httpx.Response:
+        """Return the store's answer; raise httpx errors without one."""
+        try:
+            with anyio.fail_after(timeout):
+                return await self._client.request(
+                    call.method,
+                    self._url + call.path,
+                    params=call.params,
+                    json=call.json,
+                    timeout=timeout,
+                )
+        except TimeoutError as exc:
+            raise httpx.ReadTimeout(f"no answer in {timeout} s") from exc
+
+
+class RelayedCall(msgspec.Struct, frozen=True):
+    """Carry a call of the store to a peer; the timeout is in seconds."""
+
+    kind: str
+    method: str
+    path: str
+    params: dict[str, str | int] | None
+    json: typing.Any
+    timeout: float
+
+
+class FailoverPath:
+    """Call the store directly, or through peers while that fails."""
+
+    def __init__(
+        self,
+        direct: DirectPath,
+        client: httpx.AsyncClient,
+        peers: abc.Callable[[], abc.Sequence[str]],
+    ) -> None:
+        """Take the addresses of peers, nearest first."""
+        self._direct = direct
+        self._client = client
+        self._peers = peers
+        self._peer_number = 0
+        self._failed = anyio.Event()
+        self._watches: set[anyio.CancelScope] = set()
+
+    @property
+    def is_direct(self) -> bool:
+        """Tell whether the store answers this instance."""
+        return not self._failed.is_set()
+
+    async def send(
+        self, call: store_wire.Call, timeout: float
+    ) -> httpx.Response:
+        """Return the store's answer; raise httpx errors without one."""
+        if self._failed.is_set() and self._peers():
+            return await self._relay(call, timeout)
+        return await self.send_direct(call, timeout)
+
+    async def send_direct(
+        self, call: store_wire.Call, timeout: float
+    ) -> httpx.Response:
+        """Call the store without a peer."""
+        try:
+            resp = await self._send_or_cancel(call, timeout)
+        except httpx.HTTPError as exc:
+            self._fail(str(exc) or type(exc).__name__)
+            raise
+        if resp.status_code in _TURNED_AWAY:
+            self._fail(f"status {resp.status_code}")
+        elif self._failed.is_set():
+            self._recover()
+        return resp
+
+    async def _send_or_cancel(
+        self, call: store_wire.Call, timeout: float
+    ) -> httpx.Response:
+        """End a watch as soon as another call finds the store gone."""
+        if call.kind != "watch":
+            return await self._direct.send(call, timeout)
+        scope = anyio.CancelScope()
+        self._watches.add(scope)
+        try:
+            with scope:
+                return await self._direct.send(call, timeout)
+        finally:
+            self._watches.discard(scope)
+        raise httpx.ReadTimeout("the store stopped answering")
+
+    async def _relay(
+        self, call: store_wire.Call, timeout: float
+    ) -> httpx.Response:
+        peers = self._peers()
+        peer = peers[self._peer_number % len(peers)]
+        relayed = RelayedCall(
+            call.kind,
+            call.method,
+            call.path,
+            dict(call.params) if call.params else None,
+            call.json,
+            timeout - _RELAY_MARGIN,
+        )
+        try:
+            with anyio.fail_after(timeout):
+                resp = await self._client.post(
+                    f"http://{peer}{RELAY_PATH}",
+                    content=msgspec.msgpack.encode(relayed),
+                    timeout=timeout,
+                )
+        except TimeoutError as exc:
+            self._peer_number += 1
+            raise httpx.ReadTimeout(f"no answer from peer {peer}") from exc
+        except httpx.HTTPError:
+            self._peer_number += 1
+            raise
+        if resp.status_code in _TURNED_AWAY or resp.is_server_error:
+            self._peer_number += 1
+        return resp
+
+    async def run(self) -> None:
+        """Find out when the store answers directly again."""
+        probe = store_wire.scan("probe/", "", stale=True)
+        while True:
+            await self._failed.wait()
+            await anyio.sleep(_PROBE_SECONDS)
+            try:
+                await self.send_direct(probe, _PROBE_TIMEOUT)
+            except httpx.HTTPError as exc:
+                logs.event(_LOG, "store_probe_failed", logging.DEBUG, why=exc)
+
+    def _fail(self, why: str) -> None:
+        if not self._failed.is_set():
+            logs.event(_LOG, "store_unreachable", logging.WARNING, why=why)
+            self._failed.set()
+        for scope in list(self._watches):
+            scope.cancel()
+
+    def _recover(self) -> None:
+        logs.event(_LOG, "store_reachable")
+        self._failed = anyio.Event()
+
+
+def create_relay_route(path: FailoverPath) -> routing.Route:
+    """Return the route at which peers ask for calls of the store."""
+
+    async def relay(req: requests.Request) -> responses.Response:
+        try:
+            asked = msgspec.msgpack.decode(await req.body(), type=RelayedCall)
+        except ValueError as exc:
+            logs.event(_LOG, "relay_malformed", logging.WARNING, why=exc)
+            return responses.Response(status_code=400)
+        if not path.is_direct:
+            # Nothing was sent, so nothing was done.
+            return responses.Response(status_code=503)
+        call = store_wire.Call(
+            asked.kind, asked.method, asked.path, asked.params, asked.json
+        )
+        try:
+            resp = await path.send_direct(call, asked.timeout)
+        except httpx.HTTPError as exc:
+            logs.event(_LOG, "relay_failed", call=asked.kind, why=exc)
+            return responses.Response(status_code=504)
+        return responses.Response(resp.content, resp.status_code)
+
+    return routing.Route(RELAY_PATH, relay, methods=["POST"])
--- a/src/hibiscussaddle/batches/handoff.py
+++ b/src/hibiscussaddle/batches/handoff.py
@@ -11,7 +11,6 @@
 import anyio
 import httpx
 import msgspec
-from starlette import applications
 from starlette import requests
 from starlette import responses
 from starlette import routing
@@ -113,8 +112,8 @@
         return f"status {resp.status_code}"
 
 
-def create_app(receiver: Receiver) -> typing.Any:
-    """Return the ASGI app that takes batches from peers."""
+def create_routes(receiver: Receiver) -> list[routing.Route]:
+    """Return the routes that take batches from peers."""
 
     async def take(req: requests.Request) -> responses.Response:
         try:
@@ -129,9 +128,7 @@
             taken = receiver.adopt(message.batch, record)
         return responses.Response(status_code=202 if taken else 409)
 
-    return applications.Starlette(
-        routes=[
-            routing.Route(path, take, methods=["POST"])
-            for path in (_BATCHES_PATH, _REMINDERS_PATH)
-        ]
-    )
+    return [
+        routing.Route(path, take, methods=["POST"])
+        for path in (_BATCHES_PATH, _REMINDERS_PATH)
+    ]
--- a/src/hibiscussaddle/batches/owners.py
+++ b/src/hibiscussaddle/batches/owners.py
@@ -36,22 +36,22 @@
     def __init__(
         self,
         tools: runner.Tools,
-        presence: presence_lib.Presence,
+        members: presence_lib.Members,
         handoffs: handoff.Handoff,
     ) -> None:
         """Start without batches; run() needs to be started."""
         self.running: dict[str, runner.BatchRunner] = {}
         self._tools = tools
-        self._presence = presence
+        self._members = members
         self._handoffs = handoffs
         self._storage = tools.storage
-        me = presence.me
+        me = members.me
         self._me = model.Owner(me.instance, me.incarnation)
         self._tasks: anyio_abc.TaskGroup | None = None
         self._gone: set[str] = set()
         self._claim_now = anyio.Event()
         self._stopping = False
-        presence.on_gone = self._note_gone
+        members.on_gone = self._note_gone
 
     async def run(self) -> None:
         """Run batches and take over orphans until cancelled."""
@@ -72,7 +72,7 @@
         self, batch: model.Batch, timeout: float
     ) -> result.Result[None, store.StoreError]:
         """Keep a batch and start it; Ok as well when it is known already."""
-        member = self._presence.member_for(batch.route)
+        member = self._members.member_for(batch.route)
         owner = self._me
         if member is not None and member.instance != owner.instance:
             owner = model.Owner(member.instance, member.incarnation)
@@ -181,7 +181,7 @@
                 return
 
     def _note_gone(self, instance: str) -> None:
-        if self._presence.heir(instance) == self._me.instance:
+        if self._members.heir(instance) == self._me.instance:
             self._gone.add(instance)
             self._claim_now.set()
 
@@ -189,7 +189,7 @@
         seen: dict[str, int] = {}
         while True:
             await anyio.sleep(_SWEEP_SECONDS)
-            members = self._presence.members
+            members = self._members.all
             if min(members, default="") != self._me.instance:
                 seen.clear()
                 continue
@@ -212,7 +212,7 @@
                     await self._handoffs.remind(member, record)
 
     def _is_lost(self, owner: model.Owner) -> bool:
-        member = self._presence.members.get(owner.instance)
+        member = self._members.all.get(owner.instance)
         return member is None or member.incarnation != owner.incarnation
 
     async def _claim_orphans(self) -> bool:
--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -82,7 +82,7 @@
         members=known,
         detector=membership.Detector(known, rng),
         facts=shared_facts.SharedFacts(),
-        store=store.StoreClient(
+        store=store.create_client(
             client,
             cfg.store_url,
             calls_per_second=cfg.store_calls_per_second,
--- a/src/hibiscussaddle/fleet/presence.py
+++ b/src/hibiscussaddle/fleet/presence.py
@@ -37,55 +37,47 @@
     peer_address: str = ""
 
 
-class Presence:
-    """Renew this instance's key and follow those of the others."""
+class Members:
+    """Know which instances live."""
 
-    def __init__(self, client: store.StoreClient, me: Member) -> None:
-        """Register at the first call of run()."""
+    def __init__(self, me: Member) -> None:
+        """Know nobody until the first listing."""
         self.me = me
-        self.members: dict[str, Member] = {}
+        self.all: dict[str, Member] = {}
         # Called with each instance whose key vanished.
         self.on_gone: typing.Callable[[str], None] = lambda _: None
-        self._client = client
-        self._lease = 0
-        self._stopped = False
-
-    @property
-    def is_registered(self) -> bool:
-        """Tell whether the newest renewal succeeded."""
-        return self._lease != 0
 
-    async def run(self) -> None:
-        """Register and renew until cancelled."""
-        while True:
-            if self._lease == 0:
-                done = await self._register()
-            else:
-                done = await self._renew()
-            await anyio.sleep(_RENEW_SECONDS if done else _RETRY_SECONDS)
-
-    async def leave(self) -> None:
-        """Remove this instance's key."""
-        lease, self._lease = self._lease, 0
-        if lease:
-            await self._client.revoke(lease)
+    def peer_addresses(self) -> list[str]:
+        """Return where peers are reached, those of the own zone first."""
+        peers = [
+            member
+            for member in self.all.values()
+            if member.instance != self.me.instance and member.peer_address
+        ]
+        peers.sort(
+            key=lambda member: (
+                member.zone != self.me.zone,
+                _rank(self.me.instance, member.instance),
+            )
+        )
+        return [member.peer_address for member in peers]
 
     def heir(self, instance: str) -> str:
         """Return the member that takes over what an instance owned."""
-        live = [name for name in self.members if name != instance]
+        live = [name for name in self.all if name != instance]
         return max(live, key=lambda name: _rank(instance, name), default="")
 
     def member_for(self, subject: str) -> Member | None:
         """Return the member that all instances prefer for a subject."""
         return max(
-            self.members.values(),
+            self.all.values(),
             key=lambda member: _rank(subject, member.instance),
             default=None,
         )
 
     def put_listing(self, entries: list[store.StoreEntry]) -> None:
         """Take a complete listing of members."""
-        gone = set(self.members) - {
+        gone = set(self.all) - {
             entry.key.removeprefix(PREFIX) for entry in entries
         }
         self.put_changes(entries)
@@ -105,21 +97,47 @@
             except ValueError as exc:
                 store.log_malformed(exc, entry.data)
                 continue
-            if self.members.get(member.instance) != member:
-                self.members[member.instance] = member
+            if self.all.get(member.instance) != member:
+                self.all[member.instance] = member
                 logs.event(_LOG, "member_seen", member=member.instance)
 
     def _remove(self, instance: str) -> None:
-        if self.members.pop(instance, None) is not None:
+        if self.all.pop(instance, None) is not None:
             logs.event(_LOG, "member_gone", member=instance)
             self.on_gone(instance)
 
+
+class Presence:
+    """Keep this instance's key while it runs."""
+
+    def __init__(self, client: store.StoreClient, members: Members) -> None:
+        """Register at the first call of run()."""
+        self.members = members
+        self._client = client
+        self._lease = 0
+
+    async def run(self) -> None:
+        """Register and renew until cancelled."""
+        while True:
+            if self._lease == 0:
+                done = await self._register()
+            else:
+                done = await self._renew()
+            await anyio.sleep(_RENEW_SECONDS if done else _RETRY_SECONDS)
+
+    async def leave(self) -> None:
+        """Remove this instance's key."""
+        lease, self._lease = self._lease, 0
+        if lease:
+            await self._client.revoke(lease)
+
     async def _register(self) -> bool:
-        granted = await self._client.grant(LEASE_SECONDS, self.me.instance)
+        me = self.members.me
+        granted = await self._client.grant(LEASE_SECONDS, me.instance)
         if isinstance(granted, result.Err):
             return False
-        key = PREFIX + self.me.instance
-        put = store.Put(key, msgspec.json.encode(self.me), granted.ok_value)
+        key = PREFIX + me.instance
+        put = store.Put(key, msgspec.json.encode(me), granted.ok_value)
         # Without a condition: only this instance writes its key, and the
         # lease of a process before must not delete it.
         done = await self._client.commit({}, [put])
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -12,9 +12,11 @@
 import anyio
 from anyio import abc as anyio_abc
 import httpx
+from starlette import applications
 
 from hibiscussaddle.adapters import connections
 from hibiscussaddle.adapters import store
+from hibiscussaddle.adapters import store_paths
 from hibiscussaddle.batches import handoff
 from hibiscussaddle.batches import owners
 from hibiscussaddle.batches import placement
@@ -66,6 +68,7 @@
 
     cfg: gateway_settings.GatewaySettings
     client: httpx.AsyncClient
+    path: store_paths.FailoverPath
     store: store.StoreClient
     view: view_lib.View
     feeds: tuple[feed.Feed, ...]
@@ -85,6 +88,7 @@
         """Return what runs until the instance stops."""
         return (
             *(followed.run for followed in self.feeds),
+            self.path.run,
             self.presence.run,
             self.batch_owners.run,
             self.lease.run,
@@ -96,19 +100,22 @@
 def create_parts(cfg: gateway_settings.GatewaySettings) -> Parts:
     """Return the parts of an instance."""
     client = connections.create_client()
-    store_client = store.StoreClient(
-        client,
-        f"http://{cfg.store_address}",
-        _STORE_SECONDS,
-        cfg.store_calls_per_second,
-    )
     incarnation = time.time_ns() // 1_000_000
     me = presence_lib.Member(
         cfg.instance, cfg.zone, incarnation, cfg.peer_address
     )
     view = view_lib.create_view()
-    presence = presence_lib.Presence(store_client, me)
-    claims = claim.Claim(presence, weight_lease.FLEET)
+    members = presence_lib.Members(me)
+    path = store_paths.FailoverPath(
+        store_paths.DirectPath(client, f"http://{cfg.store_address}"),
+        client,
+        members.peer_addresses,
+    )
+    store_client = store.StoreClient(
+        path, _STORE_SECONDS, cfg.store_calls_per_second
+    )
+    presence = presence_lib.Presence(store_client, members)
+    claims = claim.Claim(members, weight_lease.FLEET)
     held = weight_lease.WeightLease(
         store_client,
         weight_lease.FLEET,
@@ -116,18 +123,19 @@
         weight_controller.LEASE,
         may_claim=claims.may_claim,
     )
-    feeds = _create_feeds(store_client, view, presence, claims)
+    feeds = _create_feeds(store_client, view, members, claims)
     batches = storage.BatchStorage(store_client)
     engines = placement.Placement()
     tools = runner.Tools(
         batches, view, engines, runs.ItemRunner(client, engines)
     )
-    batch_owners = owners.BatchOwners(tools, presence, handoff.Handoff(client))
+    batch_owners = owners.BatchOwners(tools, members, handoff.Handoff(client))
     balancer = balance.Balancer(cfg.zone, random.Random())
     forwarder = forward.Forwarder(client, view, balancer)
     return Parts(
         cfg=cfg,
         client=client,
+        path=path,
         store=store_client,
         view=view,
         feeds=feeds,
@@ -147,15 +155,15 @@
 def _create_feeds(
     client: store.StoreClient,
     view: view_lib.View,
-    presence: presence_lib.Presence,
+    members: presence_lib.Members,
     claims: claim.Claim,
 ) -> tuple[feed.Feed, ...]:
     def put_lease_listing(entries: list[store.StoreEntry]) -> None:
-        presence.put_listing(entries)
+        members.put_listing(entries)
         claims.put_listing(entries)
 
     def put_lease_changes(entries: list[store.StoreEntry]) -> None:
-        presence.put_changes(entries)
+        members.put_changes(entries)
         claims.put_changes(entries)
 
     return (
@@ -193,7 +201,7 @@
     logs.event(
         _LOG,
         "started",
-        incarnation=parts.presence.me.incarnation,
+        incarnation=parts.presence.members.me.incarnation,
         callers=cfg.caller_address or "-",
         store=cfg.store_address,
     )
@@ -226,7 +234,7 @@
     servers = []
     for address, app in (
         (parts.cfg.caller_address, ingress.Ingress(parts.gateway)),
-        (parts.cfg.peer_address, handoff.create_app(parts.batch_owners)),
+        (parts.cfg.peer_address, _create_peer_app(parts)),
         (parts.cfg.ready_address, ingress.create_ready_app(parts.gateway)),
     ):
         if not address:
@@ -238,6 +246,15 @@
     return servers
 
 
+def _create_peer_app(parts: Parts) -> applications.Starlette:
+    return applications.Starlette(
+        routes=[
+            *handoff.create_routes(parts.batch_owners),
+            store_paths.create_relay_route(parts.path),
+        ]
+    )
+
+
 async def _handle_signals(stop: anyio.Event) -> None:
     with anyio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
--- a/src/hibiscussaddle/weights/claim.py
+++ b/src/hibiscussaddle/weights/claim.py
@@ -17,9 +17,9 @@
 class Claim:
     """Follow the lease's key and give each contender its turn."""
 
-    def __init__(self, presence: presence_lib.Presence, zone: str) -> None:
+    def __init__(self, members: presence_lib.Members, zone: str) -> None:
         """Claim nothing until the key was listed once."""
-        self._presence = presence
+        self._members = members
         self._key = weight_lease.lease_key(zone)
         self._free_since: float | None = None
 
@@ -47,8 +47,8 @@
         """Tell whether it is this instance's turn."""
         if self._free_since is None:
             return False
-        name = self._presence.me.instance
-        names = sorted(self._presence.members)
+        name = self._members.me.instance
+        names = sorted(self._members.all)
         turn = names.index(name) if name in names else _LAST_TURN
         wait = min(turn, _LAST_TURN) * _TURN_SECONDS
         return time.monotonic() - self._free_since >= wait
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -73,7 +73,7 @@
             httpx.AsyncClient(trust_env=False) as http,
             anyio.create_task_group() as tasks,
         ):
-            client = store.StoreClient(http, url, calls_per_second=1000)
+            client = store.create_client(http, url, calls_per_second=1000)
             watch = store_watch.StoreWatch(client)
             watch.subscribe("contract/", handle)
             watch.subscribe("mark/", handle)
@@ -100,7 +100,7 @@
             loopback.serve(fake_store.create_app(fake)) as url,
             httpx.AsyncClient(trust_env=False) as http,
         ):
-            client = store.StoreClient(http, url, 0.05, calls_per_second=1)
+            client = store.create_client(http, url, 0.05, calls_per_second=1)
             answers = [await client.get("none") for _ in range(10)]
             kinds = [answer.err_value.failure for answer in answers]
             assert kinds.count(store.StoreFailure.MISSING) == 2
@@ -122,7 +122,7 @@
                     lambda _, s=status, b=body: httpx.Response(s, text=b)
                 )
                 async with httpx.AsyncClient(transport=transport) as http:
-                    client = store.StoreClient(http, "http://store")
+                    client = store.create_client(http, "http://store")
                     answer = await client.put("key", 1, 0)
                     assert answer.err_value.failure is (
                         store.StoreFailure.UNKNOWN
@@ -141,7 +141,7 @@
             loopback.serve(fake_store.create_app(fake)) as url,
             httpx.AsyncClient(trust_env=False) as http,
         ):
-            client = store.StoreClient(http, url, calls_per_second=1000)
+            client = store.create_client(http, url, calls_per_second=1000)
             lease = weight_lease.WeightLease(client, "zone-a", "name")
             with anyio.move_on_after(1):
                 await lease.run()
