Keep unfinished texts and continue them after a takeover or a new step

Ruled out: the weight orders (one was missing, its engine not needed) and moves (none). Change: the owner keeps the texts of unfinished items with its appends, at most once a second, and texts of ended batches serve the next step when their versions fit.

--- a/src/hibiscussaddle/batches/events.py
+++ b/src/hibiscussaddle/batches/events.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing
 
+from hibiscussaddle.batches import model
 from hibiscussaddle.platform import endpoint_wire
 
 # Larger events than this are not the endpoint's, in bytes.
@@ -87,8 +88,30 @@
         self.last_id = event.id
         self.versions.add(version)
 
+    def to_partial(self, item_id: str) -> model.PartialText | None:
+        """Return what another instance needs to continue, if anything."""
+        if self.last_id is None:
+            return None
+        return model.PartialText(
+            item_id,
+            tuple(self.texts),
+            self.last_id,
+            tuple(sorted(self.versions)),
+        )
+
     def clear(self) -> None:
         """Forget everything, so that the next run starts anew."""
         self.texts.clear()
         self.versions.clear()
         self.last_id = None
+
+
+def create_transcript(
+    partial: model.PartialText | None, min_version: int
+) -> Transcript:
+    """Return a transcript that continues a text if its versions fit."""
+    if partial is None or min(partial.versions, default=0) < min_version:
+        return Transcript()
+    return Transcript(
+        list(partial.texts), partial.last_event_id, set(partial.versions)
+    )
--- a/src/hibiscussaddle/batches/model.py
+++ b/src/hibiscussaddle/batches/model.py
@@ -68,6 +68,17 @@
     versions: tuple[int, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class PartialText:
+    """Hold what an unfinished item has generated so far."""
+
+    item_id: str
+    texts: tuple[str, ...]
+    # Id of the newest event; the next run continues after it.
+    last_event_id: int
+    versions: tuple[int, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class Head:
     """Hold what readers need of a batch without its items."""
@@ -110,6 +121,11 @@
     return f"{log_prefix(batch_id)}{number:06}"
 
 
+def partials_key(batch_id: str) -> str:
+    """Return the key of a batch's unfinished texts."""
+    return f"batch/{batch_id}/partials"
+
+
 def end_key(batch_id: str) -> str:
     """Return the key that exists once a batch is ended."""
     return f"batch/{batch_id}/end"
@@ -142,6 +158,16 @@
     return msgspec.msgpack.encode(results)
 
 
+def encode_partials(partials: list[PartialText]) -> bytes:
+    """Return the value of a batch's unfinished texts."""
+    return msgspec.msgpack.encode(partials)
+
+
+def decode_partials(data: bytes) -> list[PartialText]:
+    """Return a batch's unfinished texts; ValueError when malformed."""
+    return msgspec.msgpack.decode(data, type=list[PartialText])
+
+
 def decode_results(data: bytes) -> list[Result]:
     """Return the results of a log entry; ValueError when malformed."""
     return msgspec.msgpack.decode(data, type=list[Result])
--- a/src/hibiscussaddle/batches/owners.py
+++ b/src/hibiscussaddle/batches/owners.py
@@ -80,7 +80,7 @@
         if isinstance(answer, result.Ok):
             record = storage.OwnerRecord(batch.id, owner, answer.ok_value)
             if owner == self._me or member is None:
-                self._start(batch, record, ())
+                self._start(batch, record)
             else:
                 self._spawn(self._hand_off, member, batch, record)
             return result.Ok(None)
@@ -96,7 +96,7 @@
         if self._stopping or record.owner != self._me:
             return False
         if batch.id not in self.running:
-            self._start(batch, record, ())
+            self._start(batch, record)
         return True
 
     def remind(self, record: storage.OwnerRecord) -> bool:
@@ -152,9 +152,10 @@
         self,
         batch: model.Batch,
         record: storage.OwnerRecord,
-        log: typing.Sequence[storage.LogEntry],
+        log: typing.Sequence[storage.LogEntry] = (),
+        partials: typing.Sequence[model.PartialText] = (),
     ) -> None:
-        owned = runner.BatchRunner(self._tools, batch, record, log)
+        owned = runner.BatchRunner(self._tools, batch, record, log, partials)
         before = self.running.get(batch.id)
         if before is not None:
             before.stop("restarted")
@@ -260,11 +261,21 @@
         while True:
             batch = await self._storage.batch(record.batch_id)
             log = await self._storage.log_after(record.batch_id, "")
-            if isinstance(batch, result.Ok) and isinstance(log, result.Ok):
+            partials = await self._storage.partials(record.batch_id)
+            if (
+                isinstance(batch, result.Ok)
+                and isinstance(log, result.Ok)
+                and isinstance(partials, result.Ok)
+            ):
                 break
             if time.monotonic() - started > sum(_SETTLE_SECONDS):
                 return False
             await anyio.sleep(_RETRY_SECONDS)
         if record.batch_id not in self.running:
-            self._start(batch.ok_value, record, log.ok_value[0])
+            self._start(
+                batch.ok_value,
+                record,
+                log.ok_value[0],
+                partials.ok_value,
+            )
         return True
--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -11,6 +11,7 @@
 
 from hibiscussaddle.adapters import store
 from hibiscussaddle.batches import events
+from hibiscussaddle.batches import leftovers
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import placement
 from hibiscussaddle.batches import runs
@@ -31,6 +32,11 @@
 _PLACE_SECONDS: typing.Final = 0.02
 # How often running items are checked for stalls, in seconds.
 _CHECK_SECONDS: typing.Final = 0.1
+# Unfinished texts are kept this often, in seconds: an instance that takes a
+# batch over generates at most this much again.
+_PARTIAL_SECONDS: typing.Final = 1.0
+# Shorter texts are generated again sooner than they are kept, in events.
+_MIN_PARTIAL_EVENTS: typing.Final = 16
 # Waits between attempts of a write that failed, in seconds.
 _RETRY_SECONDS: typing.Final = 0.2
 # Longest wait of the watch that notices a batch's end, in seconds.
@@ -47,6 +53,7 @@
     view: view_lib.View
     engines: placement.Placement
     items: runs.ItemRunner
+    leftovers: leftovers.Leftovers
 
 
 class BatchRunner:
@@ -58,26 +65,53 @@
         batch: model.Batch,
         record: storage.OwnerRecord,
         log: abc.Sequence[storage.LogEntry] = (),
+        partials: abc.Iterable[model.PartialText] = (),
     ) -> None:
-        """Continue after the results that are listed already."""
+        """Continue after the results and texts that are kept already."""
         self.batch = batch
         self.record = record
         self._tools = tools
-        self._listed = {
-            found.item_id for entry in log for found in entry.results
+        self._results = {
+            found.item_id: found for entry in log for found in entry.results
         }
         self._log_number = len(log)
         self._ready: list[model.Result] = []
         self._new_result = anyio.Event()
-        self._progress = {
-            item.id: runs.Progress(item, events.Transcript())
-            for item in batch.items
-            if item.id not in self._listed
-        }
+        kept = {partial.item_id: partial for partial in partials}
+        self._progress: dict[str, runs.Progress] = {}
+        for item in batch.items:
+            if item.id not in self._results:
+                self._add_item(item, kept.get(item.id))
+        self._kept_at = time.monotonic()
         self._group_engines: dict[str, str] = {}
         self._scope = anyio.CancelScope()
         self.why_stopped = ""
 
+    def _add_item(
+        self, item: model.Item, partial: model.PartialText | None
+    ) -> None:
+        """Start with what an earlier owner or batch left of the item."""
+        leftover = self._tools.leftovers.take(item.id)
+        found = leftover.result
+        if found is not None and self._fits(set(found.versions)):
+            self._ready.append(found)
+            return
+        transcript = events.create_transcript(
+            partial or leftover.partial, self.batch.min_version
+        )
+        self._progress[item.id] = runs.Progress(item, transcript)
+
+    def _keep_leftovers(self) -> None:
+        """Keep the texts that a later batch may ask for again."""
+        keep = self._tools.leftovers.put
+        for found in [*self._results.values(), *self._ready]:
+            if found.outcome is model.Outcome.COMPLETED:
+                keep(found.item_id, leftovers.Leftover(result=found))
+        for progress in self._progress.values():
+            partial = progress.transcript.to_partial(progress.item.id)
+            if partial is not None:
+                keep(progress.item.id, leftovers.Leftover(partial))
+
     def stop(self, why: str) -> None:
         """Stop all runs; nothing more is listed."""
         if not self.why_stopped:
@@ -92,7 +126,7 @@
             batch=self.batch.id,
             step=self.batch.step,
             items=len(self.batch.items),
-            listed=len(self._listed),
+            listed=len(self._results),
             owner_revision=self.record.revision,
         )
         with self._scope:
@@ -104,12 +138,14 @@
                 await self._list_results()
                 self.why_stopped = self.why_stopped or "complete"
                 tasks.cancel_scope.cancel()
+        if self.why_stopped != "complete":
+            self._keep_leftovers()
         logs.event(
             _LOG,
             "batch_stopped",
             batch=self.batch.id,
             why=self.why_stopped,
-            listed=len(self._listed),
+            listed=len(self._results),
         )
 
     def _ordered(self) -> list[runs.Progress]:
@@ -144,22 +180,24 @@
 
     def _is_valid(self, progress: runs.Progress) -> bool:
         transcript = progress.transcript
-        if not transcript.versions:
+        if self._fits(transcript.versions):
+            return True
+        logs.event(
+            _LOG,
+            "run_discarded",
+            item=progress.item.id,
+            versions=sorted(transcript.versions),
+            min_version=self.batch.min_version,
+        )
+        transcript.clear()
+        return False
+
+    def _fits(self, versions: set[int]) -> bool:
+        """Tell whether a text of these versions may be listed."""
+        if not versions or min(versions) < self.batch.min_version:
             return False
-        stale = min(transcript.versions) < self.batch.min_version
         route = self._route()
-        single = route is not None and route.single_version
-        if stale or (single and len(transcript.versions) > 1):
-            logs.event(
-                _LOG,
-                "run_discarded",
-                item=progress.item.id,
-                versions=sorted(transcript.versions),
-                min_version=self.batch.min_version,
-            )
-            transcript.clear()
-            return False
-        return True
+        return route is None or not route.single_version or len(versions) == 1
 
     def _complete(self, progress: runs.Progress) -> None:
         transcript = progress.transcript
@@ -280,28 +318,65 @@
     async def _list_results(self) -> None:
         """Append results to the log until every item is listed."""
         total = len(self.batch.items)
-        while len(self._listed) < total:
+        while len(self._results) < total:
             if not self._ready:
-                self._new_result = anyio.Event()
-                await self._new_result.wait()
-                await anyio.sleep(FLUSH_SECONDS)
+                await self._wait_result()
+                continue
             found = _take(self._ready)
-            complete = len(self._listed) + len(found) == total
+            complete = len(self._results) + len(found) == total
             if not await self._append(found, complete):
                 return
             self._log_number += 1
-            self._listed.update(entry.item_id for entry in found)
+            self._results.update({r.item_id: r for r in found})
+
+    async def _wait_result(self) -> None:
+        """Wait for results; keep the unfinished texts meanwhile."""
+        self._new_result = anyio.Event()
+        with anyio.move_on_after(_PARTIAL_SECONDS):
+            await self._new_result.wait()
+            await anyio.sleep(FLUSH_SECONDS)
+            return
+        partials = self._partials()
+        if partials:
+            await self._tools.storage.keep_partials(
+                self.batch.id, self.record.revision, partials
+            )
+
+    def _partials(self) -> list[model.PartialText]:
+        """Return the unfinished texts that are worth keeping."""
+        found: list[model.PartialText] = []
+        size = 0
+        for progress in self._progress.values():
+            transcript = progress.transcript
+            if len(transcript.texts) < _MIN_PARTIAL_EVENTS:
+                continue
+            partial = transcript.to_partial(progress.item.id)
+            size += sum(map(len, transcript.texts))
+            if partial is None or size > _MAX_ENTRY_BYTES:
+                break
+            found.append(partial)
+        return found
+
+    def _due_partials(self) -> list[model.PartialText]:
+        """Return the unfinished texts if it is time to keep them."""
+        now = time.monotonic()
+        if now - self._kept_at < _PARTIAL_SECONDS:
+            return []
+        self._kept_at = now
+        return self._partials()
 
     async def _append(self, found: list[model.Result], complete: bool) -> bool:
         """Repeat one append until its outcome is known."""
         key = model.log_key(self.batch.id, self._log_number)
         data = model.encode_results(found)
+        partials = self._due_partials()
         while True:
             answer = await self._tools.storage.append(
                 self.batch.id,
                 self.record.revision,
                 self._log_number,
                 found,
+                partials,
                 complete,
             )
             if isinstance(answer, result.Ok):
--- a/src/hibiscussaddle/batches/storage.py
+++ b/src/hibiscussaddle/batches/storage.py
@@ -123,21 +123,51 @@
         owner_revision: int,
         number: int,
         results: list[model.Result],
+        partials: list[model.PartialText],
         complete: bool,
     ) -> result.Result[int, Failure]:
         """List results while the owner record is unchanged.
 
-        The last append of a batch also removes its owner record.
+        The unfinished texts replace those kept before. The last append of a
+        batch also removes its owner record.
         """
         owner_key = model.owner_key(batch_id)
         key = model.log_key(batch_id, number)
-        put = store.Put(key, model.encode_results(results))
+        puts = [store.Put(key, model.encode_results(results))]
+        if partials:
+            puts.append(_put_partials(batch_id, partials))
         return await self._client.commit(
             {owner_key: owner_revision, key: 0},
-            [put],
+            puts,
             [owner_key] if complete else [],
         )
 
+    async def keep_partials(
+        self,
+        batch_id: str,
+        owner_revision: int,
+        partials: list[model.PartialText],
+    ) -> result.Result[int, Failure]:
+        """Keep unfinished texts while the owner record is unchanged."""
+        expected = {model.owner_key(batch_id): owner_revision}
+        return await self._client.commit(
+            expected, [_put_partials(batch_id, partials)]
+        )
+
+    async def partials(
+        self, batch_id: str
+    ) -> result.Result[list[model.PartialText], Failure]:
+        """Return a batch's unfinished texts."""
+        found = await self._client.get(model.partials_key(batch_id))
+        if isinstance(found, result.Err):
+            if found.err_value.failure is store.StoreFailure.MISSING:
+                return result.Ok([])
+            return found
+        return _decode(
+            found.map(lambda entry: entry.data or b""),
+            model.decode_partials,
+        )
+
     async def release(
         self, record: OwnerRecord
     ) -> result.Result[int, Failure]:
@@ -173,6 +203,13 @@
     return store.Put(model.owner_key(batch_id), data)
 
 
+def _put_partials(
+    batch_id: str, partials: list[model.PartialText]
+) -> store.Put:
+    key = model.partials_key(batch_id)
+    return store.Put(key, model.encode_partials(partials))
+
+
 def _to_owner(entry: store.StoreEntry) -> OwnerRecord:
     owner = msgspec.json.decode(entry.data or b"", type=model.Owner)
     batch_id = entry.key.removeprefix(model.OWNER_PREFIX)
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -18,6 +18,7 @@
 from hibiscussaddle.adapters import store
 from hibiscussaddle.adapters import store_paths
 from hibiscussaddle.batches import handoff
+from hibiscussaddle.batches import leftovers
 from hibiscussaddle.batches import owners
 from hibiscussaddle.batches import placement
 from hibiscussaddle.batches import runner
@@ -127,7 +128,11 @@
     batches = storage.BatchStorage(store_client)
     engines = placement.Placement()
     tools = runner.Tools(
-        batches, view, engines, runs.ItemRunner(client, engines)
+        batches,
+        view,
+        engines,
+        runs.ItemRunner(client, engines),
+        leftovers.Leftovers(),
     )
     batch_owners = owners.BatchOwners(tools, members, handoff.Handoff(client))
     balancer = balance.Balancer(cfg.zone, random.Random())
--- /dev/null
+++ b/tests/test_batch_runner.py
@@ -0,0 +1,251 @@
+"""Guard the runs of a batch: resumed texts, versions, fenced results."""
+
+from collections import abc
+import contextlib
+import typing
+
+import anyio
+import httpx
+import result
+
+from hibiscussaddle.adapters import store
+from hibiscussaddle.batches import leftovers
+from hibiscussaddle.batches import model
+from hibiscussaddle.batches import placement
+from hibiscussaddle.batches import runner
+from hibiscussaddle.batches import runs
+from hibiscussaddle.batches import storage
+from hibiscussaddle.fleet import view as view_lib
+from hibiscussaddle.routes import routing_config
+from hibiscussaddle.standins import store as fake_store
+import batch_builders
+import loopback
+
+OWNER = model.Owner("gateway-1", 1)
+
+
+class FakeItems:
+    """Run items in memory, with an outcome chosen by the test."""
+
+    def __init__(
+        self,
+        events_total: int = 20,
+        versions: tuple[int, ...] = (1,),
+        ends: abc.Iterable[runs.RunEnd] = (),
+    ) -> None:
+        """Complete every run unless other ends are given first."""
+        self.started_after: list[tuple[str, int | None]] = []
+        self._total = events_total
+        self._versions = versions
+        self._ends = list(ends)
+
+    async def run(
+        self, progress: runs.Progress, batch: model.Batch, endpoint: object
+    ) -> runs.RunEnd:
+        """Note where a run starts, then end it."""
+        transcript = progress.transcript
+        self.started_after.append((progress.item.id, transcript.last_id))
+        await anyio.sleep(0)
+        if self._ends:
+            return self._ends.pop(0)
+        for number in range((transcript.last_id or 0) + 1, self._total + 1):
+            transcript.texts.append(f"text {number}")
+            transcript.last_id = number
+            transcript.versions.update(self._versions)
+        return runs.RunEnd.COMPLETE
+
+
+class World:
+    """Hold the store and what one batch runner needs."""
+
+    def __init__(self, client: store.StoreClient) -> None:
+        """List one engine and one route."""
+        self.storage = storage.BatchStorage(client)
+        self.client = client
+        self.view = view_lib.create_view()
+        self.view.directory.put(batch_builders.engine("engine-1"))
+        self.view.config = routing_config.RoutingConfig(
+            1, (batch_builders.route(),)
+        )
+        self.leftovers = leftovers.Leftovers()
+
+    def tools(self, items: object) -> runner.Tools:
+        """Return the parts of a runner around fake items."""
+        return runner.Tools(
+            self.storage,
+            self.view,
+            placement.Placement(),
+            typing.cast(runs.ItemRunner, items),
+            self.leftovers,
+        )
+
+    async def accept(self, batch: model.Batch) -> storage.OwnerRecord:
+        """Keep a batch and return its owner record."""
+        kept = await self.storage.accept(batch, OWNER, 1.0)
+        return storage.OwnerRecord(batch.id, OWNER, kept.unwrap())
+
+    async def listed(self, batch_id: str) -> list[model.Result]:
+        """Return all listed results in order."""
+        log, _ = (await self.storage.log_after(batch_id, "")).unwrap()
+        return [found for entry in log for found in entry.results]
+
+
+@contextlib.asynccontextmanager
+async def world() -> abc.AsyncIterator[World]:
+    """Yield a world around a stand-in store."""
+    fake = fake_store.Store()
+    async with (
+        loopback.serve(fake_store.create_app(fake)) as url,
+        httpx.AsyncClient(trust_env=False) as http,
+    ):
+        yield World(store.create_client(http, url, calls_per_second=1000))
+
+
+def test_text_of_the_owner_before_is_continued() -> None:
+    """Fails when a takeover generates kept texts again.
+
+    On kigali-engrave trouble-3 all processes were killed in the middle of
+    two steps; their longest items started from nothing and both steps, and
+    those behind them, were late.
+    """
+    batch = batch_builders.batch()
+    kept = batch_builders.transcript(16).to_partial("item-1")
+
+    async def main() -> None:
+        async with world() as found:
+            record = await found.accept(batch)
+            items = FakeItems()
+            owned = runner.BatchRunner(
+                found.tools(items), batch, record, (), [kept]
+            )
+            with anyio.fail_after(5):
+                await owned.run()
+            assert items.started_after == [("item-1", 16)]
+            listed = await found.listed(batch.id)
+            assert listed[0].text.count("text") == 20
+
+    anyio.run(main)
+
+
+def test_text_of_older_weights_is_not_continued() -> None:
+    """Fails when a result names a version below the batch's oldest."""
+    batch = batch_builders.batch(min_version=2)
+    kept = batch_builders.transcript(16, (1, 2)).to_partial("item-1")
+
+    async def main() -> None:
+        async with world() as found:
+            engine = batch_builders.engine(
+                "engine-1", weight_versions=(("base", 2),)
+            )
+            found.view.directory.put(engine)
+            record = await found.accept(batch)
+            items = FakeItems(versions=(2,))
+            owned = runner.BatchRunner(
+                found.tools(items), batch, record, (), [kept]
+            )
+            with anyio.fail_after(5):
+                await owned.run()
+            assert items.started_after == [("item-1", None)]
+            assert (await found.listed(batch.id))[0].versions == (2,)
+
+    anyio.run(main)
+
+
+def test_owner_before_lists_nothing_after_a_takeover() -> None:
+    """Fails when an owner that was frozen lists beside its successor."""
+    batch = batch_builders.batch()
+
+    async def main() -> None:
+        async with world() as found:
+            record = await found.accept(batch)
+            successor = model.Owner("gateway-2", 2)
+            taken = await found.storage.take_over(record, successor)
+            assert isinstance(taken, result.Ok)
+            owned = runner.BatchRunner(found.tools(FakeItems()), batch, record)
+            with anyio.fail_after(5):
+                await owned.run()
+            assert owned.why_stopped in ("ownership_lost", "owner_changed")
+            assert await found.listed(batch.id) == []
+
+    anyio.run(main)
+
+
+def test_append_without_an_answer_is_listed_once() -> None:
+    """Fails when a lost answer makes an item stand at two positions."""
+    fake = fake_store.Store()
+    batch = batch_builders.batch()
+
+    async def main() -> None:
+        async with (
+            loopback.serve(fake_store.create_app(fake)) as url,
+            httpx.AsyncClient(trust_env=False) as http,
+        ):
+            client = store.create_client(http, url, calls_per_second=1000)
+            found = World(client)
+            record = await found.accept(batch)
+            fake.faults.lose_answers = 1
+            owned = runner.BatchRunner(found.tools(FakeItems()), batch, record)
+            with anyio.fail_after(10):
+                await owned.run()
+            listed = await found.listed(batch.id)
+            assert [entry.item_id for entry in listed] == ["item-1"]
+
+    anyio.run(main)
+
+
+def test_item_is_given_up_after_its_attempts() -> None:
+    """Fails when a failing item runs for ever or is given up too early."""
+    batch = batch_builders.batch()
+
+    async def main() -> None:
+        async with world() as found:
+            record = await found.accept(batch)
+            failed = runs.RunEnd.FAILED
+            items = FakeItems(ends=[failed, failed, failed])
+            owned = runner.BatchRunner(found.tools(items), batch, record)
+            with anyio.fail_after(5):
+                await owned.run()
+            assert len(items.started_after) == 3
+            outcome = (await found.listed(batch.id))[0].outcome
+            assert outcome is model.Outcome.DEAD
+
+    anyio.run(main)
+
+
+def test_ended_batch_leaves_its_texts_to_the_next_one() -> None:
+    """Fails when an item that comes again is generated from nothing."""
+    waits = anyio.Event
+
+    class HangingItems(FakeItems):
+        async def run(
+            self, progress: runs.Progress, batch: model.Batch, _: object
+        ) -> runs.RunEnd:
+            progress.transcript = batch_builders.transcript(7)
+            self.reached.set()
+            await anyio.sleep_forever()
+            return runs.RunEnd.BROKEN
+
+        reached: anyio.Event
+
+    first = batch_builders.batch()
+    second = batch_builders.batch(id="batch-2", step=2)
+
+    async def main() -> None:
+        async with world() as found:
+            items = HangingItems()
+            items.reached = waits()
+            record = await found.accept(first)
+            owned = runner.BatchRunner(found.tools(items), first, record)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(owned.run)
+                await items.reached.wait()
+                (await found.storage.end(first.id)).unwrap()
+            assert owned.why_stopped == "owner_changed"
+            record = await found.accept(second)
+            again = FakeItems()
+            owned = runner.BatchRunner(found.tools(again), second, record)
+            with anyio.fail_after(5):
+                await owned.run()
+            assert again.started_after == [("item-1", 7)]
+
+    anyio.run(main)
--- a/tests/test_marks.py
+++ b/tests/test_marks.py
@@ -86,7 +86,7 @@
             async with fleet_lib.fleet(2, store_url=NO_STORE) as fleet:
                 taker = fleet.runtimes["entry-0"]
                 mark, _ = await leave_marks.change(taker, "engine-1", 7, True)
-                client = store_client.StoreClient(taker.client, url)
+                client = store_client.create_client(taker.client, url)
                 assert await marks_controller.load(taker, client)
                 assert len(fleet.marked()) == 2
                 ahead = dataclasses.replace(
@@ -191,7 +191,7 @@
             async with fleet_lib.fleet(1, store_url=url) as fleet:
                 await fleet_lib.until(lambda: len(fleet.marked()) == 1, 5)
             async with httpx.AsyncClient(trust_env=False) as client:
-                saved = store_client.StoreClient(client, url)
+                saved = store_client.create_client(client, url)
                 entry = (await saved.get("mark/engine-1")).unwrap()
                 assert entry.value["left"]
 
