--- /dev/null
+++ b/src/hibiscussaddle/standins/hosted.py
@@ -0,0 +1,182 @@
+"""Fake endpoint of a hosting platform: a model engine or a plain service.
+
+Written from the platform's published protocol; it keeps its entry in the
+store, answers requests, streams events and takes weight orders.
+"""
+
+from collections import abc
+import contextlib
+import dataclasses
+import time
+import typing
+
+import anyio
+import httpx
+import result
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from hibiscussaddle.adapters import store
+
+# How often the entry in the store is written, in seconds.
+_HEARTBEAT_SECONDS: typing.Final = 0.5
+_LOAD_SECONDS: typing.Final = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class HostedConfig:
+    """Set what one fake is and how fast it works."""
+
+    id: str
+    service: str
+    address: str
+    zone: str = "zone-a"
+    # Empty for a plain service.
+    model: str = ""
+    slots: int = 4
+    events: int = 10
+    event_seconds: float = 0.01
+
+
+class HostedEndpoint:
+    """Hold the state of one fake endpoint."""
+
+    def __init__(self, cfg: HostedConfig) -> None:
+        """Start with version 1 of the weights."""
+        self.cfg = cfg
+        self.born = time.time_ns() // 1_000_000
+        self.version = 1
+        self.orders = 0
+        self.loading = False
+        self.draining = False
+        # Requests that began to run, in order.
+        self.started: list[str] = []
+        self._beats = 0
+
+    def entry(self) -> dict[str, typing.Any]:
+        """Return the entry in the store."""
+        self._beats += 1
+        return {
+            "service": self.cfg.service,
+            "address": self.cfg.address,
+            "zone": self.cfg.zone,
+            "version": "v1",
+            "slots": self.cfg.slots,
+            "state": "draining" if self.draining else "ready",
+            "coldRemainingMs": 0,
+            "sequence": self._beats,
+            "models": self._models(),
+            "born": self.born,
+        }
+
+    def report(self) -> dict[str, typing.Any]:
+        """Return the answer to a report call."""
+        return {
+            "busy": self.loading,
+            "sequence": self.orders,
+            "models": self._models(),
+            "born": self.born,
+        }
+
+    def _models(self) -> list[dict[str, typing.Any]]:
+        if not self.cfg.model:
+            return []
+        return [{"name": self.cfg.model, "version": self.version}]
+
+    async def load(self, version: int) -> None:
+        """Carry out an order."""
+        await anyio.sleep(_LOAD_SECONDS)
+        self.version = version
+        self.loading = False
+
+    async def stream(self, after: int) -> abc.AsyncIterator[bytes]:
+        """Yield the events after a number."""
+        for number in range(after + 1, self.cfg.events + 1):
+            await anyio.sleep(self.cfg.event_seconds)
+            yield f"id: {number}\ndata: token {number}\n\n".encode()
+
+
+def create_app(
+    endpoint: HostedEndpoint, client: store.StoreClient
+) -> applications.Starlette:
+    """Return the HTTP interface of the fake."""
+
+    async def report(_: requests.Request) -> responses.Response:
+        return responses.JSONResponse(endpoint.report())
+
+    async def order(req: requests.Request) -> responses.Response:
+        body = await req.json()
+        if endpoint.loading or body["expected"] != endpoint.orders:
+            return responses.Response(status_code=409)
+        if endpoint.version >= body["version"]:
+            return responses.Response(status_code=200)
+        endpoint.orders += 1
+        endpoint.loading = True
+        req.app.state.tasks.start_soon(endpoint.load, body["version"])
+        return responses.Response(status_code=202)
+
+    async def run(req: requests.Request) -> responses.Response:
+        expected = req.headers.get("x-expect-instance")
+        if expected not in (None, endpoint.cfg.id):
+            return responses.Response(status_code=421)
+        request_id = req.headers["x-request-id"]
+        headers = {"x-request-id": request_id, "x-server-stamp": "stamp"}
+        if endpoint.loading:
+            headers["x-not-run"] = "1"
+            return responses.Response(status_code=503, headers=headers)
+        endpoint.started.append(request_id)
+        if not endpoint.cfg.model:
+            body = await req.body()
+            return responses.Response(b"answer to " + body, 200, headers)
+        headers["x-weight-versions"] = str(endpoint.version)
+        after = int(req.headers.get("last-event-id", "0"))
+        return responses.StreamingResponse(
+            endpoint.stream(after),
+            headers=headers,
+            media_type="text/event-stream",
+        )
+
+    async def keep_entry() -> None:
+        key = f"servers/{endpoint.cfg.id}"
+        while True:
+            found = await client.get(key)
+            revision = 0
+            if isinstance(found, result.Ok):
+                revision = found.ok_value.revision
+            await client.put(key, endpoint.entry(), revision)
+            await anyio.sleep(_HEARTBEAT_SECONDS)
+
+    async def started(_: requests.Request) -> responses.Response:
+        return responses.JSONResponse(endpoint.started)
+
+    @contextlib.asynccontextmanager
+    async def lifespan(
+        app: applications.Starlette,
+    ) -> abc.AsyncIterator[None]:
+        async with anyio.create_task_group() as tasks:
+            app.state.tasks = tasks
+            tasks.start_soon(keep_entry)
+            yield
+            tasks.cancel_scope.cancel()
+
+    return applications.Starlette(
+        routes=[
+            routing.Route("/-/report", report),
+            routing.Route("/-/order", order, methods=["POST"]),
+            routing.Route("/started", started),
+            routing.Route(
+                "/{path:path}", run, methods=["GET", "POST", "PUT", "DELETE"]
+            ),
+        ],
+        lifespan=lifespan,
+    )
+
+
+def create_hosted(cfg: HostedConfig, store_url: str) -> applications.Starlette:
+    """Return a fake that registers with a store."""
+    client = store.create_client(
+        httpx.AsyncClient(trust_env=False), store_url, calls_per_second=1000
+    )
+    return create_app(HostedEndpoint(cfg), client)
--- a/src/hibiscussaddle/standins/run.py
+++ b/src/hibiscussaddle/standins/run.py
@@ -11,6 +11,7 @@
 from hibiscussaddle import serving
 from hibiscussaddle.standins import engine
 from hibiscussaddle.standins import faults
+from hibiscussaddle.standins import hosted
 from hibiscussaddle.standins import platform
 from hibiscussaddle.standins import scorer
 from hibiscussaddle.standins import service
@@ -81,6 +82,20 @@
     return scorer.create_app(faults.Faults())
 
 
+@standin("hosted")
+def create_hosted(options: Options) -> applications.Starlette:
+    """Return an endpoint of a hosting platform."""
+    cfg = hosted.HostedConfig(
+        id=str(options["id"]),
+        service=str(options["service"]),
+        address=f"127.0.0.1:{options['own_port']}",
+        model=str(options.get("model", "")),
+        events=int(options.get("events", 10)),
+        event_seconds=float(options.get("event_seconds", 0.01)),
+    )
+    return hosted.create_hosted(cfg, str(options["store_url"]))
+
+
 async def run(name: str, host: str, port: int, options: Options) -> None:
     """Serve a fake and register it with the platform's list."""
     app = FACTORIES[name](options)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,5 +1,6 @@
 """Start real processes for tests and end them."""
 
+import base64
 from collections import abc
 import contextlib
 import json
@@ -27,12 +28,11 @@
 
     def __init__(self, log: pathlib.Path, *args: str) -> None:
         """Start a command of the service."""
-        env = {
-            **os.environ,
-            "PYTHONPATH": str(_SOURCES),
-            "HIBISCUSSADDLE_OPERATOR_SECRET": builders.SECRET,
-            "HIBISCUSSADDLE_PEER_SECRET": builders.SECRET,
-        }
+        env = {**os.environ, "PYTHONPATH": str(_SOURCES)}
+        if args[0] != "gateway":
+            # A gateway refuses settings that it does not know.
+            env["HIBISCUSSADDLE_OPERATOR_SECRET"] = builders.SECRET
+            env["HIBISCUSSADDLE_PEER_SECRET"] = builders.SECRET
         command = [sys.executable, "-m", "hibiscussaddle", *args]
         self.log = log
         with log.open("wb") as out:
@@ -126,6 +126,49 @@
             *more,
         )
 
+    def start_hosted(self, name: str, service: str, **options: object) -> str:
+        """Start a fake endpoint of a hosting platform; return its URL."""
+        port = self.port(name)
+        more = [f"--{key}={value}" for key, value in options.items()]
+        self.start(
+            "standin",
+            "hosted",
+            f"--port={port}",
+            f"--own_port={port}",
+            f"--id={name}",
+            f"--service={service}",
+            f"--store_url={self.store}",
+            *more,
+        )
+        return f"http://127.0.0.1:{port}"
+
+    def start_gateway(self, number: int, *more: str) -> Process:
+        """Start a gateway instance."""
+        store = self.store.removeprefix("http://")
+        ready = self.port(f"ready-{number}")
+        return self.start(
+            "gateway",
+            f"--instance=gateway-{number}",
+            "--zone=zone-a",
+            f"--caller_address=127.0.0.1:{self.port(f'gateway-{number}')}",
+            f"--ready_address=127.0.0.1:{ready}",
+            f"--peer_address=127.0.0.1:{self.port(f'gw-peers-{number}')}",
+            f"--store_address={store}",
+            *more,
+        )
+
+    def put_key(self, key: str, value: object) -> None:
+        """Write a key of the store, as the operator or a trainer does."""
+        data = base64.b64encode(json.dumps(value).encode()).decode()
+        body = {"put": [{"key": key, "value": data}]}
+        self.until(
+            lambda: (
+                self.client.post(
+                    self.store + "/-/kv-txn", json=body
+                ).is_success
+            )
+        )
+
     def url(self, number: int) -> str:
         """Return the address of an instance for callers."""
         return f"http://127.0.0.1:{self.port(f'callers-{number}')}"
--- a/tests/test_batch_runner.py
+++ b/tests/test_batch_runner.py
@@ -18,6 +18,7 @@
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle.routes import routing_config
 from hibiscussaddle.standins import store as fake_store
+
 import batch_builders
 import loopback
 
--- /dev/null
+++ b/tests/test_gateway_path.py
@@ -0,0 +1,205 @@
+"""Play the whole path over separate processes and the stand-ins.
+
+An ordinary request and a batch go through gateway instances to fake
+endpoints, with the platform's messages on every connection.
+"""
+
+from collections import abc
+import pathlib
+import signal
+import typing
+
+import httpx
+import pytest
+
+import processes
+
+pytestmark = pytest.mark.process
+
+HOST: typing.Final = "desk.example"
+CONFIG: typing.Final = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "rollouts",
+            "host": HOST,
+            "prefix": "/rollouts/",
+            "kind": "rollout",
+            "timeoutMs": 10000,
+            "targetLatencyMs": 500,
+            "service": "engines",
+            "maxAttempts": 3,
+            "retentionS": 40.0,
+            "resultDeadlineMs": 7500,
+            "resumable": True,
+        },
+        {
+            "name": "orders",
+            "host": HOST,
+            "prefix": "/orders/",
+            "kind": "idempotent",
+            "timeoutMs": 1500,
+            "targetLatencyMs": 200,
+            "service": "desk",
+            "maxAttempts": 2,
+        },
+    ],
+    "services": [],
+}
+EVENTS: typing.Final = 10
+TEXT: typing.Final = "\n".join(f"token {n}" for n in range(1, EVENTS + 1))
+
+
+@pytest.fixture(name="fleet")
+def create_fleet(tmp_path: pathlib.Path) -> abc.Iterator[processes.Fleet]:
+    """Run two gateways, an engine and a plain service."""
+    with processes.run_fleet(tmp_path) as fleet:
+        fleet.put_key("op/config", CONFIG)
+        fleet.start_hosted("engine-1", "engines", model="base", events=EVENTS)
+        fleet.start_hosted("desk-1", "desk")
+        for number in (1, 2):
+            fleet.start_gateway(number)
+        for number in (1, 2):
+            fleet.until(lambda n=number: _order(fleet, n).status_code == 200)
+            ready = f"http://127.0.0.1:{fleet.port(f'ready-{number}')}/ready"
+            fleet.until(lambda u=ready: fleet.client.get(u).is_success)
+        yield fleet
+
+
+def _url(fleet: processes.Fleet, number: int) -> str:
+    return f"http://127.0.0.1:{fleet.port(f'gateway-{number}')}"
+
+
+def _order(fleet: processes.Fleet, number: int) -> httpx.Response:
+    headers = {"host": HOST, "x-request-id": "r-1", "x-deadline-ms": "1000"}
+    return fleet.client.post(
+        _url(fleet, number) + "/orders/7", content=b"nets", headers=headers
+    )
+
+
+def _submit(
+    fleet: processes.Fleet, number: int, batch_id: str, items: int
+) -> httpx.Response:
+    body = {
+        "step": 1,
+        "model": "base",
+        "minVersion": 1,
+        "groupCount": 1,
+        "items": [
+            {
+                "id": f"{batch_id}-{index}",
+                "path": f"/rollouts/{index}",
+                "headers": {"X-Model": "base"},
+                "body": "cHJvbXB0",
+                "tokens": 10,
+                "group": "g",
+            }
+            for index in range(items)
+        ],
+    }
+    headers = {"host": HOST, "x-request-id": batch_id}
+    return fleet.client.post(
+        _url(fleet, number) + f"/rollouts/{batch_id}",
+        json=body,
+        headers=headers,
+    )
+
+
+def _page(
+    fleet: processes.Fleet, number: int, batch_id: str, after: int
+) -> dict[str, typing.Any]:
+    resp = fleet.client.get(
+        _url(fleet, number) + f"/-/lots/{batch_id}?after={after}",
+        headers={"host": HOST, "x-wait-ms": "50"},
+    )
+    resp.raise_for_status()
+    return resp.json()
+
+
+def _results(
+    fleet: processes.Fleet, number: int, batch_id: str
+) -> list[dict[str, typing.Any]]:
+    """Return all listed results; a page may hold only some of them."""
+    found: list[dict[str, typing.Any]] = []
+    while page := _page(fleet, number, batch_id, len(found))["results"]:
+        found += page
+    return found
+
+
+def test_request_reaches_its_endpoint(fleet: processes.Fleet) -> None:
+    """Fails when an answer is not the endpoint's or a route is missed."""
+    resp = _order(fleet, 1)
+    assert resp.content == b"answer to nets"
+    assert resp.headers["x-server-stamp"] == "stamp"
+    assert resp.headers["x-request-id"] == "r-1"
+    lost = fleet.client.get(_url(fleet, 1) + "/none", headers={"host": HOST})
+    assert lost.status_code == 404
+
+
+def test_batch_is_read_at_every_instance(fleet: processes.Fleet) -> None:
+    """Fails when a batch is accepted twice, lost or read differently."""
+    assert _submit(fleet, 1, "b1", 3).status_code == 202
+    assert _submit(fleet, 2, "b1", 3).status_code == 202
+    fleet.until(lambda: len(_results(fleet, 2, "b1")) == 3)
+    first = _results(fleet, 1, "b1")
+    assert first == _results(fleet, 2, "b1")
+    page = _page(fleet, 1, "b1", 1)
+    assert (page["total"], page["nextToken"]) == (3, 3)
+    for found in first:
+        assert found["state"] == "completed"
+        assert found["text"] == TEXT
+        assert found["versions"] == [1]
+    body = fleet.client.get(_url(fleet, 2) + "/-/items/b1?id=b1-0")
+    assert body.content == b"prompt"
+    gone = fleet.client.get(_url(fleet, 2) + "/-/lots/none")
+    assert gone.status_code == 404
+    for _ in range(2):
+        ended = fleet.client.delete(_url(fleet, 2) + "/-/lots/b1")
+        assert ended.status_code == 200
+    assert _results(fleet, 1, "b1") == first
+
+
+def test_batch_survives_its_owner(fleet: processes.Fleet) -> None:
+    """Fails when a batch ends with the instance that runs it."""
+    items = 12
+    assert _submit(fleet, 1, "b2", items).status_code == 202
+    fleet.until(lambda: _results(fleet, 2, "b2") != [])
+    before = _results(fleet, 2, "b2")
+    # One of the two runs the batch; the stand-ins come first in the list.
+    owner = next(
+        number
+        for number in (1, 2)
+        if "batch_started" in fleet.processes[3 + number].log.read_text()
+    )
+    fleet.processes[3 + owner].signal(signal.SIGKILL)
+    other = 3 - owner
+    fleet.until(lambda: len(_results(fleet, other, "b2")) == items)
+    after = _results(fleet, other, "b2")
+    assert after[: len(before)] == before
+    assert len({found["id"] for found in after}) == items
+
+
+def test_named_version_is_loaded(fleet: processes.Fleet) -> None:
+    """Fails when engines keep older weights than a trainer named."""
+    fleet.put_key("op/version/base", {"model": "base", "version": 2})
+    engine = f"http://127.0.0.1:{fleet.port('engine-1')}/-/report"
+
+    def is_loaded() -> bool:
+        models = fleet.client.get(engine).json()["models"]
+        return models == [{"name": "base", "version": 2}]
+
+    fleet.until(is_loaded)
+    assert _submit(fleet, 1, "b3", 1).status_code == 202
+    fleet.until(lambda: len(_results(fleet, 1, "b3")) == 1)
+    assert _results(fleet, 1, "b3")[0]["versions"] == [2]
+
+
+def test_planned_stop_answers_everything(fleet: processes.Fleet) -> None:
+    """Fails when an instance that gets SIGTERM drops a batch or a request."""
+    assert _submit(fleet, 1, "b4", 12).status_code == 202
+    fleet.processes[4].signal(signal.SIGTERM)
+    assert _order(fleet, 1).status_code == 200
+    ready = f"http://127.0.0.1:{fleet.port('ready-1')}/ready"
+    fleet.until(lambda: fleet.client.get(ready).status_code == 503)
+    assert fleet.processes[4].wait(10.0) == 0
+    fleet.until(lambda: len(_results(fleet, 2, "b4")) == 12)
