--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -41,6 +41,9 @@
 _RETRY_SECONDS: typing.Final = 0.2
 # Longest wait of the watch that notices a batch's end, in seconds.
 _OWNER_WATCH_SECONDS: typing.Final = 10.0
+# Clocks of instances may differ by this much, in seconds; an item must not
+# be given up before its time.
+_CLOCK_SECONDS: typing.Final = 3.0
 # Attempts of an item on a route that is gone from the configuration.
 _DEFAULT_ATTEMPTS: typing.Final = 3
 
@@ -161,11 +164,11 @@
 
     async def _run_item(self, progress: runs.Progress) -> None:
         while True:
-            if self._is_given_up(progress):
+            endpoint = await self._place(progress)
+            if endpoint is None:
                 found = model.Result(progress.item.id, model.Outcome.DEAD)
                 self._add_result(found)
                 return
-            endpoint = await self._place(progress)
             end = await self._tools.items.run(progress, self.batch, endpoint)
             if end is runs.RunEnd.COMPLETE and self._is_valid(progress):
                 self._complete(progress)
@@ -221,7 +224,8 @@
         route = self._route()
         if route is None or not route.retention:
             return False
-        return time.time() - self.batch.submitted_at > route.retention
+        age = time.time() - self.batch.submitted_at
+        return age > route.retention + _CLOCK_SECONDS
 
     def _max_attempts(self) -> int:
         route = self._route()
@@ -231,10 +235,12 @@
         cfg = self._tools.view.config
         return cfg.route(self.batch.route) if cfg else None
 
-    async def _place(self, progress: runs.Progress) -> endpoints.Endpoint:
-        """Wait for an engine with room."""
+    async def _place(
+        self, progress: runs.Progress
+    ) -> endpoints.Endpoint | None:
+        """Wait for an engine with room; None when the item is given up."""
         group = progress.item.group
-        while True:
+        while not self._is_given_up(progress):
             endpoint = self._tools.engines.choose(
                 self._candidates(progress.item),
                 time.monotonic(),
@@ -247,6 +253,7 @@
                     self._group_engines.setdefault(group, endpoint.id)
                 return endpoint
             await anyio.sleep(_PLACE_SECONDS)
+        return None
 
     def _candidates(self, item: model.Item) -> list[endpoints.Endpoint]:
         route = self._route()
--- a/src/hibiscussaddle/batches/runs.py
+++ b/src/hibiscussaddle/batches/runs.py
@@ -123,17 +123,15 @@
         try:
             async with self._client.stream(
                 "POST",
-                endpoint.address + item.path,
+                endpoint.address,
                 content=item.body,
                 headers=headers,
                 timeout=httpx.Timeout(None, connect=_CONNECT_SECONDS),
+                # The client would change the escapes of a URL.
+                extensions={"target": item.path.encode()},
             ) as resp:
                 return await self._receive(progress, batch, endpoint, resp)
-        except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
-            return self._broken(progress, endpoint, exc)
-        except (httpx.HTTPError, httpx.InvalidURL) as exc:
-            return self._broken(progress, endpoint, exc)
-        except events.MalformedStream as exc:
+        except (httpx.HTTPError, events.MalformedStream) as exc:
             return self._broken(progress, endpoint, exc)
 
     def _broken(
--- a/src/hibiscussaddle/routes/forward.py
+++ b/src/hibiscussaddle/routes/forward.py
@@ -33,6 +33,10 @@
 # restarted endpoints are listed within about a second.
 RETRY_AFTER_SECONDS: typing.Final = 0.3
 
+# Callers read these as "not run", which an endpoint says in a header of its
+# own; without it the request may have run.
+_PROMISES: typing.Final = (408, 429, 503)
+
 # Headers that concern one connection, and those that are set anew.
 _NOT_FORWARDED: typing.Final = frozenset(
     {
@@ -264,24 +268,28 @@
         headers.append((endpoint_wire.DEADLINE, str(left_ms)))
         headers.append((endpoint_wire.EXPECTED_ENDPOINT, endpoint.id))
         try:
-            resp = await self._client.request(
+            async with self._client.stream(
                 req.method,
-                endpoint.address + req.target,
+                endpoint.address,
                 content=req.body,
                 headers=headers,
                 timeout=httpx.Timeout(state.left, connect=_CONNECT_SECONDS),
-            )
+                # The client would change the escapes of a URL.
+                extensions={"target": req.target.encode("latin-1")},
+            ) as resp:
+                body = b"".join([part async for part in resp.aiter_raw()])
         except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
             return self._lost(state, endpoint, exc, _End.NOT_RUN)
         except (httpx.HTTPError, httpx.InvalidURL) as exc:
             return self._lost(state, endpoint, exc, _End.UNKNOWN)
-        return self._judge(state, endpoint, resp, started)
+        return self._judge(state, endpoint, resp, body, started)
 
     def _judge(
         self,
         state: _Forwarding,
         endpoint: endpoints.Endpoint,
         resp: httpx.Response,
+        body: bytes,
         started: float,
     ) -> _Attempt:
         now = time.monotonic()
@@ -293,6 +301,9 @@
         ):
             self._balancer.refused(endpoint, now)
             return _Attempt(_End.NOT_RUN)
+        if resp.status_code in _PROMISES:
+            why = ValueError(f"status {resp.status_code} without a promise")
+            return self._lost(state, endpoint, why, _End.UNKNOWN)
         if not resp.headers.get(endpoint_wire.PROOF):
             why = ValueError("the answer has no proof of its endpoint")
             return self._lost(state, endpoint, why, _End.UNKNOWN)
@@ -300,7 +311,7 @@
             self._balancer.failed(endpoint, now)
         else:
             self._balancer.succeeded(endpoint, now - started)
-        return _Attempt(_End.ANSWERED, _to_answer(endpoint, resp))
+        return _Attempt(_End.ANSWERED, _to_answer(endpoint, resp, body))
 
     def _lost(
         self,
@@ -322,14 +333,14 @@
 
 
 def _to_answer(
-    endpoint: endpoints.Endpoint, resp: httpx.Response
+    endpoint: endpoints.Endpoint, resp: httpx.Response, body: bytes
 ) -> EndpointAnswer:
     headers = tuple(
         (name, value)
         for name, value in resp.headers.multi_items()
         if name not in _NOT_FORWARDED
     )
-    return EndpointAnswer(resp.status_code, headers, resp.content, endpoint.id)
+    return EndpointAnswer(resp.status_code, headers, body, endpoint.id)
 
 
 def _refusal(state: _Forwarding) -> codes.Refusal:
--- a/src/hibiscussaddle/serving.py
+++ b/src/hibiscussaddle/serving.py
@@ -12,6 +12,8 @@
 _GRACEFUL_SECONDS: typing.Final = 3600.0
 # Lets idle connections close before the others are cut.
 _CANCEL_SECONDS: typing.Final = 0.2
+# The library's own limit is what callers may use, with nothing to spare.
+_MAX_HEADER_BYTES: typing.Final = 64 << 10
 
 
 class Server:
@@ -34,6 +36,8 @@
         self._cfg.loglevel = "WARNING"
         self._cfg.graceful_timeout = _GRACEFUL_SECONDS
         self._cfg.keep_alive_timeout = 75.0
+        self._cfg.h11_max_incomplete_size = _MAX_HEADER_BYTES
+        self._cfg.include_server_header = False
 
     async def serve(self, cert: str = "", key: str = "") -> None:
         """Return when the connections are closed after stop()."""
