Wait longer in watches and probe connections for silence

They were short to notice a silent connection. Change: TCP keep-alive probes notice it within 3 s, so these watches wait 10 and 15 s.

--- a/src/hibiscussaddle/adapters/connections.py
+++ b/src/hibiscussaddle/adapters/connections.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections import abc
+import socket
 import ssl
 import time
 import typing
@@ -9,6 +10,14 @@
 import httpx
 
 MAX_IDLE_PER_ORIGIN: typing.Final = 256
+# Probes find connections that went silent without a reset within about
+# three seconds, so that a waiting call need not be repeated to find out.
+_KEEPALIVE: typing.Final = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+)
 IDLE_SECONDS: typing.Final = 30.0
 # Answers between two looks for connections that stayed idle too long.
 _PRUNE_ANSWERS: typing.Final = 1000
@@ -67,7 +76,9 @@
             keepalive_expiry=IDLE_SECONDS,
         )
         return httpx.AsyncHTTPTransport(
-            verify=self._context(scheme), limits=limits
+            verify=self._context(scheme),
+            limits=limits,
+            socket_options=_KEEPALIVE,
         )
 
     async def give_back(
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -46,11 +46,11 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Longest waits of watches, in seconds. They bound how long a silent
-# connection goes unnoticed; configuration must be in force within 2 s.
-_OPERATOR_WAIT: typing.Final = 2.0
+# Longest waits of watches, in seconds. Probes of the connection find one
+# that went silent sooner, and each answer of the store has a price.
+_OPERATOR_WAIT: typing.Final = 10.0
 _ENDPOINT_WAIT: typing.Final = 2.0
-_LEASE_WAIT: typing.Final = 5.0
+_LEASE_WAIT: typing.Final = 15.0
 # Endpoints change several times a second; one answer gathers the changes of
 # this time. A leaving endpoint must get no work after 2 s.
 _ENDPOINT_PAUSE: typing.Final = 0.9
