Bound log lines, never wait for their reader, survive SIGHUP on standby

Log lines go to standard output without blocking, at most 200 a second; what is left out is counted.

--- a/src/hibiscussaddle/cli.py
+++ b/src/hibiscussaddle/cli.py
@@ -43,7 +43,7 @@
         from hibiscussaddle import gateway_settings
 
         cfg = console.unwrap(gateway_settings.load(flags, console.environ()))
-        logs.configure(cfg.log_level, cfg.instance, cfg.zone, sys.stdout)
+        gateway_process.configure_logs(cfg)
         anyio.run(gateway_process.run, cfg)
 
     def settings(self, output: str = "table", **flags: object) -> None:
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -307,6 +307,12 @@
     )
 
 
+def configure_logs(cfg: gateway_settings.GatewaySettings) -> None:
+    """Write log lines to standard output, bounded and without waiting."""
+    handler = logs.BoundedHandler(sys.stdout.fileno())
+    logs.configure(cfg.log_level, cfg.instance, cfg.zone, handler)
+
+
 def main() -> None:
     """Run an instance with the settings of the environment.
 
@@ -318,7 +324,7 @@
         sys.stderr.write(f"{loaded.err_value.message}\n")
         sys.exit(loaded.err_value.code.value.exit_status)
     cfg = loaded.ok_value
-    logs.configure(cfg.log_level, cfg.instance, cfg.zone, sys.stdout)
+    configure_logs(cfg)
     anyio.run(run, cfg)
 
 
--- a/src/hibiscussaddle/standby.py
+++ b/src/hibiscussaddle/standby.py
@@ -16,10 +16,12 @@
     logging.basicConfig(
         stream=sys.stdout, level="INFO", format="time=%(asctime)s %(message)s"
     )
-    stopping = (signal.SIGTERM, signal.SIGINT)
-    signal.pthread_sigmask(signal.SIG_BLOCK, stopping)
+    signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    signal.pthread_sigmask(signal.SIG_BLOCK, signals)
     _LOG.info("event=started role=standby")
-    number = signal.sigwait(stopping)
+    while (number := signal.sigwait(signals)) == signal.SIGHUP:
+        # There are no settings to read again.
+        _LOG.info("event=reload_ignored signal=SIGHUP")
     _LOG.info("event=stopped signal=%s", signal.Signals(number).name)
 
 
