--- a/src/hibiscussaddle/gateway.py
+++ b/src/hibiscussaddle/gateway.py
@@ -47,6 +47,9 @@
     ) -> None:
         """Combine the parts of one instance."""
         self.reader = reader_lib.BatchReader(batches)
+        # Called with the route, status and seconds of each answer.
+        self.on_answer: abc.Callable[[str, int, float], None]
+        self.on_answer = lambda *_: None
         self.stopping = False
         self.running = 0
         self._view = view
--- /dev/null
+++ b/src/hibiscussaddle/gateway_metrics.py
@@ -0,0 +1,98 @@
+"""Metrics of a gateway instance, in the Prometheus text format."""
+
+from collections import abc
+import typing
+
+from aioprometheus import collectors
+from aioprometheus import renderer
+
+from hibiscussaddle import logs
+
+# Upper bounds in seconds around the latency targets of ordinary requests.
+_BUCKETS: typing.Final = (0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, float("inf"))
+
+# Values that are read when the metrics are fetched, by name.
+Gauges: typing.TypeAlias = abc.Mapping[str, abc.Callable[[], float]]
+
+
+class GatewayMetrics:
+    """Keep histograms and render every metric of an instance."""
+
+    def __init__(self, gauges: Gauges) -> None:
+        """Register the metrics; gauges are read at each rendering."""
+        self.registry = collectors.Registry()
+        self._events = collectors.Counter(
+            "hibiscussaddle_events_total",
+            "Decisions and changes by the name of their log event.",
+            registry=self.registry,
+        )
+        self._answers = collectors.Counter(
+            "hibiscussaddle_answers_total",
+            "Answers to callers by route and status.",
+            registry=self.registry,
+        )
+        self._store_calls = collectors.Counter(
+            "hibiscussaddle_store_calls_total",
+            "Calls of the store by kind.",
+            registry=self.registry,
+        )
+        self._seconds = collectors.Histogram(
+            "hibiscussaddle_answer_seconds",
+            "Seconds from the arrival of a request to its answer, by route.",
+            buckets=list(_BUCKETS),
+            registry=self.registry,
+        )
+        self._gauges = {
+            name: collectors.Gauge(
+                f"hibiscussaddle_{name}",
+                "Current value; see docs/OPERATIONS.md.",
+                registry=self.registry,
+            )
+            for name in gauges
+        }
+        self._read = gauges
+        self._counts: dict[tuple[str, int], int] = {}
+
+    def count_answer(self, route: str, status: int, seconds: float) -> None:
+        """Count one answer to a caller."""
+        key = (route, status)
+        self._counts[key] = self._counts.get(key, 0) + 1
+        self._seconds.observe({"route": route}, seconds)
+
+    def render(
+        self, store_calls: abc.Mapping[str, int], accept: list[str]
+    ) -> tuple[bytes, dict[str, str]]:
+        """Return the text of all metrics and its headers."""
+        for name, total in logs.EVENTS.items():
+            self._events.set({"event": name}, total)
+        for (route, status), total in self._counts.items():
+            self._answers.set({"route": route, "status": str(status)}, total)
+        for kind, total in store_calls.items():
+            self._store_calls.set({"kind": kind}, total)
+        for name, read in self._read.items():
+            self._gauges[name].set({}, read())
+        return typing.cast(
+            tuple[bytes, dict[str, str]],
+            renderer.render(self.registry, accept),
+        )
+
+
+def create_gauges(
+    running: abc.Callable[[], float],
+    batches: abc.Callable[[], float],
+    members: abc.Callable[[], float],
+    endpoints: abc.Callable[[], float],
+    config_version: abc.Callable[[], float],
+    holds_lease: abc.Callable[[], float],
+    store_direct: abc.Callable[[], float],
+) -> Gauges:
+    """Return the gauges of an instance."""
+    return {
+        "requests_running": running,
+        "batches_owned": batches,
+        "members": members,
+        "endpoints": endpoints,
+        "config_version": config_version,
+        "weight_lease_held": holds_lease,
+        "store_direct": store_direct,
+    }
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -16,6 +16,9 @@
 import httpx
 import result
 from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
 
 from hibiscussaddle.adapters import connections
 from hibiscussaddle.adapters import store
@@ -32,6 +35,7 @@
 from hibiscussaddle.fleet import retirement
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import gateway as gateway_lib
+from hibiscussaddle import gateway_metrics
 from hibiscussaddle import gateway_settings
 from hibiscussaddle import logs
 from hibiscussaddle.platform import config_wire
@@ -82,6 +86,7 @@
     weights: weight_controller.WeightController
     retirement: retirement.Retirement
     gateway: gateway_lib.Gateway
+    metrics: gateway_metrics.GatewayMetrics
 
     @property
     def loops(
@@ -140,6 +145,20 @@
     batch_owners = owners.BatchOwners(tools, members, handoff.Handoff(client))
     balancer = balance.Balancer(cfg.zone, random.Random())
     forwarder = forward.Forwarder(client, view, balancer)
+    gateway = gateway_lib.Gateway(
+        view, forwarder, batches, batch_owners, feeds
+    )
+    gauges = gateway_metrics.create_gauges(
+        running=lambda: gateway.running,
+        batches=lambda: len(batch_owners.running),
+        members=lambda: len(members.all),
+        endpoints=lambda: len(view.directory.all()),
+        config_version=lambda: view.config.version if view.config else 0,
+        holds_lease=lambda: held.fencing_number(guarded=True) is not None,
+        store_direct=lambda: path.is_direct,
+    )
+    metrics = gateway_metrics.GatewayMetrics(gauges)
+    gateway.on_answer = metrics.count_answer
     return Parts(
         cfg=cfg,
         client=client,
@@ -154,9 +173,8 @@
             client, view, held, cfg.instance
         ),
         retirement=retirement.Retirement(store_client, view, held),
-        gateway=gateway_lib.Gateway(
-            view, forwarder, batches, batch_owners, feeds
-        ),
+        gateway=gateway,
+        metrics=metrics,
     )
 
 
@@ -244,6 +262,7 @@
         (parts.cfg.caller_address, ingress.Ingress(parts.gateway)),
         (parts.cfg.peer_address, _create_peer_app(parts)),
         (parts.cfg.ready_address, ingress.create_ready_app(parts.gateway)),
+        (parts.cfg.metrics_address, _create_metrics_app(parts)),
     ):
         if not address:
             continue
@@ -263,6 +282,16 @@
     )
 
 
+def _create_metrics_app(parts: Parts) -> applications.Starlette:
+    async def show(req: requests.Request) -> responses.Response:
+        body, headers = parts.metrics.render(
+            parts.store.calls, req.headers.getlist("accept")
+        )
+        return responses.Response(body, headers=headers)
+
+    return applications.Starlette(routes=[routing.Route("/metrics", show)])
+
+
 async def _handle_signals(stop: anyio.Event) -> None:
     with anyio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
--- a/src/hibiscussaddle/platform/ingress.py
+++ b/src/hibiscussaddle/platform/ingress.py
@@ -57,6 +57,8 @@
     status: int
     body: bytes = b""
     headers: tuple[tuple[str, str], ...] = ()
+    # Name of the route, or of the batch call, for the metrics.
+    route: str = "-"
 
 
 Handler: typing.TypeAlias = abc.Callable[
@@ -102,6 +104,9 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_when_gone, receive, tasks.cancel_scope)
             reply = await self._answer(call)
+            self._gateway.on_answer(
+                reply.route, reply.status, time.monotonic() - arrived_at
+            )
             await _send_reply(send, reply, self._closes)
             tasks.cancel_scope.cancel()
 
@@ -126,14 +131,17 @@
     async def _dispatch(self, call: _Call) -> _Reply:
         for (method, prefix), handler in _HANDLERS.items():
             if call.method == method and call.path.startswith(prefix):
-                return await handler(self._gateway, call)
+                reply = await handler(self._gateway, call)
+                return dataclasses.replace(reply, route=f"{method} {prefix}")
         found = self._gateway.find_route(call.header("host"), call.path)
         if isinstance(found, result.Err):
             return _refused(found.err_value, call)
         route = found.ok_value
+        answer = _forward
         if route.kind is routing_config.RouteKind.BATCH:
-            return await _submit(self._gateway, route, call)
-        return await _forward(self._gateway, route, call)
+            answer = _submit
+        reply = await answer(self._gateway, route, call)
+        return dataclasses.replace(reply, route=route.name)
 
 
 async def _forward(
