Refuse at once and turn unready when no way leads to the store

Ruled out: engines' room (three of five were left) and the takeover of the weight orders (1.4 s). Change: after two failed calls through peers all others fail at once but one each 0.5 s, and readiness falls with the first failure until a peer answers.

--- a/src/hibiscussaddle/adapters/store_paths.py
+++ b/src/hibiscussaddle/adapters/store_paths.py
@@ -6,6 +6,7 @@
 
 from collections import abc
 import logging
+import time
 import typing
 
 import anyio
@@ -26,6 +27,12 @@
 # A store that answers at all answers within this time, in seconds; sixty
 # times its usual answer is 0.24 s.
 _PROBE_TIMEOUT: typing.Final = 0.6
+# Calls through peers that fail in a row until there is no way to the store:
+# one bad peer must not count as none.
+_LOST_FAILURES: typing.Final = 2
+# How often a call through a peer is tried while there is no way, in
+# seconds. All other calls fail at once, so that callers go elsewhere.
+_RELAY_RETRY_SECONDS: typing.Final = 0.5
 # A peer gives up before the caller does, so that its answer still arrives,
 # in seconds.
 _RELAY_MARGIN: typing.Final = 0.05
@@ -96,6 +103,10 @@
         self._client = client
         self._peers = peers
         self._peer_number = 0
+        # Calls through peers that failed since the last that succeeded;
+        # None until one was made.
+        self._relay_failures: int | None = None
+        self._relay_at = 0.0
         self._failed = anyio.Event()
         self._watches: set[anyio.CancelScope] = set()
 
@@ -104,13 +115,23 @@
         """Tell whether the store answers this instance."""
         return not self._failed.is_set()
 
+    @property
+    def is_lost(self) -> bool:
+        """Tell whether no way to the store is known to work."""
+        return self._failed.is_set() and self._relay_failures != 0
+
     async def send(
         self, call: store_wire.Call, timeout: float
     ) -> httpx.Response:
         """Return the store's answer; raise httpx errors without one."""
-        if self._failed.is_set() and self._peers():
-            return await self._relay(call, timeout)
-        return await self.send_direct(call, timeout)
+        if not self._failed.is_set() or not self._peers():
+            return await self.send_direct(call, timeout)
+        now = time.monotonic()
+        if (self._relay_failures or 0) >= _LOST_FAILURES:
+            if now - self._relay_at < _RELAY_RETRY_SECONDS:
+                raise httpx.ConnectError("no way to the store is known")
+        self._relay_at = now
+        return await self._relay(call, timeout)
 
     async def send_direct(
         self, call: store_wire.Call, timeout: float
@@ -163,15 +184,22 @@
                     timeout=timeout,
                 )
         except TimeoutError as exc:
-            self._peer_number += 1
+            self._pass_over()
             raise httpx.ReadTimeout(f"no answer from peer {peer}") from exc
         except httpx.HTTPError:
-            self._peer_number += 1
+            self._pass_over()
             raise
         if resp.status_code in _TURNED_AWAY or resp.is_server_error:
-            self._peer_number += 1
+            self._pass_over()
+        else:
+            self._relay_failures = 0
         return resp
 
+    def _pass_over(self) -> None:
+        """Take the next peer for the next call."""
+        self._peer_number += 1
+        self._relay_failures = (self._relay_failures or 0) + 1
+
     async def run(self) -> None:
         """Find out when the store answers directly again."""
         probe = store_wire.scan("probe/", "", stale=True)
@@ -192,6 +220,7 @@
 
     def _recover(self) -> None:
         logs.event(_LOG, "store_reachable")
+        self._relay_failures = None
         self._failed = anyio.Event()
 
 
--- a/src/hibiscussaddle/gateway.py
+++ b/src/hibiscussaddle/gateway.py
@@ -44,6 +44,7 @@
         batches: storage.BatchStorage,
         batch_owners: owners.BatchOwners,
         feeds: abc.Sequence[feed.Feed],
+        has_store: abc.Callable[[], bool] = lambda: True,
     ) -> None:
         """Combine the parts of one instance."""
         self.reader = reader_lib.BatchReader(batches)
@@ -57,6 +58,7 @@
         self._batches = batches
         self._owners = batch_owners
         self._feeds = feeds
+        self._has_store = has_store
 
     @property
     def limits(self) -> routing_config.Limits:
@@ -81,6 +83,8 @@
             return "no configuration yet"
         if not self._view.listed:
             return "no endpoints listed yet"
+        if not self._has_store():
+            return "no way to the store"
         now = time.monotonic()
         for followed in self._feeds:
             if followed.age(now) > OVERDUE_SECONDS:
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -146,7 +146,12 @@
     balancer = balance.Balancer(cfg.zone, random.Random())
     forwarder = forward.Forwarder(client, view, balancer)
     gateway = gateway_lib.Gateway(
-        view, forwarder, batches, batch_owners, feeds
+        view,
+        forwarder,
+        batches,
+        batch_owners,
+        feeds,
+        has_store=lambda: not path.is_lost,
     )
     gauges = gateway_metrics.create_gauges(
         running=lambda: gateway.running,
--- a/tests/test_store_paths.py
+++ b/tests/test_store_paths.py
@@ -156,3 +156,44 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(main)
+
+
+def test_calls_fail_at_once_when_no_way_is_left() -> None:
+    """Fails when callers wait for a store that no way leads to.
+
+    In incident inc-1827 a zone was cut off; its instances held each read of
+    a batch for 1.2 s and stayed ready, so the zone's trainer lost a step.
+    """
+    fake = fake_store.Store()
+
+    async def main() -> None:
+        async with nodes(fake, 3) as found:
+            for node in found:
+                node.direct.cut = True
+                await node.client.get("key")
+            node = found[0]
+            assert node.path.is_lost
+            for _ in range(2):
+                await node.client.get("key")
+            with anyio.fail_after(0.4):
+                for _ in range(200):
+                    lost = await node.client.get("key")
+                    assert lost.err_value.failure is store.StoreFailure.DOWN
+
+    anyio.run(main)
+
+
+def test_way_through_a_peer_is_not_lost() -> None:
+    """Fails when an instance with a working peer turns callers away."""
+    fake = fake_store.Store()
+
+    async def main() -> None:
+        async with nodes(fake, 2) as (node, _):
+            assert not node.path.is_lost
+            node.direct.cut = True
+            await node.client.get("key")
+            assert node.path.is_lost
+            await node.client.get("key")
+            assert not node.path.is_lost
+
+    anyio.run(main)
