Give older steps room first and end runs on silent engines

Runs on silent engines waited for them, as no other had room, and step 9 shared the room with step 8: step 8 took 11 s and 15 of its 23 groups failed. Ruled out: the owner (not in the zone) and the weight orders (none due). Change: a run without events for 2 s waits for room like the others; items of the oldest batch have room first.

--- a/src/hibiscussaddle/batches/placement.py
+++ b/src/hibiscussaddle/batches/placement.py
@@ -19,6 +19,10 @@
 STALL_SECONDS: typing.Final = 0.6
 # The same for the first event, which waits for a slot and the prompt.
 FIRST_EVENT_SECONDS: typing.Final = 1.2
+# A run that stalls this long gives its place up even when no other engine has
+# room, in seconds: it waits for one like the others, and no dead connection
+# keeps it. Loading weights takes less time.
+STALL_LIMIT_SECONDS: typing.Final = 2.0
 # Events of one engine that are needed to judge its pace: with fewer, the
 # prompts that are read between the first events look like slowness.
 _MIN_EVENTS: typing.Final = 24
@@ -212,3 +216,31 @@
         by_length = sorted(range(len(lengths)), key=lengths.__getitem__)
         order += [(group, index) for index in reversed(by_length)]
     return order
+
+
+class WaitingItems:
+    """Let the items of older batches have room first.
+
+    A trainer waits for its oldest step, and later ones only add to it.
+    """
+
+    def __init__(self) -> None:
+        """Start with nothing waiting."""
+        self._counts: dict[str, int] = {}
+        self._submitted: dict[str, float] = {}
+
+    def add(self, batch_id: str, submitted_at: float) -> None:
+        """Count an item that waits for room."""
+        self._counts[batch_id] = self._counts.get(batch_id, 0) + 1
+        self._submitted[batch_id] = submitted_at
+
+    def remove(self, batch_id: str) -> None:
+        """Count an item that waits no more."""
+        self._counts[batch_id] -= 1
+        if self._counts[batch_id] == 0:
+            del self._counts[batch_id], self._submitted[batch_id]
+
+    def is_next(self, batch_id: str) -> bool:
+        """Tell whether no older batch waits."""
+        mine = self._submitted[batch_id]
+        return all(mine <= other for other in self._submitted.values())
--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -57,6 +57,7 @@
     engines: placement.Placement
     items: runs.ItemRunner
     leftovers: leftovers.Leftovers
+    waiting: placement.WaitingItems
 
 
 class BatchRunner:
@@ -239,22 +240,33 @@
         self, progress: runs.Progress
     ) -> endpoints.Endpoint | None:
         """Wait for an engine with room; None when the item is given up."""
-        group = progress.item.group
-        while not self._is_given_up(progress):
-            endpoint = self._tools.engines.choose(
-                self._candidates(progress.item),
-                time.monotonic(),
-                self._group_engines.get(group, ""),
-                {progress.left} if progress.left else (),
-            )
-            progress.left = ""
-            if endpoint is not None:
-                if group:
-                    self._group_engines.setdefault(group, endpoint.id)
-                return endpoint
-            await anyio.sleep(_PLACE_SECONDS)
+        waiting = self._tools.waiting
+        waiting.add(self.batch.id, self.batch.submitted_at)
+        try:
+            while not self._is_given_up(progress):
+                endpoint = self._choose(progress)
+                if endpoint is not None:
+                    return endpoint
+                await anyio.sleep(_PLACE_SECONDS)
+        finally:
+            waiting.remove(self.batch.id)
         return None
 
+    def _choose(self, progress: runs.Progress) -> endpoints.Endpoint | None:
+        if not self._tools.waiting.is_next(self.batch.id):
+            return None
+        group = progress.item.group
+        endpoint = self._tools.engines.choose(
+            self._candidates(progress.item),
+            time.monotonic(),
+            self._group_engines.get(group, ""),
+            {progress.left} if progress.left else (),
+        )
+        progress.left = ""
+        if endpoint is not None and group:
+            self._group_engines.setdefault(group, endpoint.id)
+        return endpoint
+
     def _candidates(self, item: model.Item) -> list[endpoints.Endpoint]:
         route = self._route()
         if route is None:
@@ -290,11 +302,13 @@
         endpoint = progress.endpoint
         if endpoint is None or progress.scope is None:
             return ""
+        since = now - (progress.event_at or progress.started_at)
+        if since > placement.STALL_LIMIT_SECONDS:
+            return "stalled"
         candidates = self._candidates(progress.item)
         engines = self._tools.engines
         if not engines.has_room(candidates, now, endpoint.id):
             return ""
-        since = now - (progress.event_at or progress.started_at)
         limit = placement.STALL_SECONDS
         if progress.event_at is None:
             limit = placement.FIRST_EVENT_SECONDS
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -141,6 +141,7 @@
         engines,
         runs.ItemRunner(client, engines),
         leftovers.Leftovers(),
+        placement.WaitingItems(),
     )
     batch_owners = owners.BatchOwners(tools, members, handoff.Handoff(client))
     path.on_recover = batch_owners.sweep_soon
--- a/tests/test_batch_runner.py
+++ b/tests/test_batch_runner.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import contextlib
+import time
 import typing
 
 import anyio
@@ -78,6 +79,7 @@
             placement.Placement(),
             typing.cast(runs.ItemRunner, items),
             self.leftovers,
+            placement.WaitingItems(),
         )
 
     async def accept(self, batch: model.Batch) -> storage.OwnerRecord:
@@ -250,3 +252,39 @@
             assert again.started_after == [("item-1", 7)]
 
     anyio.run(main)
+
+
+def test_run_on_a_dead_engine_gives_its_place_up() -> None:
+    """Fails when a run waits on a silent connection for want of room.
+
+    On cereza-hs trouble-3 four of six engines went silent and no other had
+    room; their runs kept waiting for them.
+    """
+    batch = batch_builders.batch()
+
+    class SilentItems(FakeItems):
+        async def run(
+            self, progress: runs.Progress, _: model.Batch, endpoint: object
+        ) -> runs.RunEnd:
+            self.started_after.append((progress.item.id, None))
+            progress.endpoint = typing.cast(typing.Any, endpoint)
+            progress.started_at = time.monotonic()
+            progress.event_at = None
+            with anyio.CancelScope() as progress.scope:
+                await anyio.sleep_forever()
+            progress.scope = None
+            return runs.RunEnd.BROKEN
+
+    async def main() -> None:
+        async with world() as found:
+            record = await found.accept(batch)
+            items = SilentItems()
+            owned = runner.BatchRunner(found.tools(items), batch, record)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(owned.run)
+                with anyio.fail_after(10):
+                    while len(items.started_after) < 2:
+                        await anyio.sleep(0.05)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(main)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -190,3 +190,23 @@
     order = placement.order_items(groups)
     assert order[0] == ("b", 0)
     assert [group for group, _ in order] == ["b", "b", "c", "a", "a"]
+
+
+def test_older_step_has_room_first() -> None:
+    """Fails when items of a later step take the room of an earlier one.
+
+    Pattern: four of six engines are lost (zone cut, scale-in) while two
+    steps of one trainer are open; step 8 waits for room beside step 9. On
+    cereza-hs trouble-3 step 8 took 11 s and failed.
+    """
+    waiting = placement.WaitingItems()
+    waiting.add("step-9", 36.0)
+    assert waiting.is_next("step-9")
+    waiting.add("step-8", 32.0)
+    waiting.add("step-8", 32.0)
+    assert waiting.is_next("step-8")
+    assert not waiting.is_next("step-9")
+    waiting.remove("step-8")
+    assert not waiting.is_next("step-9")
+    waiting.remove("step-8")
+    assert waiting.is_next("step-9")
