--- a/src/hibiscussaddle/adapters/store.py
+++ b/src/hibiscussaddle/adapters/store.py
@@ -211,9 +211,7 @@
         answer = await self._call(call, timeout)
         return _decode(answer, store_wire.decode_revision)
 
-    async def grant(
-        self, ttl: float, holder: str
-    ) -> result.Result[int, StoreError]:
+    async def grant(self, ttl: float) -> result.Result[int, StoreError]:
         """Create a lease of ttl seconds; return its number."""
         answer = await self._call(store_wire.grant(ttl))
         return _decode(answer, store_wire.decode_lease)
--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -86,7 +86,7 @@
         for item in batch.items:
             if item.id not in self._results:
                 self._add_item(item, kept.get(item.id))
-        self._kept_at = time.monotonic()
+        self._started_at = self._kept_at = time.monotonic()
         self._group_engines: dict[str, str] = {}
         self._scope = anyio.CancelScope()
         self.why_stopped = ""
@@ -205,6 +205,18 @@
 
     def _complete(self, progress: runs.Progress) -> None:
         transcript = progress.transcript
+        logs.event(
+            _LOG,
+            "item_completed",
+            batch=self.batch.id,
+            item=progress.item.id,
+            group=progress.item.group or "-",
+            endpoint=progress.endpoint.id if progress.endpoint else "-",
+            runs=progress.runs,
+            events=len(transcript.texts),
+            versions=sorted(transcript.versions),
+            seconds=time.monotonic() - self._started_at,
+        )
         self._add_result(
             model.Result(
                 progress.item.id,
--- a/src/hibiscussaddle/fleet/presence.py
+++ b/src/hibiscussaddle/fleet/presence.py
@@ -133,7 +133,7 @@
 
     async def _register(self) -> bool:
         me = self.members.me
-        granted = await self._client.grant(LEASE_SECONDS, me.instance)
+        granted = await self._client.grant(LEASE_SECONDS)
         if isinstance(granted, result.Err):
             return False
         key = PREFIX + me.instance
--- a/src/hibiscussaddle/weight_lease.py
+++ b/src/hibiscussaddle/weight_lease.py
@@ -102,7 +102,7 @@
             return _read(await self._client.get(self._fence_key))
         if call.step is step.GRANT:
             ttl = self.machine.cfg.ttl
-            granted = await self._client.grant(ttl, call.holder)
+            granted = await self._client.grant(ttl)
             if isinstance(granted, result.Err):
                 return _failed(granted.err_value)
             return lease.Reply(lease.Outcome.OK, lease=granted.ok_value)
--- a/tests/test_store_paths.py
+++ b/tests/test_store_paths.py
@@ -80,7 +80,7 @@
 
     async def main() -> None:
         async with nodes(fake, 2) as (node, _):
-            lease = (await node.client.grant(5.0, "me")).unwrap()
+            lease = (await node.client.grant(5.0)).unwrap()
             node.direct.cut = True
             first = await node.client.renew(lease)
             assert first.err_value.failure is store.StoreFailure.DOWN
