--- a/bench/contract_spread.py
+++ b/bench/contract_spread.py
@@ -25,8 +25,8 @@
 from hibiscussaddle import broadcast
 from hibiscussaddle import contract_changes
 from hibiscussaddle.controllers import contracts as controller
+from hibiscussaddle.platform.standins import store
 from hibiscussaddle import runtime as runtime_lib
-from hibiscussaddle.standins import store
 
 SIZES: typing.Final = (8, 16, 32)
 ROUNDS: typing.Final = 10
--- a/bench/mark_spread.py
+++ b/bench/mark_spread.py
@@ -16,9 +16,9 @@
 import loopback
 
 from hibiscussaddle import leave_marks
+from hibiscussaddle.platform.standins import store
 from hibiscussaddle.policy import marks
 from hibiscussaddle import runtime as runtime_lib
-from hibiscussaddle.standins import store
 
 SIZES: typing.Final = (8, 16, 32)
 ROUNDS: typing.Final = 10
--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -14,6 +14,7 @@
 from hibiscussaddle.batches import leftovers
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import placement
+from hibiscussaddle.batches import result_log
 from hibiscussaddle.batches import runs
 from hibiscussaddle.batches import storage
 from hibiscussaddle import endpoints
@@ -23,21 +24,13 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Results that end within this time share one write of the store, in seconds.
-# Trainers poll about twice a second.
-FLUSH_SECONDS: typing.Final = 0.15
-# An entry of the result log stays well below the store's limit, in bytes.
-_MAX_ENTRY_BYTES: typing.Final = 600_000
 # How often an item looks for an engine with room, in seconds.
 _PLACE_SECONDS: typing.Final = 0.02
 # How often running items are checked for stalls, in seconds.
 _CHECK_SECONDS: typing.Final = 0.1
-# Unfinished texts are kept this often, in seconds: an instance that takes a
-# batch over generates at most this much again.
-_PARTIAL_SECONDS: typing.Final = 1.0
 # Shorter texts are generated again sooner than they are kept, in events.
 _MIN_PARTIAL_EVENTS: typing.Final = 16
-# Waits between attempts of a write that failed, in seconds.
+# Wait before a read that failed is repeated, in seconds.
 _RETRY_SECONDS: typing.Final = 0.2
 # Longest wait of the watch that notices a batch's end, in seconds.
 _OWNER_WATCH_SECONDS: typing.Final = 10.0
@@ -75,18 +68,15 @@
         self.batch = batch
         self.record = record
         self._tools = tools
-        self._results = {
-            found.item_id: found for entry in log for found in entry.results
-        }
-        self._log_number = len(log)
-        self._ready: list[model.Result] = []
-        self._new_result = anyio.Event()
+        self._log = result_log.ResultLog(
+            tools.storage, record, len(batch.items), log, self._partials
+        )
         kept = {partial.item_id: partial for partial in partials}
         self._progress: dict[str, runs.Progress] = {}
         for item in batch.items:
-            if item.id not in self._results:
+            if item.id not in self._log.listed:
                 self._add_item(item, kept.get(item.id))
-        self._started_at = self._kept_at = time.monotonic()
+        self._started_at = time.monotonic()
         self._group_engines: dict[str, str] = {}
         self._scope = anyio.CancelScope()
         self.why_stopped = ""
@@ -98,7 +88,7 @@
         leftover = self._tools.leftovers.take(item.id)
         found = leftover.result
         if found is not None and self._fits(set(found.versions)):
-            self._ready.append(found)
+            self._log.add(found)
             return
         transcript = events.create_transcript(
             partial or leftover.partial, self.batch.min_version
@@ -108,7 +98,7 @@
     def _keep_leftovers(self) -> None:
         """Keep the texts that a later batch may ask for again."""
         keep = self._tools.leftovers.put
-        for found in [*self._results.values(), *self._ready]:
+        for found in [*self._log.listed.values(), *self._log.ready]:
             if found.outcome is model.Outcome.COMPLETED:
                 keep(found.item_id, leftovers.Leftover(result=found))
         for progress in self._progress.values():
@@ -130,7 +120,7 @@
             batch=self.batch.id,
             step=self.batch.step,
             items=len(self.batch.items),
-            listed=len(self._results),
+            listed=len(self._log.listed),
             owner_revision=self.record.revision,
         )
         with self._scope:
@@ -139,8 +129,9 @@
                 tasks.start_soon(self._check_runs)
                 for progress in self._ordered():
                     tasks.start_soon(self._run_item, progress)
-                await self._list_results()
-                self.why_stopped = self.why_stopped or "complete"
+                done = await self._log.run()
+                why = "complete" if done else "ownership_lost"
+                self.why_stopped = self.why_stopped or why
                 tasks.cancel_scope.cancel()
         if self.why_stopped != "complete":
             self._keep_leftovers()
@@ -149,7 +140,7 @@
             "batch_stopped",
             batch=self.batch.id,
             why=self.why_stopped,
-            listed=len(self._results),
+            listed=len(self._log.listed),
         )
 
     def _ordered(self) -> list[runs.Progress]:
@@ -227,9 +218,8 @@
         )
 
     def _add_result(self, found: model.Result) -> None:
-        self._ready.append(found)
         self._progress.pop(found.item_id, None)
-        self._new_result.set()
+        self._log.add(found)
 
     def _is_given_up(self, progress: runs.Progress) -> bool:
         if progress.failures >= self._max_attempts():
@@ -348,33 +338,6 @@
             self._tools.engines.failed(endpoint, now)
         progress.scope.cancel()
 
-    async def _list_results(self) -> None:
-        """Append results to the log until every item is listed."""
-        total = len(self.batch.items)
-        while len(self._results) < total:
-            if not self._ready:
-                await self._wait_result()
-                continue
-            found = _take(self._ready)
-            complete = len(self._results) + len(found) == total
-            if not await self._append(found, complete):
-                return
-            self._log_number += 1
-            self._results.update({r.item_id: r for r in found})
-
-    async def _wait_result(self) -> None:
-        """Wait for results; keep the unfinished texts meanwhile."""
-        self._new_result = anyio.Event()
-        with anyio.move_on_after(_PARTIAL_SECONDS):
-            await self._new_result.wait()
-            await anyio.sleep(FLUSH_SECONDS)
-            return
-        partials = self._partials()
-        if partials:
-            await self._tools.storage.keep_partials(
-                self.batch.id, self.record.revision, partials
-            )
-
     def _partials(self) -> list[model.PartialText]:
         """Return the unfinished texts that are worth keeping."""
         found: list[model.PartialText] = []
@@ -385,52 +348,11 @@
                 continue
             partial = transcript.to_partial(progress.item.id)
             size += sum(map(len, transcript.texts))
-            if partial is None or size > _MAX_ENTRY_BYTES:
+            if partial is None or size > result_log.MAX_ENTRY_BYTES:
                 break
             found.append(partial)
         return found
 
-    def _due_partials(self) -> list[model.PartialText]:
-        """Return the unfinished texts if it is time to keep them."""
-        now = time.monotonic()
-        if now - self._kept_at < _PARTIAL_SECONDS:
-            return []
-        self._kept_at = now
-        return self._partials()
-
-    async def _append(self, found: list[model.Result], complete: bool) -> bool:
-        """Repeat one append until its outcome is known."""
-        key = model.log_key(self.batch.id, self._log_number)
-        data = model.encode_results(found)
-        partials = self._due_partials()
-        while True:
-            answer = await self._tools.storage.append(
-                self.batch.id,
-                self.record.revision,
-                self._log_number,
-                found,
-                partials,
-                complete,
-            )
-            if isinstance(answer, result.Ok):
-                return True
-            error = answer.err_value
-            if error.failure is store.StoreFailure.CONFLICT:
-                if any(e.key == key and e.data == data for e in error.current):
-                    # An earlier attempt took effect without an answer.
-                    return True
-                self.stop("ownership_lost")
-                return False
-            logs.event(
-                _LOG,
-                "results_not_stored",
-                logging.WARNING,
-                batch=self.batch.id,
-                results=len(found),
-                why=error.failure.value,
-            )
-            await anyio.sleep(_RETRY_SECONDS)
-
     async def _watch_owner(self) -> None:
         """Stop when the batch is ended or another instance took it over."""
         after = self.record.revision
@@ -460,13 +382,3 @@
     def _is_complete(self) -> bool:
         """Tell whether every item ran; the last append may be under way."""
         return not self._progress
-
-
-def _take(ready: list[model.Result]) -> list[model.Result]:
-    """Remove and return results for one log entry."""
-    found: list[model.Result] = []
-    size = 0
-    while ready and (not found or size < _MAX_ENTRY_BYTES):
-        found.append(ready.pop(0))
-        size += len(found[-1].text.encode())
-    return found
--- /dev/null
+++ b/src/hibiscussaddle/platform/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes of the hosting platform, written from its published protocol."""
--- a/src/hibiscussaddle/standins/run.py
+++ b/src/hibiscussaddle/standins/run.py
@@ -8,14 +8,14 @@
 import httpx
 from starlette import applications
 
+from hibiscussaddle.platform.standins import endpoint
+from hibiscussaddle.platform.standins import store
 from hibiscussaddle import serving
 from hibiscussaddle.standins import engine
 from hibiscussaddle.standins import faults
-from hibiscussaddle.standins import hosted
 from hibiscussaddle.standins import platform
 from hibiscussaddle.standins import scorer
 from hibiscussaddle.standins import service
-from hibiscussaddle.standins import store
 from hibiscussaddle.standins import weight_store
 
 Options: typing.TypeAlias = abc.Mapping[str, typing.Any]
@@ -85,7 +85,7 @@
 @standin("hosted")
 def create_hosted(options: Options) -> applications.Starlette:
     """Return an endpoint of a hosting platform."""
-    cfg = hosted.HostedConfig(
+    cfg = endpoint.HostedConfig(
         id=str(options["id"]),
         service=str(options["service"]),
         address=f"127.0.0.1:{options['own_port']}",
@@ -93,7 +93,7 @@
         events=int(options.get("events", 10)),
         event_seconds=float(options.get("event_seconds", 0.01)),
     )
-    return hosted.create_hosted(cfg, str(options["store_url"]))
+    return endpoint.create_hosted(cfg, str(options["store_url"]))
 
 
 async def run(name: str, host: str, port: int, options: Options) -> None:
--- a/tests/histories/world.py
+++ b/tests/histories/world.py
@@ -16,6 +16,7 @@
 import builders
 from hibiscussaddle import endpoints
 from hibiscussaddle import entry
+from hibiscussaddle.platform.standins import store
 from hibiscussaddle.policy import contract_document as documents
 from hibiscussaddle import runtime as runtime_lib
 from hibiscussaddle import settings
@@ -24,7 +25,6 @@
 from hibiscussaddle.standins import platform
 from hibiscussaddle.standins import scorer
 from hibiscussaddle.standins import service
-from hibiscussaddle.standins import store
 from histories import history as history_lib
 import loopback
 import ports as ports_lib
--- a/tests/test_batch_owners.py
+++ b/tests/test_batch_owners.py
@@ -15,7 +15,7 @@
 from hibiscussaddle.batches import storage
 from hibiscussaddle.fleet import presence
 from hibiscussaddle import gateway
-from hibiscussaddle.standins import store as fake_store
+from hibiscussaddle.platform.standins import store as fake_store
 
 import batch_builders
 import loopback
--- a/tests/test_batch_runner.py
+++ b/tests/test_batch_runner.py
@@ -17,8 +17,8 @@
 from hibiscussaddle.batches import runs
 from hibiscussaddle.batches import storage
 from hibiscussaddle.fleet import view as view_lib
+from hibiscussaddle.platform.standins import store as fake_store
 from hibiscussaddle.routes import routing_config
-from hibiscussaddle.standins import store as fake_store
 
 import batch_builders
 import loopback
--- a/tests/test_contract_changes.py
+++ b/tests/test_contract_changes.py
@@ -13,9 +13,9 @@
 from hibiscussaddle import codes
 from hibiscussaddle import contract_changes
 from hibiscussaddle import contract_refusals
+from hibiscussaddle.platform.standins import store as fake_store
 from hibiscussaddle.policy import contract_document as documents
 from hibiscussaddle import runtime as runtime_lib
-from hibiscussaddle.standins import store as fake_store
 import loopback
 
 SETTLED_CHANGES = 6
--- a/tests/test_contract_spread.py
+++ b/tests/test_contract_spread.py
@@ -14,8 +14,8 @@
 from hibiscussaddle.controllers import membership
 from hibiscussaddle import entry
 from hibiscussaddle import lifecycle
+from hibiscussaddle.platform.standins import store as fake_store
 from hibiscussaddle import runtime as runtime_lib
-from hibiscussaddle.standins import store as fake_store
 import loopback
 import ports
 
--- a/tests/test_marks.py
+++ b/tests/test_marks.py
@@ -23,8 +23,8 @@
 from hibiscussaddle import lifecycle
 from hibiscussaddle.operations import instances
 from hibiscussaddle import operator_app
+from hibiscussaddle.platform.standins import store
 from hibiscussaddle.policy import marks
-from hibiscussaddle.standins import store
 
 TLS = pathlib.Path(__file__).parent / "data" / "tls"
 # Nothing listens at port 1.
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -9,7 +9,7 @@
 
 from hibiscussaddle.adapters import store
 from hibiscussaddle.adapters import store_watch
-from hibiscussaddle.standins import store as fake_store
+from hibiscussaddle.platform.standins import store as fake_store
 from hibiscussaddle import weight_lease
 import loopback
 
--- a/tests/test_store_paths.py
+++ b/tests/test_store_paths.py
@@ -10,8 +10,8 @@
 
 from hibiscussaddle.adapters import store
 from hibiscussaddle.adapters import store_paths
+from hibiscussaddle.platform.standins import store as fake_store
 from hibiscussaddle.platform import store_wire
-from hibiscussaddle.standins import store as fake_store
 import loopback
 
 
--- a/tests/test_weight_orders.py
+++ b/tests/test_weight_orders.py
@@ -13,10 +13,10 @@
 from hibiscussaddle.controllers import load
 from hibiscussaddle.controllers import weights
 from hibiscussaddle import endpoints
+from hibiscussaddle.platform.standins import store as fake_store
 from hibiscussaddle.policy import lease
 from hibiscussaddle import runtime as runtime_lib
 from hibiscussaddle.standins import engine as fake_engine
-from hibiscussaddle.standins import store as fake_store
 from hibiscussaddle.standins import weight_store as fake_weights
 import loopback
 
