--- /dev/null
+++ b/tests/test_batch_events.py
@@ -0,0 +1,55 @@
+"""Guard the parsing of an item's event stream."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from hibiscussaddle.batches import events
+
+STREAM = (
+    b"id: 1\ndata: first\n\n"
+    b"x-weight-versions: 7\nid: 2\ndata: second\n\n"
+    b"id: 3\r\ndata: third\r\n\r\n"
+)
+
+
+@hypothesis.given(strategies.lists(strategies.integers(1, len(STREAM))))
+def test_cuts_between_reads_change_nothing(cuts: list[int]) -> None:
+    """Fails when an event that arrives in pieces is lost or doubled."""
+    # A carriage return and its line feed arrive in one read.
+    stream = STREAM.replace(b"\r", b"")
+    parser = events.EventParser()
+    found: list[events.Event] = []
+    start = 0
+    for cut in [*sorted(cuts), len(stream)]:
+        found += parser.feed(stream[start:cut])
+        start = max(start, cut)
+    assert [event.id for event in found] == [1, 2, 3]
+    assert [event.data for event in found] == ["first", "second", "third"]
+    assert [event.version for event in found] == [None, 7, None]
+    assert parser.is_between_events
+
+
+def test_unfinished_event_is_not_taken() -> None:
+    """Fails when a crashed engine's half event ends up in a text."""
+    parser = events.EventParser()
+    assert parser.feed(b"id: 1\ndata: whole\n\nid: 2\ndata: ha") != []
+    assert not parser.is_between_events
+
+
+@pytest.mark.parametrize("ids", [(1, 3), (1, 1), (2, 1)])
+def test_gap_or_repeat_is_refused(ids: tuple[int, int]) -> None:
+    """Fails when a text lacks an event or has one twice."""
+    transcript = events.Transcript()
+    transcript.add(events.Event(ids[0], "a"), 1)
+    with pytest.raises(events.MalformedStream):
+        transcript.add(events.Event(ids[1], "b"), 1)
+
+
+@hypothesis.given(strategies.binary(max_size=100))
+def test_spoiled_bytes_are_events_or_refused(data: bytes) -> None:
+    """Fails when an engine's spoiled answer ends the owner's task."""
+    try:
+        events.EventParser().feed(data)
+    except events.MalformedStream:
+        pass
--- a/tests/test_batch_owners.py
+++ b/tests/test_batch_owners.py
@@ -77,8 +77,10 @@
     return batch
 
 
-async def _until_listed(batches: storage.BatchStorage, batch_id: str) -> None:
-    with anyio.fail_after(10):
+async def _until_listed(
+    batches: storage.BatchStorage, batch_id: str, seconds: float = 10
+) -> None:
+    with anyio.fail_after(seconds):
         while not (await batches.log_after(batch_id, "")).unwrap()[0]:
             await anyio.sleep(0.02)
 
@@ -138,7 +140,8 @@
         async with owning(takes=False) as (owned, batches):
             batch = batch_builders.batch()
             (await owned.accept(batch, 1.0)).unwrap()
-            await _until_listed(batches, batch.id)
+            # Sooner than a sweep would find it.
+            await _until_listed(batches, batch.id, 3)
 
     anyio.run(main)
 
--- a/tests/test_batch_runner.py
+++ b/tests/test_batch_runner.py
@@ -190,6 +190,7 @@
             owned = runner.BatchRunner(found.tools(FakeItems()), batch, record)
             with anyio.fail_after(10):
                 await owned.run()
+            assert owned.why_stopped == "complete"
             listed = await found.listed(batch.id)
             assert [entry.item_id for entry in listed] == ["item-1"]
 
