Keep observations of endpoints in one bounded place

Placement, balancing and weight orders each kept a table by endpoint and incarnation, which grew with every restart. No change of decisions.

--- a/src/hibiscussaddle/batches/placement.py
+++ b/src/hibiscussaddle/batches/placement.py
@@ -9,6 +9,7 @@
 import typing
 
 from hibiscussaddle import endpoints
+from hibiscussaddle.fleet import observations
 
 # An engine whose events are this many times slower than the median of the
 # others gets no new runs while others have room. Neighbours slow engines
@@ -48,7 +49,6 @@
 class EngineState:
     """Hold what this instance observed of one engine incarnation."""
 
-    incarnation: int = 0
     running: int = 0
     # Smoothed seconds between two events of a run.
     pace: float | None = None
@@ -66,15 +66,11 @@
 
     def __init__(self) -> None:
         """Start without observations."""
-        self._states: dict[str, EngineState] = {}
+        self._states = observations.Observations(EngineState)
 
     def state(self, endpoint: endpoints.Endpoint) -> EngineState:
         """Return the state of an endpoint's incarnation."""
-        state = self._states.get(endpoint.id)
-        if state is None or state.incarnation != endpoint.incarnation:
-            state = EngineState(endpoint.incarnation)
-            self._states[endpoint.id] = state
-        return state
+        return self._states.of(endpoint)
 
     def choose(
         self,
@@ -158,9 +154,8 @@
 
     def ended(self, endpoint: endpoints.Endpoint) -> None:
         """Count the end of a run."""
-        state = self._states.get(endpoint.id)
-        if state is not None and state.incarnation == endpoint.incarnation:
-            state.running = max(0, state.running - 1)
+        state = self.state(endpoint)
+        state.running = max(0, state.running - 1)
 
     def observe_gap(
         self, endpoint: endpoints.Endpoint, seconds: float, now: float
--- a/src/hibiscussaddle/routes/balance.py
+++ b/src/hibiscussaddle/routes/balance.py
@@ -10,6 +10,7 @@
 import typing
 
 from hibiscussaddle import endpoints
+from hibiscussaddle.fleet import observations
 
 # A second endpoint is asked when the first one takes longer than this part
 # of the route's latency target, so that the second can still meet it.
@@ -33,7 +34,6 @@
 class EndpointStats:
     """Hold what this instance observed of one endpoint incarnation."""
 
-    incarnation: int = 0
     running: int = 0
     latencies: collections.deque[float] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=_WINDOW)
@@ -55,15 +55,11 @@
         """Prefer endpoints of the own zone."""
         self._zone = zone
         self._rng = rng
-        self._stats: dict[str, EndpointStats] = {}
+        self._stats = observations.Observations(EndpointStats)
 
     def stats(self, endpoint: endpoints.Endpoint) -> EndpointStats:
         """Return the observations of an endpoint's incarnation."""
-        stats = self._stats.get(endpoint.id)
-        if stats is None or stats.incarnation != endpoint.incarnation:
-            stats = EndpointStats(endpoint.incarnation)
-            self._stats[endpoint.id] = stats
-        return stats
+        return self._stats.of(endpoint)
 
     def choose(
         self,
--- a/src/hibiscussaddle/weights/controller.py
+++ b/src/hibiscussaddle/weights/controller.py
@@ -3,6 +3,7 @@
 One instance of the fleet holds the lease and sends the orders.
 """
 
+import dataclasses
 import logging
 import time
 import typing
@@ -12,6 +13,7 @@
 import httpx
 
 from hibiscussaddle import endpoints
+from hibiscussaddle.fleet import observations
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import logs
 from hibiscussaddle.platform import endpoint_wire
@@ -51,6 +53,13 @@
 )
 
 
+@dataclasses.dataclass
+class _Accepted:
+    """Count the orders of one engine incarnation, None while unknown."""
+
+    count: int | None = None
+
+
 class WeightController:
     """Plan and send weight orders while this instance holds the lease."""
 
@@ -67,8 +76,8 @@
         self._lease = held
         self._instance = instance
         self._plans: dict[str, rollout.Rollout] = {}
-        # Orders that each engine incarnation had accepted at its last report.
-        self._accepted: dict[str, int] = {}
+        # Orders that each engine had accepted at its last report.
+        self._accepted = observations.Observations(_Accepted)
 
     async def run(self) -> None:
         """Order until cancelled."""
@@ -124,7 +133,7 @@
         endpoint: endpoints.Endpoint,
     ) -> None:
         sent_at = time.monotonic()
-        accepted = self._accepted.get(_key(endpoint))
+        accepted = self._accepted.of(endpoint).count
         if accepted is None:
             accepted = await self._count_orders(endpoint)
         number = self._fencing_number()
@@ -192,7 +201,7 @@
             taken_at = time.monotonic()
             report = await self._report(endpoint)
             if report is not None:
-                self._accepted[_key(endpoint)] = report.orders_accepted
+                self._accepted.of(endpoint).count = report.orders_accepted
                 version = dict(report.weight_versions).get(model)
                 done = version is not None and version >= order.version
                 if done or not report.ordered:
@@ -226,7 +235,3 @@
                 why=str(exc) or type(exc).__name__,
             )
             return None
-
-
-def _key(endpoint: endpoints.Endpoint) -> str:
-    return f"{endpoint.id}/{endpoint.incarnation}"
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,6 +4,7 @@
 import typing
 
 from hibiscussaddle.batches import placement
+from hibiscussaddle.fleet import observations
 
 import batch_builders
 
@@ -210,3 +211,12 @@
     assert not waiting.is_next("step-9")
     waiting.remove("step-8")
     assert waiting.is_next("step-9")
+
+
+def test_endpoints_of_the_past_are_forgotten() -> None:
+    """Fails when each restarted endpoint costs memory for ever."""
+    found = observations.Observations(list)
+    for number in range(10_000):
+        found.of(batch_builders.engine(f"engine-{number}")).append(number)
+    assert found.of(batch_builders.engine("engine-0")) == []
+    assert found.of(batch_builders.engine("engine-9999")) == [9999]
