Start no run unless the ownership of the batch was just confirmed

By the code, an owner that is cut off or whose watch hangs on a silent connection learns of the end up to 11 s later and starts items meanwhile. Change: the owner's record is confirmed every 1.2 s, and no run starts when that is 2.4 s old; the bound is 3 s. The test fails without it.

--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -32,8 +32,12 @@
 _MIN_PARTIAL_EVENTS: typing.Final = 16
 # Wait before a read that failed is repeated, in seconds.
 _RETRY_SECONDS: typing.Final = 0.2
-# Longest wait of the watch that notices a batch's end, in seconds.
-_OWNER_WATCH_SECONDS: typing.Final = 10.0
+# Longest wait of the watch that confirms the ownership, in seconds.
+_OWNER_WATCH_SECONDS: typing.Final = 1.2
+# An owner that could not confirm its ownership for this long starts no run,
+# in seconds: the batch may be ended, and an item must not reach an engine
+# later than 3 s after that.
+_CONFIRM_SECONDS: typing.Final = 2.4
 # Clocks of instances may differ by this much, in seconds; an item must not
 # be given up before its time.
 _CLOCK_SECONDS: typing.Final = 3.0
@@ -76,7 +80,7 @@
         for item in batch.items:
             if item.id not in self._log.listed:
                 self._add_item(item, kept.get(item.id))
-        self._started_at = time.monotonic()
+        self._started_at = self._confirmed_at = time.monotonic()
         self._group_engines: dict[str, str] = {}
         self._scope = anyio.CancelScope()
         self.why_stopped = ""
@@ -255,6 +259,8 @@
         return None
 
     def _choose(self, progress: runs.Progress) -> endpoints.Endpoint | None:
+        if not self._is_confirmed():
+            return None
         if not self._tools.waiting.is_next(self.batch.id):
             return None
         group = progress.item.group
@@ -357,28 +363,37 @@
         """Stop when the batch is ended or another instance took it over."""
         after = self.record.revision
         while True:
+            started = time.monotonic()
             answer = await self._tools.storage.watch_owner(
                 self.batch.id, after, _OWNER_WATCH_SECONDS
             )
             if isinstance(answer, result.Ok):
                 entries, after = answer.ok_value
-                if any(e.revision > self.record.revision for e in entries):
-                    if not self._is_complete():
-                        self.stop("owner_changed")
-                        return
+                if not any(e.revision > self.record.revision for e in entries):
+                    # The store waited all the time and saw no change.
+                    self._confirmed_at = started + _OWNER_WATCH_SECONDS
+                elif not self._is_complete():
+                    self.stop("owner_changed")
+                    return
                 continue
+            started = time.monotonic()
             owner = await self._tools.storage.owner(self.batch.id)
             if isinstance(owner, result.Ok):
                 after = max(after, owner.ok_value.revision)
                 if owner.ok_value.revision != self.record.revision:
                     self.stop("owner_changed")
                     return
+                self._confirmed_at = started
             elif owner.err_value.failure is store.StoreFailure.MISSING:
                 if not self._is_complete():
                     self.stop("owner_removed")
                     return
             await anyio.sleep(_RETRY_SECONDS)
 
+    def _is_confirmed(self) -> bool:
+        """Tell whether the batch was surely this owner's a moment ago."""
+        return time.monotonic() - self._confirmed_at < _CONFIRM_SECONDS
+
     def _is_complete(self) -> bool:
         """Tell whether every item ran; the last append may be under way."""
         return not self._progress
--- a/tests/test_batch_runner.py
+++ b/tests/test_batch_runner.py
@@ -289,3 +289,39 @@
                 tasks.cancel_scope.cancel()
 
     anyio.run(main)
+
+
+def test_owner_without_the_store_starts_nothing() -> None:
+    """Fails when an owner that can't know of a batch's end goes on.
+
+    On kigali-engrave fresh-4d1e an item reached an engine 4.8 s after the
+    acknowledged end of its batch, from an owner that had been cut off.
+    """
+    fake = fake_store.Store()
+    batch = batch_builders.batch()
+
+    async def main() -> None:
+        async with (
+            loopback.serve(fake_store.create_app(fake)) as url,
+            httpx.AsyncClient(trust_env=False) as http,
+        ):
+            client = store.create_client(http, url, calls_per_second=1000)
+            found = World(client)
+            found.view.directory.remove("engine-1")
+            record = await found.accept(batch)
+            items = FakeItems()
+            owned = runner.BatchRunner(found.tools(items), batch, record)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(owned.run)
+                fake.faults.down = True
+                await anyio.sleep(4.0)
+                found.view.directory.put(batch_builders.engine("engine-1"))
+                await anyio.sleep(0.3)
+                assert items.started_after == []
+                fake.faults.down = False
+                with anyio.fail_after(10):
+                    while not items.started_after:
+                        await anyio.sleep(0.05)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(main)
