Reset abandoned connections, so that their bytes do not arrive late

Closing a connection leaves its unsent bytes to the system, which sends them again once the partition heals. Change: connections of the client are reset on close.

--- a/src/hibiscussaddle/adapters/connections.py
+++ b/src/hibiscussaddle/adapters/connections.py
@@ -4,15 +4,20 @@
 from collections import abc
 import socket
 import ssl
+import struct
 import time
 import typing
 
 import httpx
 
 MAX_IDLE_PER_ORIGIN: typing.Final = 256
+# An abandoned connection is reset, so that the system does not deliver its
+# bytes once a network partition heals.
+_RESET_ON_CLOSE: typing.Final = struct.pack("ii", 1, 0)
 # Probes find connections that went silent without a reset within about
 # three seconds, so that a waiting call need not be repeated to find out.
-_KEEPALIVE: typing.Final = (
+_SOCKET_OPTIONS: typing.Final = (
+    (socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
@@ -78,7 +83,7 @@
         return httpx.AsyncHTTPTransport(
             verify=self._context(scheme),
             limits=limits,
-            socket_options=_KEEPALIVE,
+            socket_options=_SOCKET_OPTIONS,
         )
 
     async def give_back(
