Skip stopping members as heirs, and replace heirs that are lost

Ruled out: the lease (members saw the owner gone after 2.4 s) and the store (other commits succeeded meanwhile). Change: an instance that stops says so in its key, and every member keeps lost owners in mind for 30 s, so that the next heir claims them.

--- a/src/hibiscussaddle/batches/owners.py
+++ b/src/hibiscussaddle/batches/owners.py
@@ -32,6 +32,9 @@
 # An owner that is not a member, or does not take a reminder, at two sweeps in
 # a row is gone.
 _SWEEP_SIGHTINGS: typing.Final = 2
+# Every member remembers lost owners for this long, in seconds: the one that
+# takes their batches over may be lost itself before it has done so.
+_LOST_SECONDS: typing.Final = 30.0
 
 
 class BatchOwners:
@@ -46,19 +49,23 @@
         """Start without batches; run() needs to be started."""
         self.running: dict[str, runner.BatchRunner] = {}
         self._tools = tools
-        self._members = members
+        self.members = members
         self._handoffs = handoffs
         self._storage = tools.storage
         me = members.me
         self._me = model.Owner(me.instance, me.incarnation)
         self._tasks: anyio_abc.TaskGroup | None = None
+        # Owners whose batches this instance takes over.
         self._gone: set[str] = set()
+        # Monotonic seconds at which each lost owner vanished.
+        self._lost: dict[str, float] = {}
         # Owners that live by their key but take no reminders.
         self._unreachable: set[str] = set()
         self._sweep_now = anyio.Event()
         self._claim_now = anyio.Event()
         self._stopping = False
         members.on_gone = self._note_gone
+        members.on_leaving = self._claim_soon
 
     async def run(self) -> None:
         """Run batches and take over orphans until cancelled."""
@@ -79,7 +86,7 @@
         self, batch: model.Batch, timeout: float
     ) -> result.Result[None, store.StoreError]:
         """Keep a batch and start it; Ok as well when it is known already."""
-        member = self._members.member_for(batch.route)
+        member = self.members.member_for(batch.route)
         owner = self._me
         if member is not None and member.instance != owner.instance:
             owner = model.Owner(member.instance, member.incarnation)
@@ -190,9 +197,21 @@
                 return
 
     def _note_gone(self, instance: str) -> None:
-        if self._members.heir(instance) == self._me.instance:
-            self._gone.add(instance)
-            self._claim_now.set()
+        self._lost[instance] = time.monotonic()
+        self._claim_now.set()
+
+    def _claim_soon(self) -> None:
+        self._claim_now.set()
+
+    def _inherit(self) -> None:
+        """Take the lost owners whose heir this instance is by now."""
+        before = time.monotonic() - _LOST_SECONDS
+        for instance, lost_at in list(self._lost.items()):
+            if self.members.heir(instance) == self._me.instance:
+                self._gone.add(instance)
+            elif lost_at > before:
+                continue
+            del self._lost[instance]
 
     def sweep_soon(self) -> None:
         """Look for lost owners now."""
@@ -206,7 +225,7 @@
             with anyio.move_on_after(wait):
                 await self._sweep_now.wait()
             self._sweep_now = anyio.Event()
-            if min(self._members.all, default="") != self._me.instance:
+            if self.members.sweeper() != self._me.instance:
                 seen.clear()
                 continue
             found = await self._storage.owners()
@@ -228,11 +247,11 @@
         """Tell whether a batch's owner lives and runs it."""
         if self._is_lost(record.owner):
             return False
-        member = self._members.all[record.owner.instance]
+        member = self.members.all[record.owner.instance]
         return await self._handoffs.remind(member, record)
 
     def _is_lost(self, owner: model.Owner) -> bool:
-        member = self._members.all.get(owner.instance)
+        member = self.members.all.get(owner.instance)
         return member is None or member.incarnation != owner.incarnation
 
     def _may_take(self, owner: model.Owner) -> bool:
@@ -243,6 +262,7 @@
 
     async def _claim_orphans(self) -> bool:
         """Take over batches of lost owners; tell whether all is done."""
+        self._inherit()
         if self._stopping or not self._gone:
             return True
         gone = set(self._gone)
--- a/src/hibiscussaddle/fleet/presence.py
+++ b/src/hibiscussaddle/fleet/presence.py
@@ -35,6 +35,8 @@
     incarnation: int
     # host:port at which peers reach it.
     peer_address: str = ""
+    # It stops soon and takes nothing over.
+    leaving: bool = False
 
 
 class Members:
@@ -46,6 +48,8 @@
         self.all: dict[str, Member] = {}
         # Called with each instance whose key vanished.
         self.on_gone: typing.Callable[[str], None] = lambda _: None
+        # Called when a member says that it stops soon.
+        self.on_leaving: typing.Callable[[], None] = lambda: None
 
     def peer_addresses(self) -> list[str]:
         """Return where peers are reached, those of the own zone first."""
@@ -62,15 +66,27 @@
         )
         return [member.peer_address for member in peers]
 
+    def staying(self) -> list[Member]:
+        """Return the members that may take work over.
+
+        These are all members when every one of them stops soon.
+        """
+        found = [m for m in self.all.values() if not m.leaving]
+        return found or list(self.all.values())
+
     def heir(self, instance: str) -> str:
         """Return the member that takes over what an instance owned."""
-        live = [name for name in self.all if name != instance]
+        live = [m.instance for m in self.staying() if m.instance != instance]
         return max(live, key=lambda name: _rank(instance, name), default="")
 
+    def sweeper(self) -> str:
+        """Return the member that looks for work without an owner."""
+        return min((m.instance for m in self.staying()), default="")
+
     def member_for(self, subject: str) -> Member | None:
         """Return the member that all instances prefer for a subject."""
         return max(
-            self.all.values(),
+            self.staying(),
             key=lambda member: _rank(subject, member.instance),
             default=None,
         )
@@ -98,8 +114,18 @@
                 store.log_malformed(exc, entry.data)
                 continue
             if self.all.get(member.instance) != member:
-                self.all[member.instance] = member
-                logs.event(_LOG, "member_seen", member=member.instance)
+                self._put(member)
+
+    def _put(self, member: Member) -> None:
+        self.all[member.instance] = member
+        logs.event(
+            _LOG,
+            "member_seen",
+            member=member.instance,
+            leaving=member.leaving,
+        )
+        if member.leaving:
+            self.on_leaving()
 
     def _remove(self, instance: str) -> None:
         if self.all.pop(instance, None) is not None:
@@ -115,15 +141,30 @@
         self.members = members
         self._client = client
         self._lease = 0
+        # What the key of this instance says.
+        self._published: Member | None = None
+        self._wake = anyio.Event()
 
     async def run(self) -> None:
         """Register and renew until cancelled."""
         while True:
+            self._wake = anyio.Event()
             if self._lease == 0:
                 done = await self._register()
+            elif self._published != self.members.me:
+                done = await self._publish(self._lease)
             else:
                 done = await self._renew()
-            await anyio.sleep(_RENEW_SECONDS if done else _RETRY_SECONDS)
+            with anyio.move_on_after(
+                _RENEW_SECONDS if done else _RETRY_SECONDS
+            ):
+                await self._wake.wait()
+
+    def leave_soon(self) -> None:
+        """Tell the others that this instance takes no more work over."""
+        members = self.members
+        members.me = msgspec.structs.replace(members.me, leaving=True)
+        self._wake.set()
 
     async def leave(self) -> None:
         """Remove this instance's key."""
@@ -132,21 +173,28 @@
             await self._client.revoke(lease)
 
     async def _register(self) -> bool:
-        me = self.members.me
         granted = await self._client.grant(LEASE_SECONDS)
         if isinstance(granted, result.Err):
             return False
-        key = PREFIX + me.instance
-        put = store.Put(key, msgspec.json.encode(me), granted.ok_value)
-        # Without a condition: only this instance writes its key, and the
-        # lease of a process before must not delete it.
-        done = await self._client.commit({}, [put])
-        if isinstance(done, result.Err):
+        if not await self._publish(granted.ok_value):
             return False
         self._lease = granted.ok_value
         logs.event(_LOG, "member_registered", lease=self._lease)
         return True
 
+    async def _publish(self, lease: int) -> bool:
+        """Write this instance's key under a lease; tell whether it is."""
+        me = self.members.me
+        put = store.Put(PREFIX + me.instance, msgspec.json.encode(me), lease)
+        # Without a condition: only this instance writes its key, and the
+        # lease of a process before must not delete it.
+        done = await self._client.commit({}, [put])
+        if isinstance(done, result.Ok):
+            self._published = me
+        elif done.err_value.failure is store.StoreFailure.MISSING:
+            self._lease = 0
+        return isinstance(done, result.Ok)
+
     async def _renew(self) -> bool:
         lease = self._lease
         renewed = await self._client.renew(lease)
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -325,6 +325,7 @@
     gateway = parts.gateway
     gateway.stopping = True
     parts.batch_owners.stop()
+    parts.presence.leave_soon()
     started = time.monotonic()
     limit = max(0.0, parts.cfg.grace_seconds - _CLOSE_SECONDS)
     while True:
--- a/src/hibiscussaddle/weights/claim.py
+++ b/src/hibiscussaddle/weights/claim.py
@@ -45,10 +45,11 @@
 
     def may_claim(self) -> bool:
         """Tell whether it is this instance's turn."""
-        if self._free_since is None:
+        me = self._members.me
+        if self._free_since is None or me.leaving:
             return False
-        name = self._members.me.instance
-        names = sorted(self._members.all)
+        name = me.instance
+        names = sorted(member.instance for member in self._members.staying())
         turn = names.index(name) if name in names else _LAST_TURN
         wait = min(turn, _LAST_TURN) * _TURN_SECONDS
         return time.monotonic() - self._free_since >= wait
--- a/tests/test_batch_owners.py
+++ b/tests/test_batch_owners.py
@@ -85,6 +85,60 @@
             await anyio.sleep(0.02)
 
 
+def _add_heir(owned: owners.BatchOwners, leaving: bool) -> presence.Member:
+    """Add a member that comes before gateway-1 as the heir of the other."""
+    members = owned.members
+    for number in range(100):
+        name = f"heir-{number}"
+        heir = presence.Member(name, "zone-a", 1, "peer:3", leaving)
+        members.all[name] = presence.Member(name, "zone-a", 1, "peer:3")
+        if members.heir(OTHER.instance) == name:
+            members.all[name] = heir
+            return heir
+        del members.all[name]
+    raise AssertionError("no name comes before gateway-1")
+
+
+def _vanish(owned: owners.BatchOwners, member: presence.Member) -> None:
+    key = presence.PREFIX + member.instance
+    owned.members.put_changes([store.StoreEntry(key, None, 100)])
+
+
+def test_stopping_member_takes_nothing_over() -> None:
+    """Fails when the batches of a lost owner go to a member that stops.
+
+    On kigali-engrave scale-2 the owner's zone was cut off while its heir
+    was stopping: both open steps stood still for four seconds, until the
+    next sweep found them.
+    """
+
+    async def main() -> None:
+        async with owning(takes=True) as (owned, batches):
+            batch = await _accept_by_other(batches)
+            _add_heir(owned, leaving=True)
+            _vanish(owned, OTHER)
+            await _until_listed(batches, batch.id, seconds=2)
+
+    anyio.run(main)
+
+
+def test_heir_that_is_lost_as_well_is_replaced() -> None:
+    """Fails when batches wait for a sweep since their heir was lost too."""
+
+    async def main() -> None:
+        async with owning(takes=True) as (owned, batches):
+            batch = await _accept_by_other(batches)
+            heir = _add_heir(owned, leaving=False)
+            _vanish(owned, OTHER)
+            await anyio.wait_all_tasks_blocked()
+            record = (await batches.owner(batch.id)).unwrap()
+            assert record.owner.instance == OTHER.instance
+            _vanish(owned, heir)
+            await _until_listed(batches, batch.id, seconds=2)
+
+    anyio.run(main)
+
+
 def test_silent_owner_loses_its_batch_before_its_lease() -> None:
     """Fails when a batch waits for the lease of an owner that is gone.
 
