Let a restarted instance go on with the weight lease it held

Ruled out: the store (it answered from 50.7 s on) and the engines. Change: a process replaces the key of an earlier process of the same machine and waits only as long as an order is in flight, unless that process had not waited out another machine yet. The fence record says whether it had.

--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -125,13 +125,17 @@
         path, _STORE_SECONDS, cfg.store_calls_per_second
     )
     presence = presence_lib.Presence(store_client, members)
-    claims = claim.Claim(members, weight_lease.FLEET)
+    # A machine may be replaced under the same name at another address.
+    machine = f"{cfg.instance}/{cfg.peer_address}"
+    holder = f"{machine}/{incarnation}"
+    claims = claim.Claim(members, weight_lease.FLEET, machine)
     held = weight_lease.WeightLease(
         store_client,
         weight_lease.FLEET,
-        f"{cfg.instance}/{incarnation}",
+        holder,
         weight_controller.LEASE,
         may_claim=claims.may_claim,
+        instance=machine,
     )
     feeds = _create_feeds(store_client, view, members, claims)
     batches = storage.BatchStorage(store_client)
--- a/src/hibiscussaddle/policy/lease.py
+++ b/src/hibiscussaddle/policy/lease.py
@@ -25,6 +25,9 @@
     # that lapsed and after one that released; None takes ttl and effect.
     successor_seconds: float | None = None
     released_seconds: float = 0.0
+    # The same after another process of the own instance: the longest time
+    # that what it sent stays in flight.
+    restart_seconds: float = 0.0
     # Shortest and longest wait before a failed call is repeated.
     retry_seconds: float = 0.5
     claim_seconds: float = 2.0
@@ -62,6 +65,8 @@
     holder: str = ""
     # The holder ended its lease with no effect in flight.
     released: bool = False
+    # The holder has waited out the one before.
+    settled: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,6 +79,7 @@
     expected_revision: int = 0
     number: int = 0
     released: bool = False
+    settled: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -91,10 +97,17 @@
 class Lease:
     """Hold one contender's view of the lease."""
 
-    def __init__(self, cfg: LeaseConfig, name: str) -> None:
-        """Contend under a name that no other process ever has."""
+    def __init__(
+        self, cfg: LeaseConfig, name: str, instance: str = ""
+    ) -> None:
+        """Contend under a name that no other process ever has.
+
+        Names of all processes of one instance start with the instance and a
+        slash; a process takes over from the one before it at once.
+        """
         self.cfg = cfg
         self._name = name
+        self._instance = instance
         self._attempt = 0
         self._stopped = False
         self._reset(0.0)
@@ -104,10 +117,13 @@
         self._retry_at = retry_at
         self._lease = 0
         self._key_revision = 0
+        # Revision of a key that a process of this instance left behind.
+        self._left_revision = 0
         self._claimed_at = 0.0
         self._fence_revision = 0
         self._number = 0
         self._held = False
+        self._settled = False
         self._deadline: float | None = None
         self._unguarded_from = float("inf")
 
@@ -138,12 +154,17 @@
             return Call(Step.READ_KEY, self.holder)
         if self._step is Step.GRANT:
             self._attempt += 1
+        expected = {
+            Step.PUT_KEY: self._left_revision,
+            Step.PUT_FENCE: self._fence_revision,
+        }
         return Call(
             self._step,
             self.holder,
             self._lease,
-            self._fence_revision if self._step is Step.PUT_FENCE else 0,
+            expected.get(self._step, 0),
             self._number,
+            settled=self._settled,
         )
 
     def wait_seconds(self, now: float) -> float:
@@ -183,6 +204,7 @@
             self._fence_revision,
             self._number,
             released=True,
+            settled=self._settled,
         )
 
     def fencing_number(self, now: float, guarded: bool) -> int | None:
@@ -199,8 +221,14 @@
             return None
         return self._number
 
+    def _is_own(self, holder: str) -> bool:
+        """Tell whether a holder is a process of this instance."""
+        return bool(self._instance) and holder.startswith(f"{self._instance}/")
+
     def _on_read_key(self, reply: Reply, sent_at: float, now: float) -> None:
-        if reply.outcome is Outcome.OK and not reply.holder:
+        free = not reply.holder or self._is_own(reply.holder)
+        if reply.outcome is Outcome.OK and free:
+            self._left_revision = reply.revision if reply.holder else 0
             self._step = Step.GRANT
             return
         self._retry_at = now + self.cfg.claim_seconds
@@ -257,8 +285,13 @@
             wait = self.cfg.successor_seconds
         if fence.released:
             wait = self.cfg.released_seconds
+        # An unsettled process may not have waited out another instance.
+        own = self._is_own(fence.holder) and fence.settled
+        if own:
+            wait = self.cfg.restart_seconds
         if not fence.holder:
             wait = 0.0
+        self._settled = own or not fence.holder
         self._unguarded_from = self._claimed_at + wait
         self._step = Step.PUT_FENCE
 
@@ -281,6 +314,10 @@
             self._retry_at = now + self.cfg.retry_seconds
         else:
             self._deadline = sent_at + self.cfg.ttl - self.cfg.margin
+            if not self._settled and now >= self._unguarded_from:
+                self._settled = True
+                self._step = Step.PUT_FENCE
+                return
             self._retry_at = sent_at + self.cfg.ttl * self.cfg.renew_part
 
 
--- a/src/hibiscussaddle/weight_lease.py
+++ b/src/hibiscussaddle/weight_lease.py
@@ -42,13 +42,16 @@
         cfg: lease.LeaseConfig | None = None,
         now: abc.Callable[[], float] = clock,
         may_claim: abc.Callable[[], bool] = lambda: True,
+        instance: str = "",
     ) -> None:
         """Contend for a zone under a name that is unique for ever.
 
         A contender that follows the lease's key claims only when the key is
-        absent, which saves the reads of all others.
+        absent, which saves the reads of all others. A process of the same
+        instance leaves its lease to this one.
         """
-        self.machine = lease.Lease(cfg or lease.LeaseConfig(), name)
+        cfg = cfg or lease.LeaseConfig()
+        self.machine = lease.Lease(cfg, name, instance)
         self.clock = now
         self._client = client
         self._may_claim = may_claim
@@ -116,9 +119,13 @@
     async def _put(self, call: lease.Call) -> lease.Reply:
         if call.step is lease.Step.PUT_KEY:
             value: object = {"holder": call.holder}
-            put = await self._client.put(self._key, value, 0, call.lease)
+            put = await self._client.put(
+                self._key, value, call.expected_revision, call.lease
+            )
         else:
-            fence = lease.Fence(call.number, call.holder, call.released)
+            fence = lease.Fence(
+                call.number, call.holder, call.released, call.settled
+            )
             put = await self._client.put(
                 self._fence_key,
                 msgspec.to_builtins(fence),
--- a/src/hibiscussaddle/weights/claim.py
+++ b/src/hibiscussaddle/weights/claim.py
@@ -17,11 +17,19 @@
 class Claim:
     """Follow the lease's key and give each contender its turn."""
 
-    def __init__(self, members: presence_lib.Members, zone: str) -> None:
-        """Claim nothing until the key was listed once."""
+    def __init__(
+        self, members: presence_lib.Members, zone: str, machine: str
+    ) -> None:
+        """Claim nothing until the key was listed once.
+
+        Holders on this machine have names that start with it.
+        """
         self._members = members
+        self._machine = machine
         self._key = weight_lease.lease_key(zone)
         self._free_since: float | None = None
+        # A process that ran here before left its key.
+        self._is_left = False
 
     def put_listing(self, entries: list[store.StoreEntry]) -> None:
         """Take a complete listing of leases."""
@@ -38,15 +46,26 @@
                 self._set_free()
             else:
                 self._free_since = None
+                self._is_left = self._is_own(entry)
+
+    def _is_own(self, entry: store.StoreEntry) -> bool:
+        value = entry.value
+        holder = value.get("holder") if isinstance(value, dict) else None
+        return str(holder).startswith(f"{self._machine}/")
 
     def _set_free(self) -> None:
+        self._is_left = False
         if self._free_since is None:
             self._free_since = time.monotonic()
 
     def may_claim(self) -> bool:
         """Tell whether it is this instance's turn."""
         me = self._members.me
-        if self._free_since is None or me.leaving:
+        if me.leaving:
+            return False
+        if self._is_left:
+            return True
+        if self._free_since is None:
             return False
         name = me.instance
         names = sorted(member.instance for member in self._members.staying())
--- a/src/hibiscussaddle/weights/controller.py
+++ b/src/hibiscussaddle/weights/controller.py
@@ -51,6 +51,7 @@
     effect_seconds=ORDER_SECONDS,
     successor_seconds=2.2,
     released_seconds=3.2,
+    restart_seconds=ORDER_SECONDS,
     retry_seconds=0.2,
     claim_seconds=0.5,
 )
