Load each version on part of the engines where steps allow it

Cause: a step allows the weights before the newest, but every engine loaded every version, three waves of 1.3 s for five engines in a step of four seconds; each load pauses the runs of an engine. Ruled out: loading more engines at once (the weight store serves two at full speed). Change: instances publish how many versions a model's batches may lag; the holder loads that part of the engines, the oldest ones first, and the others when the version stays the newest for eight seconds. Unknown means none.

--- a/src/hibiscussaddle/batches/owners.py
+++ b/src/hibiscussaddle/batches/owners.py
@@ -35,6 +35,8 @@
 # Every member remembers lost owners for this long, in seconds: the one that
 # takes their batches over may be lost itself before it has done so.
 _LOST_SECONDS: typing.Final = 30.0
+# Every instance knows a named version after this time, in seconds.
+_NAMED_SECONDS: typing.Final = 0.5
 
 
 class BatchOwners:
@@ -64,6 +66,8 @@
         self._sweep_now = anyio.Event()
         self._claim_now = anyio.Event()
         self._stopping = False
+        # Called with a model and the versions that a batch may lag behind.
+        self.on_lag: typing.Callable[[str, int], None] = lambda *_: None
         members.on_gone = self._note_gone
         members.on_leaving = self._claim_soon
 
@@ -92,6 +96,7 @@
             owner = model.Owner(member.instance, member.incarnation)
         answer = await self._storage.accept(batch, owner, timeout)
         if isinstance(answer, result.Ok):
+            self._spawn(self._note_lag, batch)
             record = storage.OwnerRecord(batch.id, owner, answer.ok_value)
             if owner == self._me or member is None:
                 self._start(batch, record)
@@ -105,6 +110,14 @@
             self._spawn(self._settle, batch.id)
         return answer
 
+    async def _note_lag(self, batch: model.Batch) -> None:
+        """Learn how old the weights of a batch may be."""
+        # A version that was named just before may not be known here yet.
+        await anyio.sleep(_NAMED_SECONDS)
+        newest = self._tools.view.versions.get(batch.model)
+        if newest is not None:
+            self.on_lag(batch.model, max(0, newest - batch.min_version))
+
     def adopt(self, batch: model.Batch, record: storage.OwnerRecord) -> bool:
         """Run a batch that a peer accepted; tell whether it is taken."""
         if self._stopping or record.owner != self._me:
--- a/src/hibiscussaddle/fleet/presence.py
+++ b/src/hibiscussaddle/fleet/presence.py
@@ -37,6 +37,9 @@
     peer_address: str = ""
     # It stops soon and takes nothing over.
     leaving: bool = False
+    # By model, how many versions behind the newest one the batches that it
+    # accepted allow.
+    allowed_lags: dict[str, int] = {}
 
 
 class Members:
@@ -83,6 +86,17 @@
         """Return the member that looks for work without an owner."""
         return min((m.instance for m in self.staying()), default="")
 
+    def allowed_lag(self, model: str) -> int:
+        """Return how old weights may be, in versions; 0 while unknown."""
+        return min(
+            (
+                member.allowed_lags[model]
+                for member in self.all.values()
+                if model in member.allowed_lags
+            ),
+            default=0,
+        )
+
     def member_for(self, subject: str) -> Member | None:
         """Return the member that all instances prefer for a subject."""
         return max(
@@ -117,6 +131,11 @@
                 self._put(member)
 
     def _put(self, member: Member) -> None:
+        if member.instance == self.me.instance and not self.me.allowed_lags:
+            # A process that ran here before learnt them.
+            self.me = msgspec.structs.replace(
+                self.me, allowed_lags=member.allowed_lags
+            )
         self.all[member.instance] = member
         logs.event(
             _LOG,
@@ -160,6 +179,16 @@
             ):
                 await self._wake.wait()
 
+    def note_lag(self, model: str, lag: int) -> None:
+        """Publish the smallest lag that batches of a model allow."""
+        me = self.members.me
+        if lag >= me.allowed_lags.get(model, lag + 1):
+            return
+        lags = {**me.allowed_lags, model: lag}
+        self.members.me = msgspec.structs.replace(me, allowed_lags=lags)
+        logs.event(_LOG, "allowed_lag", model=model, versions=lag)
+        self._wake.set()
+
     def leave_soon(self) -> None:
         """Tell the others that this instance takes no more work over."""
         members = self.members
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -153,6 +153,7 @@
     )
     batch_owners = owners.BatchOwners(tools, members, handoff.Handoff(client))
     path.on_recover = batch_owners.sweep_soon
+    batch_owners.on_lag = presence.note_lag
     balancer = balance.Balancer(cfg.zone, random.Random())
     forwarder = forward.Forwarder(client, view, balancer)
     gateway = gateway_lib.Gateway(
@@ -187,7 +188,7 @@
         waiting=tools.waiting,
         lease=held,
         weights=weight_controller.WeightController(
-            client, view, held, cfg.instance
+            client, view, held, cfg.instance, members.allowed_lag
         ),
         retirement=retirement.Retirement(store_client, view, held),
         gateway=gateway,
--- a/src/hibiscussaddle/policy/rollout.py
+++ b/src/hibiscussaddle/policy/rollout.py
@@ -9,6 +9,9 @@
 _LONGEST_RETRY: typing.Final = 30.0
 # Part of a second whose orders may be sent at once.
 _BURST_SECONDS: typing.Final = 0.25
+# Engines whose version still serves load the newest one when it stays the
+# newest for this long, in seconds: twice the time between two steps.
+SETTLE_SECONDS: typing.Final = 8.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,6 +74,10 @@
     def __init__(self, cfg: RolloutConfig, now: float) -> None:
         """Start without engines."""
         self.newest = 0
+        # Versions behind the newest one that work still accepts.
+        self.allowed_lag = 0
+        # When the newest version was first seen by due().
+        self._newest_at: tuple[int, float] = (0, now)
         self.engines: dict[str, EngineState] = {}
         self._cfg = cfg
         self._burst = max(1.0, cfg.orders_per_second * _BURST_SECONDS)
@@ -135,18 +142,27 @@
 
         The callable tells whether the lease allows an order to an engine.
         Engines that serve nothing go first, since their swap costs nothing.
+        With an allowed lag only a part of the engines loads each version:
+        the others run on without a pause and load the next one.
         """
+        if self._newest_at[0] != self.newest:
+            self._newest_at = (self.newest, now)
         refill = max(0.0, now - self._at) * self._cfg.orders_per_second
         self._tokens = min(self._burst, self._tokens + refill)
         self._at = now
         waiting = [
-            (state.serving, endpoint_id)
+            (state.serving, state.version or 0, endpoint_id)
             for endpoint_id, state in self.engines.items()
             if self._wants(state, now) and can(endpoint_id)
         ]
         orders: list[Order] = []
         taken_out = 0
-        for serving, endpoint_id in sorted(waiting):
+        optional = self._optional_loads(now)
+        for serving, version, endpoint_id in sorted(waiting):
+            if serving and version >= self.newest - self.allowed_lag:
+                optional -= 1
+                if optional < 0:
+                    break
             if len(orders) + 1 > self._tokens:
                 break
             if serving and not self._spare(taken_out, bool(orders)):
@@ -155,6 +171,22 @@
             orders.append(Order(endpoint_id, self.newest))
         return orders
 
+    def _optional_loads(self, now: float) -> int:
+        """Return how many engines may load though their version serves."""
+        count = len(self.engines)
+        if now - self._newest_at[1] >= SETTLE_SECONDS:
+            return count
+        # Engines that have the version, load it or have to load it.
+        taken = sum(
+            state.in_flight
+            or not state.serving
+            or state.version is None
+            or state.version >= self.newest
+            or state.version < self.newest - self.allowed_lag
+            for state in self.engines.values()
+        )
+        return max(1, count // (self.allowed_lag + 1)) - taken
+
     def _wants(self, state: EngineState, now: float) -> bool:
         if state.in_flight or now < state.retry_at:
             return False
--- a/src/hibiscussaddle/weights/controller.py
+++ b/src/hibiscussaddle/weights/controller.py
@@ -3,6 +3,7 @@
 One instance of the fleet holds the lease and sends the orders.
 """
 
+from collections import abc
 import dataclasses
 import logging
 import time
@@ -73,12 +74,18 @@
         view: view_lib.View,
         held: weight_lease.WeightLease,
         instance: str,
+        allowed_lag: abc.Callable[[str], int],
     ) -> None:
-        """Name the instance as the holder of its orders."""
+        """Name the instance as the holder of its orders.
+
+        The callable tells how many versions behind the newest one the work
+        of a model still accepts.
+        """
         self._client = client
         self._view = view
         self._lease = held
         self._instance = instance
+        self._allowed_lag = allowed_lag
         self._plans: dict[str, rollout.Rollout] = {}
         # Orders that each engine had accepted at its last report.
         self._accepted = observations.Observations(_Accepted)
@@ -110,6 +117,7 @@
                 )
                 plan = self._plans[model] = rollout.Rollout(cfg, now)
             plan.note_newest(version)
+            plan.allowed_lag = self._allowed_lag(model)
             self._observe(plan, model, now)
             for order in plan.due(now, lambda _: True):
                 endpoint = self._view.directory.get(order.endpoint_id)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -212,3 +212,61 @@
         for number in range(count):
             plan.observe(rollout.Report(f"e{number}", 1, 1, 0.0))
         assert len(plan.due(1.0, lambda _: True)) == most
+
+
+def _load_all(plan: rollout.Rollout, now: float) -> set[str]:
+    """Carry out what is due until nothing is; return the engines loaded."""
+    loaded: set[str] = set()
+    while orders := plan.due(now, lambda _: True):
+        for order in orders:
+            plan.start(order)
+        for order in orders:
+            loaded.add(order.endpoint_id)
+            report = rollout.Report(order.endpoint_id, 1, order.version, now)
+            plan.finish(order, report, now, now)
+    return loaded
+
+
+def _stepping_plan(allowed_lag: int) -> rollout.Rollout:
+    cfg = rollout.RolloutConfig(1000.0, 0.4, least_out=2)
+    plan = rollout.Rollout(cfg, 0.0)
+    for number in range(6):
+        plan.observe(rollout.Report(f"e{number}", 1, 1, 0.0))
+    plan.allowed_lag = allowed_lag
+    return plan
+
+
+def test_steps_that_allow_the_version_before_halve_the_loads() -> None:
+    """Fails when every engine pauses for every version.
+
+    Pattern: a trainer names a version every four seconds and each of its
+    steps allows the version before. On kigali-engrave scale-2 all engines
+    loaded every version, one wave after the other, and the longest items of
+    each step were paused for a second.
+    """
+    plan = _stepping_plan(allowed_lag=1)
+    loads = 0
+    for version in range(2, 12):
+        now = 4.0 * version
+        plan.note_newest(version)
+        loads += len(_load_all(plan, now))
+        versions = [state.version or 0 for state in plan.engines.values()]
+        assert min(versions) >= version - 1
+    assert loads == 30
+
+
+def test_steps_of_the_newest_version_find_every_engine() -> None:
+    """Fails when work that accepts no older version gets half the fleet."""
+    plan = _stepping_plan(allowed_lag=0)
+    plan.note_newest(2)
+    assert len(_load_all(plan, 4.0)) == 6
+
+
+def test_version_that_stays_the_newest_is_loaded_everywhere() -> None:
+    """Fails when engines keep older weights for as long as they serve."""
+    plan = _stepping_plan(allowed_lag=1)
+    plan.note_newest(2)
+    first = _load_all(plan, 4.0)
+    assert len(first) == 3
+    rest = _load_all(plan, 4.0 + rollout.SETTLE_SECONDS)
+    assert len(first | rest) == 6
