Read the store once a zone and follow the reader elsewhere

Ruled out: longer pauses (a leaving endpoint must be known within 2 s). Change: one instance a zone watches; the others ask it for changes over one connection and get no heartbeats. A follower whose reader is silent, behind or not current watches the store itself at once. The time within which a lapsed entry may come back counts from the store's return, also for followers.

--- a/src/hibiscussaddle/fleet/feed.py
+++ b/src/hibiscussaddle/fleet/feed.py
@@ -10,6 +10,7 @@
 import result
 
 from hibiscussaddle.adapters import store
+from hibiscussaddle.fleet import change_log
 from hibiscussaddle import logs
 
 _LOG = logging.getLogger(__name__)
@@ -34,6 +35,7 @@
         wait: float,
         pause: float = 0.0,
         on_failure: abc.Callable[[], None] = lambda: None,
+        log: change_log.ChangeLog | None = None,
     ) -> None:
         """Set the longest wait of a watch and the pause after one.
 
@@ -45,6 +47,10 @@
         self.current_at: float | None = None
         # Monotonic seconds of the newest failure.
         self.failed_at = float("-inf")
+        # What followers of this instance read.
+        self.log = log or change_log.ChangeLog()
+        # Called after each step, with whether anything changed.
+        self.on_step: abc.Callable[[bool], None] = lambda _: None
         self._client = client
         self._on_listing = on_listing
         self._on_changes = on_changes
@@ -55,40 +61,72 @@
         self._backoff = store.Backoff(
             random.Random(), FIRST_RETRY, _LONGEST_RETRY
         )
+        self._is_followed = False
+        self._resumed = anyio.Event()
+        self._call: anyio.CancelScope | None = None
+
+    @property
+    def after(self) -> int | None:
+        """Return the revision that is known, None before the first one."""
+        return self._after
 
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
         while True:
-            failure = await self.step()
-            if failure is None:
-                self._backoff.reset()
-                await anyio.sleep(self._pause)
-            else:
-                await anyio.sleep(self._backoff.next())
+            if self._is_followed:
+                await self._resumed.wait()
+            with anyio.CancelScope() as self._call:
+                failure = await self.step()
+                if failure is None:
+                    self._backoff.reset()
+                    await anyio.sleep(self._pause)
+                else:
+                    await anyio.sleep(self._backoff.next())
+
+    def suspend(self) -> None:
+        """Call the store no more, since a peer passes its changes on."""
+        if not self._is_followed:
+            self._is_followed = True
+            self._resumed = anyio.Event()
+            if self._call is not None:
+                self._call.cancel()
+
+    def resume(self) -> None:
+        """Call the store again, from the newest known revision on."""
+        if self._is_followed:
+            self._is_followed = False
+            self._resumed.set()
 
     async def step(self) -> store.StoreFailure | None:
         """Make one call; return why it failed."""
+        is_listing = self._after is None
         if self._after is None:
             answer = await self._client.scan(self.prefix)
-            handler = self._on_listing
         else:
             # On a connection that went silent a call hangs for all of its
             # wait, so none waits until the store answers again.
             wait = 0.0 if self.is_failing() else self._wait
             answer = await self._client.watch(self.prefix, self._after, wait)
-            handler = self._on_changes
         if isinstance(answer, result.Err):
             return self._fail(answer.err_value.failure)
         entries, revision = answer.ok_value
-        if self._after is not None and revision < self._after:
+        if not is_listing and revision < (self._after or 0):
             # An answer from before what is known is not the newest state.
             return self._fail(store.StoreFailure.UNKNOWN)
+        page = change_log.Page(tuple(entries), revision, is_listing)
+        self.apply(page, time.monotonic())
+        return None
+
+    def apply(self, page: change_log.Page, now: float) -> None:
+        """Take a page that is at least as new as what is known."""
         if self.failed_at != float("-inf") and self.is_failing():
             logs.event(_LOG, "store_regained", prefix=self.prefix)
-        self._after = revision
-        self.current_at = time.monotonic()
-        handler(entries)
-        return None
+        self._after = page.revision
+        self.current_at = now
+        changed = self.log.put(page)
+        handler = self._on_listing if page.is_listing else self._on_changes
+        handler(list(page.entries))
+        self.on_step(changed)
 
     def is_failing(self) -> bool:
         """Tell whether the newest call failed."""
@@ -100,6 +138,10 @@
             return float("inf")
         return max(0.0, now - self.current_at - self._wait - self._pause)
 
+    def note_outage(self) -> None:
+        """Note that the store failed the instance that is followed."""
+        self._on_failure()
+
     def _fail(self, failure: store.StoreFailure) -> store.StoreFailure:
         if not self.is_failing() or self.failed_at == float("-inf"):
             logs.event(
@@ -113,4 +155,5 @@
         self._on_failure()
         if failure is store.StoreFailure.HISTORY_GONE:
             self._after = None
+        self.on_step(False)
         return failure
--- a/src/hibiscussaddle/fleet/presence.py
+++ b/src/hibiscussaddle/fleet/presence.py
@@ -97,6 +97,22 @@
             default=0,
         )
 
+    def zone_reader(self) -> Member | None:
+        """Return the peer that reads the store for this zone.
+
+        None when this instance is to read it itself.
+        """
+        zone = [
+            member
+            for member in self.staying()
+            if member.zone == self.me.zone and member.peer_address
+        ]
+        names = {member.instance for member in zone}
+        if not names - {self.me.instance} or self.me.instance not in names:
+            return None
+        reader = max(zone, key=lambda m: _rank(self.me.zone, m.instance))
+        return None if reader.instance == self.me.instance else reader
+
     def member_for(self, subject: str) -> Member | None:
         """Return the member that all instances prefer for a subject."""
         return max(
--- a/src/hibiscussaddle/fleet/view.py
+++ b/src/hibiscussaddle/fleet/view.py
@@ -17,12 +17,9 @@
 
 _LOG = logging.getLogger(__name__)
 
-# An endpoint whose entry vanished around an outage of the store is kept this
-# long: live endpoints register again within about two seconds, in seconds.
+# Live endpoints whose entries lapsed in an outage of the store register again
+# within about two seconds of its return, in seconds.
 _REGISTER_SECONDS: typing.Final = 2.2
-# A listed endpoint that vanishes this long after a failed store call may
-# only have lost its entry in the outage, in seconds.
-_OUTAGE_SECONDS: typing.Final = 4.0
 
 
 @dataclasses.dataclass
@@ -39,7 +36,10 @@
     # When entries that vanished in an outage are given up.
     vanished: dict[str, float] = dataclasses.field(default_factory=dict)
     listed: bool = False
-    outage_at: float = float("-inf")
+    # The newest call of the store failed.
+    is_failing: bool = False
+    # When the store answered again after its newest failure.
+    returned_at: float = float("-inf")
     _changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
     async def wait_change(self) -> None:
@@ -52,7 +52,12 @@
 
     def note_outage(self) -> None:
         """Remember that the store did not answer."""
-        self.outage_at = self.clock()
+        self.is_failing = True
+
+    def _note_answer(self) -> None:
+        if self.is_failing:
+            self.is_failing = False
+            self.returned_at = self.clock()
 
     def put_operator_entries(self, entries: list[store.StoreEntry]) -> None:
         """Take changes of the operator's documents."""
@@ -92,6 +97,7 @@
 
     def put_endpoint_listing(self, entries: list[store.StoreEntry]) -> None:
         """Take a complete listing of endpoints."""
+        self._note_answer()
         listed = {_endpoint_id(entry.key) for entry in entries}
         for endpoint in self.directory.all():
             if endpoint.id not in listed:
@@ -101,6 +107,7 @@
 
     def put_endpoint_entries(self, entries: list[store.StoreEntry]) -> None:
         """Take changes of endpoints' entries."""
+        self._note_answer()
         for entry in entries:
             endpoint_id = _endpoint_id(entry.key)
             if entry.data is None:
@@ -131,15 +138,15 @@
             )
 
     def _vanish(self, endpoint_id: str) -> None:
-        now = self.clock()
         endpoint = self.directory.get(endpoint_id)
         if endpoint is None:
             return
+        until = self.returned_at + _REGISTER_SECONDS
         leaving = endpoint.state is endpoints.EndpointState.LEAVING
-        if leaving or now - self.outage_at > _OUTAGE_SECONDS:
+        if leaving or self.clock() >= until:
             self._remove(endpoint_id, "entry_removed")
         else:
-            self.vanished.setdefault(endpoint_id, now + _REGISTER_SECONDS)
+            self.vanished.setdefault(endpoint_id, until)
 
     def expire(self, now: float) -> None:
         """Remove endpoints that did not register again in time."""
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -31,9 +31,11 @@
 from hibiscussaddle.batches import runs
 from hibiscussaddle.batches import storage
 from hibiscussaddle.batches import waiting
+from hibiscussaddle.fleet import change_log
 from hibiscussaddle.fleet import feed
 from hibiscussaddle.fleet import presence as presence_lib
 from hibiscussaddle.fleet import retirement
+from hibiscussaddle.fleet import sharing
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import gateway as gateway_lib
 from hibiscussaddle import gateway_metrics
@@ -82,6 +84,8 @@
     store: store.StoreClient
     view: view_lib.View
     feeds: tuple[feed.Feed, ...]
+    reader: sharing.Reader
+    follower: sharing.Follower
     presence: presence_lib.Presence
     batch_owners: owners.BatchOwners
     waiting: waiting.WaitingItems
@@ -100,6 +104,7 @@
         """Return what runs until the instance stops."""
         return (
             *(followed.run for followed in self.feeds),
+            self.follower.run,
             self.path.run,
             self.presence.run,
             self.batch_owners.run,
@@ -183,6 +188,8 @@
         store=store_client,
         view=view,
         feeds=feeds,
+        reader=sharing.Reader(feeds),
+        follower=sharing.Follower(client, members, feeds),
         presence=presence,
         batch_owners=batch_owners,
         waiting=tools.waiting,
@@ -226,6 +233,7 @@
             ENDPOINT_WAIT,
             ENDPOINT_PAUSE,
             view.note_outage,
+            change_log.ChangeLog(_meaning_of_endpoint),
         ),
         feed.Feed(
             client,
@@ -237,6 +245,15 @@
     )
 
 
+def _meaning_of_endpoint(entry: store.StoreEntry) -> object:
+    """Return what an endpoint's entry says apart from its heartbeats."""
+    try:
+        return endpoint_wire.decode_endpoint(entry.key, entry.data or b"")
+    except ValueError:
+        # The view of each instance logs what it can't read.
+        return entry.data
+
+
 async def run(cfg: gateway_settings.GatewaySettings) -> None:
     """Run an instance until SIGTERM stops it."""
     parts = create_parts(cfg)
@@ -296,6 +313,7 @@
         routes=[
             *handoff.create_routes(parts.batch_owners),
             store_paths.create_relay_route(parts.path),
+            sharing.create_route(parts.reader),
         ]
     )
 
--- /dev/null
+++ b/tests/test_change_log.py
@@ -0,0 +1,127 @@
+"""Guard what a reader of the store passes on to its followers."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from hibiscussaddle.adapters import store
+from hibiscussaddle.fleet import change_log
+
+KEYS = strategies.sampled_from([f"servers/{n}" for n in range(5)])
+
+
+class Follower:
+    """Hold the keys that one follower knows."""
+
+    def __init__(self) -> None:
+        """Know nothing."""
+        self.keys: dict[str, bytes] = {}
+        self.after: int | None = None
+
+    def take(self, page: change_log.Page) -> None:
+        """Apply a page like a view does."""
+        if page.is_listing:
+            self.keys.clear()
+        for entry in page.entries:
+            if entry.data is None:
+                self.keys.pop(entry.key, None)
+            else:
+                self.keys[entry.key] = entry.data
+        self.after = page.revision
+
+
+class ChangeLogMachine(stateful.RuleBasedStateMachine):
+    """Change keys, and let followers read at any time and of anybody."""
+
+    def __init__(self) -> None:
+        """Start with an empty store at revision 1."""
+        super().__init__()
+        self.truth: dict[str, store.StoreEntry] = {}
+        self.revision = 1
+        self.pending: list[store.StoreEntry] = []
+        self.log = change_log.ChangeLog()
+        self.log.put(change_log.Page((), 1, is_listing=True))
+        self.followers = [Follower(), Follower()]
+
+    @stateful.rule(key=KEYS, data=strategies.sampled_from([b"a", b"b", None]))
+    def change(self, key: str, data: bytes | None) -> None:
+        """Write or remove a key."""
+        if data is None and key not in self.truth:
+            return
+        self.revision += 1
+        entry = store.StoreEntry(key, data, self.revision)
+        if data is None:
+            del self.truth[key]
+        else:
+            self.truth[key] = entry
+        self.pending.append(entry)
+
+    @stateful.rule(history_gone=strategies.booleans())
+    def read(self, history_gone: bool) -> None:
+        """Let the reader take the changes, or a listing."""
+        entries = list(self.truth.values()) if history_gone else self.pending
+        page = change_log.Page(tuple(entries), self.revision, history_gone)
+        self.log.put(page)
+        self.pending = []
+
+    @stateful.rule(number=strategies.integers(0, 1))
+    def follow(self, number: int) -> None:
+        """Let a follower catch up with the reader."""
+        follower = self.followers[number]
+        if (follower.after or 0) <= self.log.revision:
+            follower.take(self.log.after(follower.after))
+
+    @stateful.rule(number=strategies.integers(0, 1))
+    def read_directly(self, number: int) -> None:
+        """Let a follower read the store itself."""
+        entries = tuple(self.truth.values())
+        page = change_log.Page(entries, self.revision, is_listing=True)
+        self.followers[number].take(page)
+
+    @stateful.invariant()
+    def followers_agree(self) -> None:
+        """Fail when a follower at the newest revision misses a change."""
+        truth = {key: entry.data for key, entry in self.truth.items()}
+        for follower in self.followers:
+            if follower.after == self.revision:
+                assert follower.keys == truth
+
+
+TestChangeLog = ChangeLogMachine.TestCase
+TestChangeLog.settings = hypothesis.settings(
+    max_examples=200, stateful_step_count=30, deadline=None
+)
+
+
+def test_heartbeats_are_not_passed_on() -> None:
+    """Fails when each heartbeat of each endpoint reaches each instance.
+
+    At 950 endpoints that is 240 KB a second for an instance.
+    """
+    log = change_log.ChangeLog(lambda entry: (entry.data or b"")[:1])
+    first = store.StoreEntry("servers/1", b"a1", 2)
+    log.put(change_log.Page((first,), 2, is_listing=True))
+    assert not log.put(change_log.Page((_entry(b"a2", 3),), 3))
+    assert log.after(2).entries == ()
+    assert log.put(change_log.Page((_entry(b"b3", 4),), 4))
+    assert log.after(2).entries == (_entry(b"b3", 4),)
+    assert log.after(None).entries == (_entry(b"b3", 4),)
+
+
+def _entry(data: bytes, revision: int) -> store.StoreEntry:
+    return store.StoreEntry("servers/1", data, revision)
+
+
+def test_follower_that_lags_too_far_gets_a_listing(
+    monkeypatch: hypothesis.strategies.DataObject,
+) -> None:
+    """Fails when changes that are no longer kept are skipped."""
+    monkeypatch.setattr(change_log, "_MAX_CHANGES", 2)
+    log = change_log.ChangeLog()
+    log.put(change_log.Page((), 1, is_listing=True))
+    for revision in range(2, 6):
+        log.put(
+            change_log.Page((_entry(b"%d" % revision, revision),), revision)
+        )
+    assert log.after(1).is_listing
+    assert not log.after(4).is_listing
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -196,3 +196,21 @@
     now += 60.0
     view.put_endpoint_entries([gone])
     assert view.directory.get("i-1") is None
+
+
+def test_entry_that_vanishes_after_the_return_is_gone_at_once() -> None:
+    """Fails when an outage of the past keeps an endpoint that has left.
+
+    The store is stable again three seconds after an outage, and from then
+    on a removed endpoint must get no request after two seconds.
+    """
+    now = 100.0
+    view = view_lib.create_view()
+    view.clock = lambda: now
+    entry = store.StoreEntry("servers/i-1", _encode(ENTRY), 5)
+    view.put_endpoint_listing([entry])
+    view.note_outage()
+    view.put_endpoint_entries([])
+    now += 3.0
+    view.put_endpoint_entries([store.StoreEntry("servers/i-1", None, 6)])
+    assert view.directory.get("i-1") is None
--- /dev/null
+++ b/tests/test_sharing.py
@@ -0,0 +1,200 @@
+"""Guard the instances that read the store through a peer of their zone."""
+
+from collections import abc
+import contextlib
+import time
+
+import anyio
+import httpx
+from starlette import applications
+
+from hibiscussaddle.adapters import store
+from hibiscussaddle.fleet import feed
+from hibiscussaddle.fleet import presence
+from hibiscussaddle.fleet import sharing
+from hibiscussaddle import gateway_process
+from hibiscussaddle.platform.standins import store as fake_store
+
+import loopback
+
+PREFIX = "op/"
+
+
+class Instance:
+    """Hold the feed of one instance and what it saw."""
+
+    def __init__(self, client: store.StoreClient) -> None:
+        """Follow one prefix."""
+        self.seen: dict[str, bytes | None] = {}
+        self.client = client
+        self.outages = 0
+        self.feed = feed.Feed(
+            client, PREFIX, self.take, self.take, 0.3, on_failure=self.fail
+        )
+
+    def take(self, entries: list[store.StoreEntry]) -> None:
+        """Remember what keys hold."""
+        self.seen.update({entry.key: entry.data for entry in entries})
+
+    def fail(self) -> None:
+        """Count a failure of the store."""
+        self.outages += 1
+
+    @property
+    def calls(self) -> int:
+        """Return how often the instance called the store."""
+        return sum(self.client.calls.values())
+
+
+class World:
+    """Hold a reader and its follower in one zone."""
+
+    def __init__(self, fake: fake_store.Store) -> None:
+        """Share a fake store."""
+        self.fake = fake
+        self.reader: Instance
+        self.follower: Instance
+
+    def write(self, name: str, data: bytes) -> None:
+        """Change a key."""
+        self.fake.write(PREFIX + name, data)
+
+    async def until_seen(self, name: str, data: bytes, limit: float) -> None:
+        """Wait until the follower knows a key."""
+        with anyio.fail_after(limit):
+            while self.follower.seen.get(PREFIX + name) != data:
+                await anyio.sleep(0.01)
+
+    async def until_followed(self, instance: bool = True) -> None:
+        """Wait until the follower makes no calls, or makes them again."""
+        with anyio.fail_after(5):
+            while True:
+                before = self.follower.calls
+                await anyio.sleep(0.5)
+                if (self.follower.calls == before) is instance:
+                    return
+
+
+@contextlib.asynccontextmanager
+async def zone() -> abc.AsyncIterator[tuple[World, anyio.abc.TaskGroup]]:
+    """Yield a reader and a follower that run."""
+    fake = fake_store.Store()
+    fake.write(PREFIX + "first", b"1")
+    world = World(fake)
+    async with contextlib.AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        url = await enter(loopback.serve(fake_store.create_app(fake)))
+        http = await enter(httpx.AsyncClient(trust_env=False))
+        world.reader, world.follower = (
+            Instance(store.create_client(http, url, 2.0, 1000.0))
+            for _ in range(2)
+        )
+        reader = sharing.Reader([world.reader.feed])
+        route = sharing.create_route(reader)
+        peer = await enter(
+            loopback.serve(applications.Starlette(routes=[route]))
+        )
+        me = presence.Member("follower", "zone-a", 1, "here:1")
+        members = presence.Members(me)
+        other = presence.Member(
+            "reader", "zone-a", 1, peer.removeprefix("http://")
+        )
+        members.zone_reader = lambda: other  # type: ignore[method-assign]
+        follower = sharing.Follower(http, members, [world.follower.feed])
+        tasks = await enter(anyio.create_task_group())
+        for loop in (
+            world.reader.feed.run,
+            world.follower.feed.run,
+            follower.run,
+        ):
+            tasks.start_soon(loop)
+        await world.until_seen("first", b"1", 2)
+        await world.until_followed()
+        yield world, tasks
+        tasks.cancel_scope.cancel()
+
+
+def test_follower_learns_changes_without_calls() -> None:
+    """Fails when every instance watches the store itself.
+
+    Pattern: 50 instances before 26 endpoints (cereza-hs-grown quiet-1) made
+    8,764 calls of the store in 49 s, a quarter of the day's worth.
+    """
+
+    async def main() -> None:
+        async with zone() as (world, _):
+            before = world.follower.calls
+            for number in range(5):
+                data = b"%d" % number
+                world.write("key", data)
+                await world.until_seen("key", data, 0.5)
+            assert world.follower.calls == before
+
+    anyio.run(main)
+
+
+def test_follower_reads_itself_when_its_reader_is_cut_off() -> None:
+    """Fails when a reader without the store keeps its zone in the past."""
+
+    async def main() -> None:
+        async with zone() as (world, _):
+            world.reader.feed._client = store.create_client(
+                httpx.AsyncClient(trust_env=False),
+                "http://127.0.0.1:1",
+                0.2,
+                1000.0,
+            )
+            await world.until_followed(False)
+            world.write("key", b"new")
+            await world.until_seen("key", b"new", 1.0)
+
+    anyio.run(main)
+
+
+def test_reader_that_is_behind_does_not_take_a_follower_back() -> None:
+    """Fails when an instance returns to an older state with its reader."""
+
+    async def main() -> None:
+        async with zone() as (world, _):
+            reader = sharing.Reader([world.reader.feed])
+            newest = world.reader.feed.log.revision
+            query = sharing.Query({PREFIX: newest + 5}, 0.0)
+            assert await reader.answer(query) is None
+
+    anyio.run(main)
+
+
+def test_outage_of_the_reader_is_passed_on() -> None:
+    """Fails when a follower gives up endpoints that lapsed in an outage."""
+
+    async def main() -> None:
+        async with zone() as (world, _):
+            reader = sharing.Reader([world.reader.feed])
+            world.reader.feed.failed_at = time.monotonic() - 0.5
+            world.reader.feed.current_at = time.monotonic()
+            query = sharing.Query({PREFIX: None}, 0.0)
+            answer = await reader.answer(query)
+            assert answer is not None and answer.failed_ago is not None
+            assert 0.4 < answer.failed_ago < 1.5
+
+    anyio.run(main)
+
+
+def test_leaving_endpoint_is_known_in_time_despite_a_frozen_reader() -> None:
+    """Fails when a frozen reader delays news beyond the bound of 2 s."""
+    silent = sharing.WAIT_SECONDS + sharing.MARGIN_SECONDS
+    # The follower then calls the store, which takes some time as well.
+    assert silent + 0.15 < 2.0
+
+
+def test_leaving_endpoint_is_known_in_time_despite_a_readers_lost_watch() -> (
+    None
+):
+    """Fails when a reader's silent connection delays news beyond 2 s."""
+    overdue = (
+        gateway_process.ENDPOINT_PAUSE
+        + gateway_process.ENDPOINT_WAIT
+        + sharing.OVERDUE_SECONDS
+    )
+    # The reader looks up that often, then the follower calls the store.
+    assert overdue + sharing.OVERDUE_SECONDS + 0.15 < 2.0
