Show gateways, batches, endpoints and weights on the command line

The person on call had logs and metrics of gateways only. Each gateway serves a report of what it knows at its peer address; 'hibiscussaddle fleet status, instances, endpoints, batches, batch ID and weights' print it as tables or JSON, and say why an endpoint is not used. Moves of runs are decided in a module of their own; weight versions that engines answered with are kept by model, since engines hold several. A client without a secret sends no empty header, which httpx refuses.

--- a/src/hibiscussaddle/batches/placement.py
+++ b/src/hibiscussaddle/batches/placement.py
@@ -82,7 +82,7 @@
     # A run is on its way that shows whether the engine takes runs again.
     probed: bool = False
     # Newest weight version that a response named, by model.
-    version: int = 0
+    versions: dict[str, int] = dataclasses.field(default_factory=dict)
 
     @property
     def is_suspect(self) -> bool:
--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -13,7 +13,9 @@
 from hibiscussaddle.batches import events
 from hibiscussaddle.batches import leftovers
 from hibiscussaddle.batches import model
+from hibiscussaddle.batches import moves
 from hibiscussaddle.batches import placement
+from hibiscussaddle.batches import report as report_lib
 from hibiscussaddle.batches import result_log
 from hibiscussaddle.batches import runs
 from hibiscussaddle.batches import storage
@@ -41,6 +43,12 @@
 # Clocks of instances may differ by this much, in seconds; an item must not
 # be given up before its time.
 _CLOCK_SECONDS: typing.Final = 3.0
+# Ends of a run that the engine did not start; it gets a probe next.
+_NOT_STARTED: typing.Final = (
+    runs.RunEnd.OTHER_ENDPOINT,
+    runs.RunEnd.NOT_RUN,
+    runs.RunEnd.STALE_WEIGHTS,
+)
 # Attempts of an item on a route that is gone from the configuration.
 _DEFAULT_ATTEMPTS: typing.Final = 3
 
@@ -119,6 +127,12 @@
             if partial is not None:
                 keep(progress.item.id, leftovers.Leftover(partial))
 
+    def report(self) -> report_lib.BatchReport:
+        """Return the state of the batch for operators."""
+        return report_lib.create_report(
+            self.batch, self._log.listed, self._progress
+        )
+
     def stop(self, why: str) -> None:
         """Stop all runs; nothing more is listed."""
         if not self.why_stopped:
@@ -187,7 +201,7 @@
                 progress.failures += 1
             elif end is runs.RunEnd.IMPOSSIBLE:
                 progress.failures = self._max_attempts()
-            elif end in (runs.RunEnd.OTHER_ENDPOINT, runs.RunEnd.NOT_RUN):
+            elif end in _NOT_STARTED:
                 now = time.monotonic()
                 self._tools.engines.refused(endpoint, now)
 
@@ -318,8 +332,9 @@
         listed = endpoint.weight_version(self.batch.model)
         if listed is None:
             return False
-        seen = self._tools.engines.state(endpoint).version
-        return max(listed, seen) >= self.batch.min_version
+        seen = self._tools.engines.state(endpoint).versions
+        newest = max(listed, seen.get(self.batch.model, 0))
+        return newest >= self.batch.min_version
 
     async def _check_runs(self) -> None:
         """Move runs whose engine stalls or is slow."""
@@ -327,35 +342,20 @@
             await anyio.sleep(_CHECK_SECONDS)
             now = time.monotonic()
             for progress in list(self._progress.values()):
-                why = self._why_move(progress, now)
-                if why and progress.scope is not None:
+                if progress.endpoint is None or progress.scope is None:
+                    continue
+                why = moves.why_move(
+                    self._tools.engines,
+                    progress,
+                    self._candidates(progress.item),
+                    now,
+                )
+                if why is not None:
                     self._move(progress, why, now)
 
-    def _why_move(self, progress: runs.Progress, now: float) -> str:
-        endpoint = progress.endpoint
-        if endpoint is None or progress.scope is None:
-            return ""
-        since = now - (progress.event_at or progress.started_at)
-        if since > placement.STALL_LIMIT_SECONDS:
-            return "stalled"
-        candidates = self._candidates(progress.item)
-        engines = self._tools.engines
-        if not engines.has_room(candidates, now, endpoint.id):
-            return ""
-        limit = placement.STALL_SECONDS
-        if progress.event_at is None:
-            limit = placement.FIRST_EVENT_SECONDS
-        if since > limit:
-            return "stalled"
-        typical = engines.typical_pace(candidates)
-        if engines.is_lagging(endpoint, typical, progress.pace(), now):
-            return "slow"
-        is_long = progress.gaps >= placement.LONG_RUN_EVENTS
-        if is_long and engines.is_faster_elsewhere(candidates, endpoint, now):
-            return "faster_elsewhere"
-        return ""
-
-    def _move(self, progress: runs.Progress, why: str, now: float) -> None:
+    def _move(
+        self, progress: runs.Progress, why: moves.Reason, now: float
+    ) -> None:
         endpoint = progress.endpoint
         if endpoint is None or progress.scope is None:
             return
@@ -364,11 +364,11 @@
             "run_moved",
             item=progress.item.id,
             endpoint=endpoint.id,
-            why=why,
+            why=why.value,
             last_event=progress.transcript.last_id,
         )
         progress.left = endpoint.id
-        if why == "stalled":
+        if why is moves.Reason.STALLED:
             self._tools.engines.failed(endpoint, now)
         progress.scope.cancel()
 
--- a/src/hibiscussaddle/batches/runs.py
+++ b/src/hibiscussaddle/batches/runs.py
@@ -168,7 +168,7 @@
         except (KeyError, ValueError) as exc:
             raise events.MalformedStream("no weight version") from exc
         self._engines.accepted(endpoint)
-        self._engines.state(endpoint).version = version
+        self._engines.state(endpoint).versions[batch.model] = version
         if version < batch.min_version:
             return RunEnd.STALE_WEIGHTS
         parser = events.EventParser()
--- a/src/hibiscussaddle/cli.py
+++ b/src/hibiscussaddle/cli.py
@@ -11,6 +11,7 @@
 from hibiscussaddle.commands import console
 from hibiscussaddle.commands import contract
 from hibiscussaddle.commands import endpoint
+from hibiscussaddle.commands import fleet
 from hibiscussaddle.commands import instance
 from hibiscussaddle.commands import step
 from hibiscussaddle.commands import weights
@@ -29,6 +30,7 @@
         self.endpoint = endpoint.EndpointCommands()
         self.instance = instance.InstanceCommands()
         self.step = step.StepCommands()
+        self.fleet = fleet.FleetCommands()
 
     def entry(self, **flags: object) -> None:
         """Run an entry instance; flags are the settings."""
--- /dev/null
+++ b/src/hibiscussaddle/commands/fleet.py
@@ -0,0 +1,111 @@
+"""Commands that show the gateways of a fleet and what they run."""
+
+import typing
+
+from hibiscussaddle import codes as result_codes
+from hibiscussaddle.commands import console
+from hibiscussaddle import gateway_report
+from hibiscussaddle import operator_client
+
+Report: typing.TypeAlias = dict[str, typing.Any]
+
+
+class FleetCommands:
+    """Show gateways; the address is the peer address of any of them."""
+
+    def status(self, address: str = "", output: str = "table") -> None:
+        """Print the state of one gateway."""
+        report = _read(address)
+        for name in ("members", "endpoints", "batches"):
+            report[name] = len(report[name])
+        console.show(report, output)
+
+    def instances(self, address: str = "", output: str = "table") -> None:
+        """List all gateways with the configuration that each has in force."""
+        console.show([_instance_row(r) for r in _read_all(address)], output)
+
+    def endpoints(self, address: str = "", output: str = "table") -> None:
+        """List endpoints, their weights and why one is not used."""
+        console.show(_read(address)["endpoints"], output)
+
+    def batches(self, address: str = "", output: str = "table") -> None:
+        """List the batches that run on any gateway."""
+        rows = []
+        for report in _read_all(address):
+            for batch in report.get("batches", []):
+                row = {"owner": report["instance"], **batch}
+                del row["groups"]
+                rows.append(row)
+        console.show(rows, output)
+
+    def batch(
+        self, batch_id: str, address: str = "", output: str = "table"
+    ) -> None:
+        """Show the groups of one running batch."""
+        # fire turns ids made of digits into numbers.
+        wanted = str(batch_id)
+        for report in _read_all(address):
+            for batch in report.get("batches", []):
+                if batch["batch"] == wanted:
+                    console.show(batch["groups"], output)
+                    return
+        console.fail(
+            result_codes.Refusal(
+                result_codes.Code.NOT_FOUND,
+                f"batch {wanted!r} runs on no instance that answers",
+            )
+        )
+
+    def weights(self, address: str = "", output: str = "table") -> None:
+        """List the weight versions of engines beside the newest ones."""
+        report = _read(address)
+        named = report["named_versions"]
+        rows = [
+            {
+                "endpoint": endpoint["endpoint"],
+                "model": model,
+                "version": version,
+                "newest": named.get(model, version),
+            }
+            for endpoint in report["endpoints"]
+            for model, version in endpoint["versions"].items()
+        ]
+        console.show(rows, output)
+
+
+def _read(address: str) -> Report:
+    found: Report = console.call(address, "GET", gateway_report.REPORT_PATH)
+    return found
+
+
+def _read_all(address: str) -> list[Report]:
+    """Return the report of each member, or why it gave none."""
+    first = _read(address)
+    reports = [first]
+    for member in first["members"]:
+        if member["instance"] == first["instance"]:
+            continue
+        found = operator_client.call(
+            member["peer_address"], "", "GET", gateway_report.REPORT_PATH
+        )
+        unreachable = {
+            "instance": member["instance"],
+            "zone": member["zone"],
+            "not_ready_because": "unreachable",
+        }
+        reports.append(found.unwrap_or(unreachable))
+    return sorted(reports, key=lambda report: str(report["instance"]))
+
+
+def _instance_row(report: Report) -> Report:
+    return {
+        "instance": report["instance"],
+        "zone": report["zone"],
+        "ready": report["not_ready_because"] or "yes",
+        "config_version": report.get("config_version"),
+        "store": report.get("store"),
+        "reader": report.get("reader"),
+        "weight_lease": report.get("holds_weight_lease"),
+        "requests": report.get("running_requests"),
+        "batches": len(report.get("batches", [])),
+    }
--- a/src/hibiscussaddle/fleet/sharing.py
+++ b/src/hibiscussaddle/fleet/sharing.py
@@ -133,7 +133,8 @@
         self._client = client
         self._members = members
         self._feeds = feeds
-        self._followed = ""
+        # Instance whose changes are taken; empty while there is none.
+        self.followed = ""
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -150,18 +151,18 @@
 
     def _stop(self, why: str) -> None:
         """Let every feed call the store itself."""
-        if self._followed:
+        if self.followed:
             logs.event(
-                _LOG, "reader_left", reader=self._followed, why=why or "-"
+                _LOG, "reader_left", reader=self.followed, why=why or "-"
             )
-            self._followed = ""
+            self.followed = ""
         for followed in self._feeds:
             followed.resume()
 
     async def _poll(self, reader: presence.Member) -> str:
         """Take changes from a reader; return why that failed."""
         # The first answer shows whether the reader is current.
-        wait = WAIT_SECONDS if self._followed == reader.instance else 0.0
+        wait = WAIT_SECONDS if self.followed == reader.instance else 0.0
         query = Query({f.prefix: f.after for f in self._feeds}, wait)
         limit = wait + MARGIN_SECONDS
         sent_at = time.monotonic()
@@ -177,8 +178,8 @@
         except (httpx.HTTPError, TimeoutError, ValueError) as exc:
             return str(exc) or type(exc).__name__
         self._take(answer, sent_at)
-        if self._followed != reader.instance:
-            self._followed = reader.instance
+        if self.followed != reader.instance:
+            self.followed = reader.instance
             logs.event(_LOG, "reader_followed", reader=reader.instance)
         return ""
 
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -39,6 +39,7 @@
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import gateway as gateway_lib
 from hibiscussaddle import gateway_metrics
+from hibiscussaddle import gateway_report
 from hibiscussaddle import gateway_settings
 from hibiscussaddle import logs
 from hibiscussaddle.platform import config_wire
@@ -92,6 +93,7 @@
     presence: presence_lib.Presence
     batch_owners: owners.BatchOwners
     waiting: waiting.WaitingItems
+    engines: placement.Placement
     lease: weight_lease.WeightLease
     weights: weight_controller.WeightController
     retirement: retirement.Retirement
@@ -196,6 +198,7 @@
         presence=presence,
         batch_owners=batch_owners,
         waiting=tools.waiting,
+        engines=engines,
         lease=held,
         weights=weight_controller.WeightController(
             client, view, held, cfg.instance, members.allowed_lag
@@ -318,6 +321,7 @@
             *handoff.create_routes(parts.batch_owners),
             store_paths.create_relay_route(parts.path),
             sharing.create_route(parts.reader),
+            gateway_report.create_route(parts),
         ]
     )
 
--- a/src/hibiscussaddle/operator_client.py
+++ b/src/hibiscussaddle/operator_client.py
@@ -17,14 +17,15 @@
     path: str,
     body: object = None,
 ) -> result.Result[typing.Any, codes.Refusal]:
-    """Call one operation of an entry instance."""
+    """Call one operation of an instance; gateways need no secret."""
     base = address if "://" in address else f"http://{address}"
+    headers = {"authorization": f"Bearer {secret}"} if secret else {}
     try:
         resp = httpx.request(
             method,
             base + path,
             json=body,
-            headers={"authorization": f"Bearer {secret}"},
+            headers=headers,
             timeout=TIMEOUT_SECONDS,
             trust_env=False,
         )
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -5,13 +5,17 @@
 """
 
 from collections import abc
+import json
 import pathlib
 import signal
 import typing
 
+import fire
 import httpx
 import pytest
 
+from hibiscussaddle import cli
+
 import processes
 
 pytestmark = pytest.mark.process
@@ -194,6 +198,47 @@
     assert _results(fleet, 1, "b3")[0]["versions"] == [2]
 
 
+def _run_command(
+    fleet: processes.Fleet, capsys: pytest.CaptureFixture[str], *words: str
+) -> typing.Any:
+    """Return what a command of the fleet prints as JSON."""
+    address = f"--address=127.0.0.1:{fleet.port('gw-peers-1')}"
+    command = ["fleet", *words, address, "--output=json"]
+    fire.Fire(cli.Commands(), command=command)
+    return json.loads(capsys.readouterr().out)
+
+
+def test_commands_show_the_fleet(
+    fleet: processes.Fleet, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Fails when an operator cannot see who runs what, and since when."""
+    fleet.put_key("op/version/base", {"model": "base", "version": 2})
+    assert _submit(fleet, 1, "b5", 200).status_code == 202
+    rows: list[dict[str, typing.Any]] = []
+
+    def is_running() -> bool:
+        rows[:] = _run_command(fleet, capsys, "batches")
+        return bool(rows)
+
+    fleet.until(is_running)
+    assert (rows[0]["batch"], rows[0]["items"]) == ("b5", 200)
+    groups = _run_command(fleet, capsys, "batch", "b5")
+    assert [group["group"] for group in groups] == ["g"]
+    instances = _run_command(fleet, capsys, "instances")
+    assert {row["config_version"] for row in instances} == {3}
+    assert {row["ready"] for row in instances} == {"yes"}
+    assert [row["instance"] for row in instances] == sorted(
+        row["instance"] for row in instances
+    )
+    endpoints = _run_command(fleet, capsys, "endpoints")
+    assert {row["endpoint"] for row in endpoints} == {"engine-1", "desk-1"}
+    fleet.until(
+        lambda: _run_command(fleet, capsys, "weights")[0]["newest"] == 2
+    )
+    status = _run_command(fleet, capsys, "status")
+    assert (status["store"], status["members"]) == ("direct", 2)
+
+
 def test_planned_stop_answers_everything(fleet: processes.Fleet) -> None:
     """Fails when an instance that gets SIGTERM drops a batch or a request."""
     assert _submit(fleet, 1, "b4", 12).status_code == 202
