--- a/src/hibiscussaddle/batches/owners.py
+++ b/src/hibiscussaddle/batches/owners.py
@@ -69,7 +69,7 @@
         # Called with a model and the versions that a batch may lag behind.
         self.on_lag: typing.Callable[[str, int], None] = lambda *_: None
         members.on_gone = self._note_gone
-        members.on_leaving = self._claim_soon
+        members.on_changed = self._claim_soon
 
     async def run(self) -> None:
         """Run batches and take over orphans until cancelled."""
--- a/src/hibiscussaddle/batches/reader.py
+++ b/src/hibiscussaddle/batches/reader.py
@@ -23,7 +23,7 @@
 
 
 @dataclasses.dataclass
-class _Cached:
+class Cached:
     """Hold what is known of a batch; listed results never change."""
 
     head: model.Head
@@ -59,7 +59,7 @@
     def __init__(self, batches: storage.BatchStorage) -> None:
         """Start with an empty cache."""
         self._storage = batches
-        self._cache: collections.OrderedDict[str, _Cached]
+        self._cache: collections.OrderedDict[str, Cached]
         self._cache = collections.OrderedDict()
 
     async def results(
@@ -104,13 +104,13 @@
 
     async def _find(
         self, batch_id: str
-    ) -> result.Result[_Cached, store.StoreError]:
+    ) -> result.Result[Cached, store.StoreError]:
         cached = self._cache.get(batch_id)
         if cached is None:
             head = await self._storage.head(batch_id)
             if isinstance(head, result.Err):
                 return head
-            cached = self._cache.setdefault(batch_id, _Cached(head.ok_value))
+            cached = self._cache.setdefault(batch_id, Cached(head.ok_value))
         self._cache.move_to_end(batch_id)
         while len(self._cache) > _MAX_CACHED:
             dropped, _ = self._cache.popitem(last=False)
@@ -118,7 +118,7 @@
         return result.Ok(cached)
 
     async def _refresh(
-        self, batch_id: str, cached: _Cached, position: int, wait: float
+        self, batch_id: str, cached: Cached, position: int, wait: float
     ) -> store.StoreError | None:
         until = time.monotonic() + wait
         while True:
--- a/src/hibiscussaddle/fleet/presence.py
+++ b/src/hibiscussaddle/fleet/presence.py
@@ -51,8 +51,8 @@
         self.all: dict[str, Member] = {}
         # Called with each instance whose key vanished.
         self.on_gone: typing.Callable[[str], None] = lambda _: None
-        # Called when a member says that it stops soon.
-        self.on_leaving: typing.Callable[[], None] = lambda: None
+        # Called when a member appears or says something new.
+        self.on_changed: typing.Callable[[], None] = lambda: None
 
     def peer_addresses(self) -> list[str]:
         """Return where peers are reached, those of the own zone first."""
@@ -159,8 +159,7 @@
             member=member.instance,
             leaving=member.leaving,
         )
-        if member.leaving:
-            self.on_leaving()
+        self.on_changed()
 
     def _remove(self, instance: str) -> None:
         if self.all.pop(instance, None) is not None:
