--- a/src/hibiscussaddle/fleet/feed.py
+++ b/src/hibiscussaddle/fleet/feed.py
@@ -61,7 +61,7 @@
         self._backoff = store.Backoff(
             random.Random(), FIRST_RETRY, _LONGEST_RETRY
         )
-        self._is_followed = False
+        self._is_suspended = False
         self._resumed = anyio.Event()
         self._call: anyio.CancelScope | None = None
 
@@ -73,7 +73,7 @@
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
         while True:
-            if self._is_followed:
+            if self._is_suspended:
                 await self._resumed.wait()
             with anyio.CancelScope() as self._call:
                 failure = await self.step()
@@ -85,8 +85,8 @@
 
     def suspend(self) -> None:
         """Call the store no more, since a peer passes its changes on."""
-        if not self._is_followed:
-            self._is_followed = True
+        if not self._is_suspended:
+            self._is_suspended = True
             self._resumed = anyio.Event()
             if self._call is not None:
                 self._call.cancel()
@@ -97,8 +97,8 @@
         A watch may hear nothing while the store drops its history, which is
         also when readers fail.
         """
-        if self._is_followed:
-            self._is_followed = False
+        if self._is_suspended:
+            self._is_suspended = False
             self._after = None
             self._resumed.set()
 
--- a/src/hibiscussaddle/fleet/presence.py
+++ b/src/hibiscussaddle/fleet/presence.py
@@ -100,7 +100,8 @@
     def zone_reader(self) -> Member | None:
         """Return the peer that reads the store for this zone.
 
-        None when this instance is to read it itself.
+        None when this instance is to read it itself. It ranks above this
+        instance, so that no circle of instances follows one another.
         """
         zone = [
             member
--- a/src/hibiscussaddle/fleet/sharing.py
+++ b/src/hibiscussaddle/fleet/sharing.py
@@ -62,10 +62,10 @@
 
     def __init__(self, feeds: abc.Sequence[feed_lib.Feed]) -> None:
         """Share the feeds of this instance."""
-        self._feeds = {followed.prefix: followed for followed in feeds}
+        self._feeds = {feed.prefix: feed for feed in feeds}
         self._changed = anyio.Event()
-        for followed in feeds:
-            followed.on_step = self._note_step
+        for feed in feeds:
+            feed.on_step = self._note_step
 
     def _note_step(self, changed: bool) -> None:
         if changed or not self.is_current(time.monotonic()):
@@ -75,8 +75,8 @@
     def is_current(self, now: float) -> bool:
         """Tell whether this instance knows the newest state."""
         return not any(
-            followed.is_failing() or followed.age(now) > OVERDUE_SECONDS
-            for followed in self._feeds.values()
+            feed.is_failing() or feed.age(now) > OVERDUE_SECONDS
+            for feed in self._feeds.values()
         )
 
     async def answer(self, query: Query) -> Answer | None:
@@ -141,23 +141,23 @@
         while True:
             reader = self._members.zone_reader()
             if reader is None or any(f.after is None for f in self._feeds):
-                self._stop("")
+                self._leave("")
                 await anyio.sleep(_LOOK_SECONDS)
                 continue
             why = await self._poll(reader)
             if why:
-                self._stop(why)
+                self._leave(why)
                 await anyio.sleep(_RETRY_SECONDS)
 
-    def _stop(self, why: str) -> None:
+    def _leave(self, why: str) -> None:
         """Let every feed call the store itself."""
         if self.followed:
             logs.event(
                 _LOG, "reader_left", reader=self.followed, why=why or "-"
             )
             self.followed = ""
-        for followed in self._feeds:
-            followed.resume()
+        for feed in self._feeds:
+            feed.resume()
 
     async def _poll(self, reader: presence.Member) -> str:
         """Take changes from a reader; return why that failed."""
@@ -185,17 +185,17 @@
 
     def _take(self, answer: Answer, sent_at: float) -> None:
         now = time.monotonic()
-        for followed in self._feeds:
-            page = answer.pages.get(followed.prefix)
-            if page is None or page.revision < (followed.after or 0):
+        for feed in self._feeds:
+            page = answer.pages.get(feed.prefix)
+            if page is None or page.revision < (feed.after or 0):
                 continue
             # The failure comes first: what vanished in an outage is kept.
             if answer.failed_ago is not None and (
                 now - answer.failed_ago >= sent_at
             ):
-                followed.note_outage()
-            followed.suspend()
-            followed.apply(page, now)
+                feed.note_outage()
+            feed.suspend()
+            feed.apply(page, now)
 
 
 def create_route(reader: Reader) -> routing.Route:
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -47,3 +47,27 @@
     assert [member.instance for member in found.staying()] == ["two"]
     found = _members(_member("one", leaving=True))
     assert found.sweeper() == "one"
+
+
+def test_no_circle_of_instances_follows_one_another() -> None:
+    """Fails when two instances each take the store's changes of the other."""
+    everybody = [
+        presence.Member(f"gateway-{n}", "zone-a", 1, f"peer:{n}")
+        for n in range(6)
+    ]
+    # A stopping instance may know of its stop before the others do.
+    views = {}
+    for me in everybody:
+        own = msgspec.structs.replace(me, leaving=me.instance[-1] in "024")
+        found = presence.Members(own)
+        others = [m for m in everybody if m.instance != me.instance]
+        found.put_changes([_entry(member) for member in [own, *others]])
+        reader = found.zone_reader()
+        views[me.instance] = reader.instance if reader else None
+    for start in views:
+        seen = set()
+        name: str | None = start
+        while name is not None:
+            assert name not in seen
+            seen.add(name)
+            name = views[name]
