--- a/src/hibiscussaddle/adapters/engines.py
+++ b/src/hibiscussaddle/adapters/engines.py
@@ -8,6 +8,7 @@
 import httpx
 import msgspec
 
+from hibiscussaddle.adapters import services
 from hibiscussaddle import endpoints
 
 CONNECT_SECONDS: typing.Final = 2.0
@@ -106,7 +107,7 @@
         )
         try:
             async with request as resp:
-                if resp.headers.get("x-not-run"):
+                if resp.headers.get(services.NOT_STARTED_HEADER):
                     raise NotRun(f"endpoint {endpoint.id} refused the work")
                 if resp.status_code != httpx.codes.OK:
                     raise StreamBroken(
--- a/src/hibiscussaddle/adapters/services.py
+++ b/src/hibiscussaddle/adapters/services.py
@@ -15,7 +15,7 @@
 # An answer above this size is not held in memory.
 MAX_ANSWER_BYTES: typing.Final = 8 << 20
 # A back end sets this header on work that it refused before it started.
-NOT_RUN_HEADER: typing.Final = "x-not-run"
+NOT_STARTED_HEADER: typing.Final = "x-work-not-started"
 DEADLINE_HEADER: typing.Final = "x-deadline-seconds"
 
 
@@ -104,7 +104,7 @@
 async def _read(
     endpoint: endpoints.Endpoint, resp: httpx.Response
 ) -> result.Result[Answer, Failure]:
-    if resp.headers.get(NOT_RUN_HEADER):
+    if resp.headers.get(NOT_STARTED_HEADER):
         detail = f"endpoint {endpoint.id} refused with {resp.status_code}"
         return result.Err(Failure(FailureKind.NOT_RUN, detail))
     body = bytearray()
--- a/src/hibiscussaddle/standins/engine.py
+++ b/src/hibiscussaddle/standins/engine.py
@@ -16,6 +16,7 @@
 from starlette import responses
 from starlette import routing
 
+from hibiscussaddle.adapters import services
 from hibiscussaddle.standins import faults as faults_lib
 
 SSE_DONE: typing.Final = b"data: [DONE]\n\n"
@@ -255,7 +256,7 @@
             return responses.JSONResponse(
                 {"error": "not run"},
                 status_code=503,
-                headers={"x-not-run": "1"},
+                headers={services.NOT_STARTED_HEADER: "1"},
             )
         body = await req.json()
         request_id = str(body.get("request_id", ""))
--- a/src/hibiscussaddle/standins/service.py
+++ b/src/hibiscussaddle/standins/service.py
@@ -10,6 +10,7 @@
 from starlette import routing
 from starlette import types
 
+from hibiscussaddle.adapters import services
 from hibiscussaddle.standins import faults as faults_lib
 
 METHODS: typing.Final = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
@@ -78,7 +79,7 @@
     async def call(req: requests.Request) -> responses.Response:
         refused = await faults_lib.apply_before(service.faults)
         if refused is not None:
-            refused.headers["x-not-run"] = "1"
+            refused.headers[services.NOT_STARTED_HEADER] = "1"
             return refused
         body = (await req.body()).decode()
         number = service.execute(req, body)
