Play scored batches in the history checker

Texts need the score of a service that fails or refuses at times. The checker finds a score that is no proof of a success to that item's call, a call that went out before the text's last event, and calls after the bound of an end; two broken variants show that it does.

--- a/src/hibiscussaddle/platform/standins/endpoint.py
+++ b/src/hibiscussaddle/platform/standins/endpoint.py
@@ -128,11 +128,11 @@
         if expected not in (None, endpoint.cfg.id):
             return responses.Response(status_code=421)
         request_id = req.headers["x-request-id"]
-        proof = endpoint.proof(request_id)
-        headers = {"x-request-id": request_id, "x-server-stamp": proof}
+        headers = {"x-request-id": request_id}
         if endpoint.loading:
             headers["x-not-run"] = "1"
             return responses.Response(status_code=503, headers=headers)
+        headers["x-server-stamp"] = endpoint.proof(request_id)
         endpoint.started.append(request_id)
         if not endpoint.cfg.model:
             body = await req.body()
--- a/tests/test_batch_histories.py
+++ b/tests/test_batch_histories.py
@@ -8,10 +8,16 @@
 from hibiscussaddle.batches import events
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import reader
+from hibiscussaddle.batches import runner
+from hibiscussaddle.batches import runs
+from hibiscussaddle.batches import scores
 from hibiscussaddle.batches import storage
 from hibiscussaddle import codes
 from hibiscussaddle import gateway
 from hibiscussaddle.policy import lease
+from hibiscussaddle.routes import forward
+from hibiscussaddle.scoring import model as scoring_model
+from hibiscussaddle.scoring import scorer
 from histories import batch_run
 
 SEEDS = range(1, 9)
@@ -82,6 +88,41 @@
     monkeypatch.setattr(gateway.Gateway, "submit", refuse)
 
 
+def score_before_the_text(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Ask for the score of an item as its run starts."""
+    run = runner.BatchRunner._run_once
+    known: dict[str, str] = {}
+
+    async def score_first(
+        self: runner.BatchRunner, progress: runs.Progress, endpoint: typing.Any
+    ) -> runs.RunEnd:
+        score = await self._scores.score(progress)
+        known[progress.item.id] = score or ""
+        return await run(self, progress, endpoint)
+
+    async def known_score(
+        self: scores.BatchScores, progress: runs.Progress
+    ) -> str | None:
+        found = known.get(progress.item.id)
+        return found or await ask(self, progress)
+
+    ask = scores.BatchScores.score
+    monkeypatch.setattr(runner.BatchRunner, "_run_once", score_first)
+    monkeypatch.setattr(scores.BatchScores, "score", known_score)
+
+
+def accept_any_status(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Take the proof of a failure for a score."""
+
+    def take(asked: forward.Asked) -> scoring_model.Score | None:
+        if asked.answer is None:
+            return None
+        headers = dict(asked.answer.headers)
+        return scoring_model.Score(headers["x-server-stamp"], "")
+
+    monkeypatch.setattr(scorer, "_score", take)
+
+
 def order_without_wait(monkeypatch: pytest.MonkeyPatch) -> None:
     """Order weights right after another holder."""
 
@@ -98,6 +139,8 @@
         (name_last_version, "versions", ()),
         (forget_batches, "kept", ("history",)),
         (claim_not_run, "not-run", ("history",)),
+        (score_before_the_text, "score", ("history",)),
+        (accept_any_status, "score", ("scores_fail",) * 4),
         (order_without_wait, "holder", ("lapsed_leases",) * 5),
     ],
 )
