--- a/src/hibiscussaddle/controllers/steps.py
+++ b/src/hibiscussaddle/controllers/steps.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import logging
+import random
 import typing
 
 import anyio
@@ -21,6 +22,7 @@
 from hibiscussaddle.policy import versions
 from hibiscussaddle import runtime as runtime_lib
 from hibiscussaddle import sample_maker
+from hibiscussaddle.scoring import admission
 from hibiscussaddle import step_table
 from hibiscussaddle import steps
 
@@ -66,7 +68,8 @@
             runtime.client, runtime.cfg.scorer_url
         )
         self._running: collections.Counter[str] = collections.Counter()
-        self._scoring = 0
+        self._scoring = admission.Window()
+        self._rng = random.Random()
         # Models and customers whose waiting samples were told.
         self._wanted: set[tuple[str, str]] = set()
         self._pauses: dict[str, _Pause] = {}
@@ -327,11 +330,11 @@
         self._pauses[endpoint_id] = _Pause(now + seconds, seconds)
 
     def _start_scoring(self, run: step_table.StepRun, now: float) -> None:
-        while self._scoring < MAX_SCORING and now >= run.score_after:
+        while self._scoring.has_room(MAX_SCORING) and now >= run.score_after:
             taken = run.progress.next_unscored()
             if taken is None:
                 return
-            self._scoring += 1
+            self._scoring.started()
             self._tasks.start_soon(self._score, run, *taken)
 
     async def _score(
@@ -348,13 +351,13 @@
                 list(samples.values()),
             )
         finally:
-            self._scoring -= 1
+            self._scoring.ended()
         now = self._runtime.clock()
         if isinstance(scored, result.Err):
             run.scorer_error = scored.err_value
-            run.score_failures += 1
-            seconds = _FIRST_PAUSE_SECONDS * 2 ** min(run.score_failures, 6)
-            run.score_after = now + min(seconds, _MAX_PAUSE_SECONDS)
+            run.score_attempts.lost()
+            run.score_after = now + run.score_attempts.pause(self._rng)
+            self._scoring.overloaded(now)
             run.progress.unscored(group)
             logs.event(
                 _LOG,
@@ -365,7 +368,8 @@
             )
             return
         run.scorer_error = ""
-        run.score_failures = 0
+        run.score_attempts.reset()
+        self._scoring.answered()
         pairs = zip(samples.items(), scored.ok_value, strict=True)
         run.progress.score(
             group,
--- a/src/hibiscussaddle/scoring/attempts.py
+++ b/src/hibiscussaddle/scoring/attempts.py
@@ -18,8 +18,6 @@
 class Attempts:
     """Count the attempts to get one score."""
 
-    first_pause: float = FIRST_PAUSE_SECONDS
-    max_pause: float = MAX_PAUSE_SECONDS
     made: int = 0
     # Attempts that the service ran and failed.
     failures: int = 0
@@ -39,9 +37,9 @@
         """Return the seconds until the next attempt."""
         if not self.unanswered:
             return 0.0
-        pause = self.first_pause * 2.0 ** min(self.unanswered - 1, 10)
+        pause = FIRST_PAUSE_SECONDS * 2.0 ** min(self.unanswered - 1, 10)
         # Calls that were lost together come back spread out.
-        return min(self.max_pause, pause) * (0.75 + 0.5 * rng.random())
+        return min(MAX_PAUSE_SECONDS, pause) * (0.75 + 0.5 * rng.random())
 
     def reset(self) -> None:
         """Start anew after a success."""
--- a/src/hibiscussaddle/step_table.py
+++ b/src/hibiscussaddle/step_table.py
@@ -12,6 +12,7 @@
 from hibiscussaddle.policy import cursor as cursor_lib
 from hibiscussaddle.policy import groups
 from hibiscussaddle.policy import versions
+from hibiscussaddle.scoring import attempts
 from hibiscussaddle import steps
 
 MAX_STEPS: typing.Final = 256
@@ -64,7 +65,7 @@
         self.blocked = Blocked.NOTHING
         self.scorer_error = ""
         self.score_after = 0.0
-        self.score_failures = 0
+        self.score_attempts = attempts.Attempts()
         self.made = 0
         self.made_again: dict[str, int] = {}
         self.scopes: dict[int, anyio.CancelScope] = {}
