Let results gather until they make the trainer's groups whole

Cause: each result waited 0.15 s for others, so that a step of 96 items took 19 to 22 writes (tests/test_gathering.py), though its trainer goes on only when enough groups are whole.

Change: early results gather for 0.5 s, those that make a group whole once enough are for 0.03 s, and those of a step that is nearly due as before. A write also carries the unfinished texts when they are 0.4 s old.

Ruled out: writing at once only up to the number of groups. Trainers also wait for groups that they carried over.

--- a/src/hibiscussaddle/batches/result_log.py
+++ b/src/hibiscussaddle/batches/result_log.py
@@ -15,12 +15,11 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Results that end within this time share one write of the store, in seconds.
-# Trainers poll about twice a second.
-FLUSH_SECONDS: typing.Final = 0.15
 # Unfinished texts are kept this often, in seconds: an instance that takes a
 # batch over generates at most this much again.
 _PARTIAL_SECONDS: typing.Final = 1.0
+# The same when results are written anyway, which costs no further call.
+_PARTIAL_BESIDE_SECONDS: typing.Final = 0.4
 # An entry of the result log stays well below the store's limit, in bytes.
 MAX_ENTRY_BYTES: typing.Final = 600_000
 # Wait before a write that failed is repeated, in seconds.
@@ -38,11 +37,13 @@
         entries: abc.Sequence[storage.LogEntry],
         partials: abc.Callable[[], list[model.PartialText]],
         on_confirmed: abc.Callable[[float], None],
+        gather_seconds: abc.Callable[[], float],
     ) -> None:
         """Continue after the entries that are listed already.
 
         Each write that succeeds confirms the ownership as of its start, in
-        monotonic seconds.
+        monotonic seconds. A result waits for others for the gathering time,
+        which is asked again whenever one is added.
         """
         self.listed = {
             found.item_id: found
@@ -57,6 +58,7 @@
         self._number = len(entries)
         self._partials = partials
         self._on_confirmed = on_confirmed
+        self._gather_seconds = gather_seconds
         self._kept_at = time.monotonic()
         self._added = anyio.Event()
 
@@ -87,7 +89,8 @@
         self._added = anyio.Event()
         with anyio.move_on_after(_PARTIAL_SECONDS):
             await self._added.wait()
-            await anyio.sleep(FLUSH_SECONDS)
+        if self.ready:
+            await self._gather()
             return True
         partials = self._partials()
         if not partials:
@@ -108,10 +111,21 @@
         self._on_confirmed(started)
         return True
 
+    async def _gather(self) -> None:
+        """Let results that end soon share the next write."""
+        started = time.monotonic()
+        while True:
+            left = self._gather_seconds() - (time.monotonic() - started)
+            if left <= 0:
+                return
+            self._added = anyio.Event()
+            with anyio.move_on_after(left):
+                await self._added.wait()
+
     def _due_partials(self) -> list[model.PartialText]:
         """Return the unfinished texts if it is time to keep them."""
         now = time.monotonic()
-        if now - self._kept_at < _PARTIAL_SECONDS:
+        if now - self._kept_at < _PARTIAL_BESIDE_SECONDS:
             return []
         self._kept_at = now
         return self._partials()
--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -12,6 +12,8 @@
 from hibiscussaddle.adapters import store
 from hibiscussaddle.batches import engine_choice
 from hibiscussaddle.batches import events
+from hibiscussaddle.batches import gathering
+from hibiscussaddle.batches import groups
 from hibiscussaddle.batches import leftovers
 from hibiscussaddle.batches import limits
 from hibiscussaddle.batches import model
@@ -83,9 +85,6 @@
             tools.view, tools.engines, batch
         )
         self._limits = limits.ItemLimits(batch, self._choice.route)
-        self._scores = scores.BatchScores(
-            tools.scorer, batch, self._limits, self._is_confirmed
-        )
         self._log = result_log.ResultLog(
             tools.storage,
             record,
@@ -93,6 +92,15 @@
             log,
             self._partials,
             self._confirm,
+            self._gather_seconds,
+        )
+        self._groups = groups.Groups(batch, self._log.listed)
+        self._scores = scores.BatchScores(
+            tools.scorer,
+            batch,
+            self._limits,
+            self._groups,
+            self._is_confirmed,
         )
         kept = {partial.item_id: partial for partial in partials}
         self._progress: dict[str, runs.Progress] = {}
@@ -115,6 +123,7 @@
         found = leftover.result
         if found is not None and self._limits.fits(set(found.versions)):
             if item.scoring is None:
+                self._groups.note_result(item.group)
                 self._log.add(found)
                 return
             # The score of an earlier step belongs to that step's call.
@@ -126,7 +135,6 @@
         if transcript.is_whole and not self._limits.fits(transcript.versions):
             transcript.clear()
         self._progress[item.id] = runs.Progress(item, transcript)
-        self._scores.missing[item.group] += 1
 
     def _keep_leftovers(self) -> None:
         """Keep the texts that a later batch may ask for again."""
@@ -186,15 +194,15 @@
         )
 
     def _ordered(self) -> list[runs.Progress]:
-        groups: dict[str, list[runs.Progress]] = {}
+        by_group: dict[str, list[runs.Progress]] = {}
         for progress in self._progress.values():
-            groups.setdefault(progress.item.group, []).append(progress)
+            by_group.setdefault(progress.item.group, []).append(progress)
         expected = {
             group: [p.item.expected_output or 0.0 for p in found]
-            for group, found in groups.items()
+            for group, found in by_group.items()
         }
         order = placement.order_items(expected, self._carried)
-        return [groups[group][index] for group, index in order]
+        return [by_group[group][index] for group, index in order]
 
     async def _run_item(
         self, progress: runs.Progress, rank: waiting_lib.Rank
@@ -276,7 +284,7 @@
 
     def _add_result(self, item: model.Item, found: model.Result) -> None:
         self._progress.pop(item.id, None)
-        self._scores.missing[item.group] -= 1
+        self._groups.note_result(item.group)
         self._log.add(found)
 
     async def _place(
@@ -334,6 +342,15 @@
             self._tools.engines.failed(endpoint, now)
         progress.scope.cancel()
 
+    def _gather_seconds(self) -> float:
+        """Return how long results may wait for others before the write."""
+        written = groups.Groups(self.batch, self._log.listed)
+        return gathering.gather_seconds(
+            self._groups.is_enough(),
+            self._groups.whole > written.whole,
+            self._limits.seconds_left(),
+        )
+
     def _partials(self) -> list[model.PartialText]:
         """Return the unfinished texts that are worth keeping."""
         found: list[model.PartialText] = []
--- a/src/hibiscussaddle/batches/scores.py
+++ b/src/hibiscussaddle/batches/scores.py
@@ -1,8 +1,8 @@
 """Get the scores of one batch's texts."""
 
-import collections
 from collections import abc
 
+from hibiscussaddle.batches import groups as groups_lib
 from hibiscussaddle.batches import limits as limits_lib
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import runs
@@ -19,14 +19,14 @@
         scorer: scorer_lib.Scorer,
         batch: model.Batch,
         limits: limits_lib.ItemLimits,
+        groups: groups_lib.Groups,
         may_send: abc.Callable[[], bool],
     ) -> None:
         """Send calls only while the batch surely wants them."""
-        # Items without a result, by group.
-        self.missing: collections.Counter[str] = collections.Counter()
         self._scorer = scorer
         self._batch = batch
         self._limits = limits
+        self._groups = groups
         self._may_send = may_send
 
     async def score(self, progress: runs.Progress) -> str | None:
@@ -54,6 +54,6 @@
         return admission.Rank(
             is_late=self._limits.seconds_left() < 0,
             submitted_at=self._batch.submitted_at,
-            missing=self.missing[item.group],
+            missing=self._groups.missing(item.group),
             group=item.group,
         )
--- a/tests/test_batch_owners.py
+++ b/tests/test_batch_owners.py
@@ -18,8 +18,9 @@
 from hibiscussaddle.platform.standins import store as fake_store
 
 import batch_builders
+import batch_world
 import loopback
-import test_batch_runner
+
 
 OTHER: typing.Final = presence.Member("gateway-9", "zone-a", 9, "peer:1")
 ME: typing.Final = presence.Member("gateway-1", "zone-a", 1, "peer:2")
@@ -55,12 +56,12 @@
         anyio.create_task_group() as tasks,
     ):
         client = store.create_client(http, url, calls_per_second=1000)
-        found = test_batch_runner.World(client)
+        found = batch_world.World(client)
         members = presence.Members(ME)
         members.all = {member.instance: member for member in (ME, OTHER)}
         members.member_for = lambda _: OTHER
         owned = owners.BatchOwners(
-            found.tools(test_batch_runner.FakeItems()),
+            found.tools(batch_world.FakeItems()),
             members,
             typing.cast(handoff.Handoff, FakeHandoff(takes)),
         )
--- /dev/null
+++ b/tests/test_gathering.py
@@ -0,0 +1,124 @@
+"""Guard how many writes a step costs, and when its trainer can go on."""
+
+import random
+import typing
+
+from hibiscussaddle.batches import gathering
+from hibiscussaddle.batches import groups
+
+import batch_builders
+
+GROUPS: typing.Final = 12
+GROUP_SIZE: typing.Final = 8
+WANTED: typing.Final = 11
+DUE_SECONDS: typing.Final = 7.5
+
+
+class Step:
+    """List the results of one step as its owner does, in virtual time."""
+
+    def __init__(self, ends: list[tuple[float, str, str]]) -> None:
+        """Take (second, item, group) of each end, in order."""
+        self.writes: list[float] = []
+        self.enough_at = float("inf")
+        items = [batch_builders.item(i, group=g) for _, i, g in ends]
+        self._batch = batch_builders.batch(*items, groups_wanted=WANTED)
+        self._ends = ends
+
+    def play(self) -> None:
+        """Write whenever the gathering time of the first result is over."""
+        listed: set[str] = set()
+        ready: list[str] = []
+        known = groups.Groups(self._batch, ())
+        first_at = 0.0
+        for number, (at, item, group) in enumerate(self._ends):
+            first_at = first_at if ready else at
+            ready.append(item)
+            known.note_result(group)
+            following = [*self._ends, (float("inf"), "", "")][number + 1][0]
+            written = groups.Groups(self._batch, listed)
+            due = first_at + gathering.gather_seconds(
+                known.is_enough(),
+                known.whole > written.whole,
+                DUE_SECONDS - at,
+            )
+            if max(due, at) > following:
+                continue
+            self.writes.append(max(due, at))
+            listed.update(ready)
+            ready.clear()
+            if groups.Groups(self._batch, listed).is_enough():
+                self.enough_at = min(self.enough_at, self.writes[-1])
+
+
+def _ends(seed: int) -> list[tuple[float, str, str]]:
+    """Return the ends of 96 items over about four seconds."""
+    rng = random.Random(seed)
+    return sorted(
+        (4.0 * rng.random() ** 0.7, f"{g}-{i}", f"group-{g}")
+        for g in range(GROUPS)
+        for i in range(GROUP_SIZE)
+    )
+
+
+def test_step_of_many_short_items_costs_few_writes() -> None:
+    """Fails when a step is written item by item, or its trainer waits on.
+
+    Pattern: 96 items of 12 groups end over four seconds, and the trainer
+    waits for 11 groups. With a fixed 0.15 s such a step took 19 to 22 writes.
+    """
+    for seed in range(10):
+        step = Step(_ends(seed))
+        step.play()
+        missing = dict.fromkeys(
+            (f"group-{g}" for g in range(GROUPS)), GROUP_SIZE
+        )
+        whole: list[float] = []
+        for at, _, group in _ends(seed):
+            missing[group] -= 1
+            if not missing[group]:
+                whole.append(at)
+        assert len(step.writes) <= 9
+        assert step.enough_at <= sorted(whole)[WANTED - 1] + 0.031
+
+
+def test_groups_that_are_nearly_due_are_written_soon() -> None:
+    """Fails when a whole group is listed after it was due."""
+    soon = gathering.gather_seconds(False, False, seconds_left=0.3)
+    assert soon <= 0.15
+    late = gathering.gather_seconds(False, False, seconds_left=-2.0)
+    assert late <= 0.15
+    early = gathering.gather_seconds(False, False, seconds_left=5.0)
+    assert early > soon
+    between = gathering.gather_seconds(True, False, seconds_left=5.0)
+    assert between == early
+
+
+def test_group_after_enough_is_written_at_once() -> None:
+    """Fails when a trainer waits on for a group that it carried over.
+
+    Pattern: a trainer also waits for the groups of its step before, which
+    may be the last to end. On pbmcg-rollout scale-1 its steps came so late
+    that the day had no time for the last one.
+    """
+    assert gathering.gather_seconds(True, True, seconds_left=5.0) <= 0.03
+
+
+def test_group_is_counted_once() -> None:
+    """Fails when a group looks whole before its last item has a result."""
+    batch = batch_builders.batch(
+        batch_builders.item("a1", group="a"),
+        batch_builders.item("a2", group="a"),
+        batch_builders.item("b1", group="b"),
+        groups_wanted=1,
+    )
+    found = groups.Groups(batch, {"a1"})
+    assert not found.is_enough()
+    found.note_result("a")
+    assert found.is_enough()
+    assert not found.is_complete()
+    found.note_result("b")
+    assert found.is_complete()
+    assert not groups.Groups(
+        batch_builders.batch(batch_builders.item(), groups_wanted=0), ()
+    ).is_enough()
