Answer reads of a batch at the instance that runs it

Cause: every instance read each batch from the store: its head, its results by listings and watches, and its items.

Change: an instance asks the member that runs the batches of the route, which knows every listed result, and reads the store only when nobody is sure. An owner is sure while a call that proves its ownership is at most 1.2 s old, on a clock that counts the time of a suspend. What was listed of an ended batch is read once more after the end and is then known to be all.

--- a/src/hibiscussaddle/batches/model.py
+++ b/src/hibiscussaddle/batches/model.py
@@ -92,7 +92,6 @@
     """Hold what readers need of a batch without its items."""
 
     total: int
-    parts: int
     submitted_at: float
     route: str = ""
 
@@ -148,6 +147,11 @@
     return OWNER_PREFIX + batch_id
 
 
+def create_head(batch: Batch) -> Head:
+    """Return the head of a batch."""
+    return Head(len(batch.items), batch.submitted_at, batch.route)
+
+
 def encode_parts(batch: Batch) -> list[bytes]:
     """Return the batch cut into values for the store."""
     data = msgspec.msgpack.encode(batch)
--- a/src/hibiscussaddle/batches/owners.py
+++ b/src/hibiscussaddle/batches/owners.py
@@ -141,16 +141,16 @@
 
     def note_ended(self, batch_id: str) -> None:
         """Stop a batch whose end the store has acknowledged."""
+        self._tools.reader.note_ended(batch_id)
         owned = self.running.get(batch_id)
         if owned is not None:
             owned.stop("ended")
 
     def tell_ended(self, batch_id: str, route: str) -> None:
         """Let a batch's owner know of its end before its next write fails."""
+        self.note_ended(batch_id)
         member = self.members.member_for(route)
-        if batch_id in self.running or member is None:
-            self.note_ended(batch_id)
-        elif member.instance != self._me.instance:
+        if member is not None and member.instance != self._me.instance:
             self._spawn(self._handoffs.tell_ended, member, batch_id)
 
     async def _resume_quietly(self, record: storage.OwnerRecord) -> None:
--- a/src/hibiscussaddle/batches/result_log.py
+++ b/src/hibiscussaddle/batches/result_log.py
@@ -11,6 +11,7 @@
 from hibiscussaddle.adapters import store
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import storage
+from hibiscussaddle import clocks
 from hibiscussaddle import logs
 
 _LOG = logging.getLogger(__name__)
@@ -38,12 +39,13 @@
         partials: abc.Callable[[], list[model.PartialText]],
         on_confirmed: abc.Callable[[float], None],
         gather_seconds: abc.Callable[[], float],
+        on_listed: abc.Callable[[storage.LogEntry], None],
     ) -> None:
         """Continue after the entries that are listed already.
 
         Each write that succeeds confirms the ownership as of its start, in
-        monotonic seconds. A result waits for others for the gathering time,
-        which is asked again whenever one is added.
+        seconds since the boot. A result waits for others for the gathering
+        time, which is asked again whenever one is added.
         """
         self.listed = {
             found.item_id: found
@@ -59,6 +61,7 @@
         self._partials = partials
         self._on_confirmed = on_confirmed
         self._gather_seconds = gather_seconds
+        self._on_listed = on_listed
         self._kept_at = time.monotonic()
         self._added = anyio.Event()
 
@@ -77,8 +80,10 @@
             found = _take(self.ready)
             if not await self._append(found):
                 return False
+            key = model.log_key(self._record.batch_id, self._number)
             self._number += 1
             self.listed.update({entry.item_id: entry for entry in found})
+            self._on_listed(storage.LogEntry(key, tuple(found)))
         return True
 
     async def _wait_result(self) -> bool:
@@ -95,7 +100,7 @@
         partials = self._partials()
         if not partials:
             return True
-        started = time.monotonic()
+        started = clocks.boot_seconds()
         kept = await self._storage.keep_partials(
             self._record.batch_id, self._record.revision, partials
         )
@@ -138,7 +143,7 @@
         complete = len(self.listed) + len(found) == self._total
         partials = self._due_partials()
         while True:
-            started = time.monotonic()
+            started = clocks.boot_seconds()
             answer = await self._storage.append(
                 batch_id,
                 self._record.revision,
--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -19,12 +19,14 @@
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import moves
 from hibiscussaddle.batches import placement
+from hibiscussaddle.batches import reader
 from hibiscussaddle.batches import report as report_lib
 from hibiscussaddle.batches import result_log
 from hibiscussaddle.batches import runs
 from hibiscussaddle.batches import scores
 from hibiscussaddle.batches import storage
 from hibiscussaddle.batches import waiting as waiting_lib
+from hibiscussaddle import clocks
 from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import logs
@@ -45,6 +47,10 @@
 # in seconds: the batch may be ended, and an item must not reach an engine
 # later than 3 s after that.
 _CONFIRM_SECONDS: typing.Final = 2.4
+# An owner that could not confirm its ownership for this long answers no read,
+# in seconds: what a successor has listed must be shown within a second after
+# it was read.
+_SURE_SECONDS: typing.Final = 1.2
 # Ends of a run that the engine did not start; it gets a probe next.
 _NOT_STARTED: typing.Final = (
     runs.RunEnd.OTHER_ENDPOINT,
@@ -64,6 +70,7 @@
     leftovers: leftovers.Leftovers
     waiting: waiting_lib.WaitingItems
     scorer: scorer.Scorer
+    reader: reader.BatchReader
 
 
 class BatchRunner:
@@ -93,6 +100,7 @@
             self._partials,
             self._confirm,
             self._gather_seconds,
+            lambda entry: tools.reader.note_listed(batch.id, entry),
         )
         self._groups = groups.Groups(batch, self._log.listed)
         self._scores = scores.BatchScores(
@@ -109,9 +117,11 @@
         for item in batch.items:
             if item.id not in self._log.listed:
                 self._add_item(item, kept.get(item.id))
-        self._started_at = self._confirmed_at = time.monotonic()
+        self._started_at = time.monotonic()
+        self._confirmed_at = clocks.boot_seconds()
         self._scope = anyio.CancelScope()
         self.why_stopped = ""
+        tools.reader.note_owned(batch, log, self._is_sure)
 
     def _add_item(
         self, item: model.Item, partial: model.PartialText | None
@@ -183,6 +193,7 @@
                 why = "complete" if done else "ownership_lost"
                 self.why_stopped = self.why_stopped or why
                 tasks.cancel_scope.cancel()
+        self._tools.reader.note_released(self.batch.id, self._is_sure)
         if self.why_stopped != "complete":
             self._keep_leftovers()
         logs.event(
@@ -373,11 +384,11 @@
         Writes confirm the ownership as well; only without them is it read.
         """
         while True:
-            due = self._confirmed_at + _OWNER_SECONDS - time.monotonic()
+            due = self._confirmed_at + _OWNER_SECONDS - clocks.boot_seconds()
             if due > 0:
                 await anyio.sleep(due)
                 continue
-            started = time.monotonic()
+            started = clocks.boot_seconds()
             owner = await self._tools.storage.owner(self.batch.id)
             if isinstance(owner, result.Ok):
                 if owner.ok_value.revision != self.record.revision:
@@ -396,7 +407,13 @@
 
     def _is_confirmed(self) -> bool:
         """Tell whether the batch was surely this owner's a moment ago."""
-        return time.monotonic() - self._confirmed_at < _CONFIRM_SECONDS
+        age = clocks.boot_seconds() - self._confirmed_at
+        return age < _CONFIRM_SECONDS
+
+    def _is_sure(self) -> bool:
+        """Tell whether this owner knows every listed result."""
+        age = clocks.boot_seconds() - self._confirmed_at
+        return not self.why_stopped and age < _SURE_SECONDS
 
     def _is_complete(self) -> bool:
         """Tell whether every item ran; the last append may be under way."""
--- a/src/hibiscussaddle/batches/storage.py
+++ b/src/hibiscussaddle/batches/storage.py
@@ -42,9 +42,7 @@
     ) -> result.Result[int, Failure]:
         """Keep a new batch; return the revision of its owner record."""
         parts = model.encode_parts(batch)
-        head = model.Head(
-            len(batch.items), len(parts), batch.submitted_at, batch.route
-        )
+        head = model.create_head(batch)
         puts = [
             store.Put(model.part_key(batch.id, number), part)
             for number, part in enumerate(parts)
--- a/src/hibiscussaddle/gateway.py
+++ b/src/hibiscussaddle/gateway.py
@@ -52,12 +52,13 @@
         forwarder: forward.Forwarder,
         batches: storage.BatchStorage,
         batch_owners: owners.BatchOwners,
+        reader: reader_lib.BatchReader,
         feeds: abc.Sequence[feed.Feed],
         path: store_paths.FailoverPath,
         rng: random.Random,
     ) -> None:
         """Combine the parts of one instance."""
-        self.reader = reader_lib.BatchReader(batches)
+        self.reader = reader
         # Called with the route, status and seconds of each answer.
         self.on_answer: abc.Callable[[str, int, float], None]
         self.on_answer = lambda *_: None
--- a/src/hibiscussaddle/gateway_parts.py
+++ b/src/hibiscussaddle/gateway_parts.py
@@ -14,7 +14,9 @@
 from hibiscussaddle.batches import handoff
 from hibiscussaddle.batches import leftovers
 from hibiscussaddle.batches import owners
+from hibiscussaddle.batches import peer_reads
 from hibiscussaddle.batches import placement
+from hibiscussaddle.batches import reader
 from hibiscussaddle.batches import runner
 from hibiscussaddle.batches import runs
 from hibiscussaddle.batches import storage
@@ -130,6 +132,9 @@
     engines = placement.Placement()
     balancer = balance.Balancer(cfg.zone, random.Random())
     forwarder = forward.Forwarder(client, view, balancer)
+    batch_reader = reader.BatchReader(
+        batches, peer_reads.PeerReads(client, members, view)
+    )
     tools = runner.Tools(
         batches,
         view,
@@ -138,6 +143,7 @@
         leftovers.Leftovers(),
         waiting.WaitingItems(engines),
         scorer_lib.Scorer(forwarder, view, random.Random()),
+        batch_reader,
     )
     batch_owners = owners.BatchOwners(tools, members, handoff.Handoff(client))
     path.on_recover = batch_owners.sweep_soon
@@ -147,6 +153,7 @@
         forwarder,
         batches,
         batch_owners,
+        batch_reader,
         feeds,
         path,
         random.Random(),
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -18,6 +18,7 @@
 
 from hibiscussaddle.adapters import store_paths
 from hibiscussaddle.batches import handoff
+from hibiscussaddle.batches import peer_reads
 from hibiscussaddle.fleet import sharing
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import gateway_parts
@@ -99,6 +100,7 @@
     return applications.Starlette(
         routes=[
             *handoff.create_routes(parts.batch_owners),
+            peer_reads.create_route(parts.gateway.reader),
             store_paths.create_relay_route(parts.path),
             sharing.create_route(parts.reader),
             gateway_report.create_route(parts),
--- a/tests/batch_world.py
+++ b/tests/batch_world.py
@@ -11,6 +11,7 @@
 from hibiscussaddle.batches import leftovers
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import placement
+from hibiscussaddle.batches import reader
 from hibiscussaddle.batches import runner
 from hibiscussaddle.batches import runs
 from hibiscussaddle.batches import storage
@@ -97,6 +98,7 @@
         self.engines = placement.Placement()
         self.waiting = waiting.WaitingItems(self.engines)
         self.scorer = FakeScorer()
+        self.reader = reader.BatchReader(self.storage)
 
     def tools(self, items: object) -> runner.Tools:
         """Return the parts of a runner around fake items."""
@@ -108,6 +110,7 @@
             self.leftovers,
             self.waiting,
             typing.cast(scorer.Scorer, self.scorer),
+            self.reader,
         )
 
     async def accept(self, batch: model.Batch) -> storage.OwnerRecord:
