Take the first state of a new instance from the reader of its zone

Cause: each instance that started listed three prefixes and watched them until it followed its zone's reader, half a second later. All of a fleet start within a third of a second, and each registration woke every watch.

Change: an instance registers, lists the members once and asks the reader for everything else; it reads the store itself when no reader has answered after 1.2 s.

--- a/src/hibiscussaddle/fleet/presence.py
+++ b/src/hibiscussaddle/fleet/presence.py
@@ -49,6 +49,8 @@
         """Know nobody until the first listing."""
         self.me = me
         self.all: dict[str, Member] = {}
+        # Set once this instance's key was written for the first time.
+        self.registered = anyio.Event()
         # Called with each instance whose key vanished.
         self.on_gone: typing.Callable[[str], None] = lambda _: None
         # Called when a member appears or says something new.
@@ -224,6 +226,7 @@
         if not await self._publish(granted.ok_value):
             return False
         self._lease = granted.ok_value
+        self.members.registered.set()
         logs.event(_LOG, "member_registered", lease=self._lease)
         return True
 
--- a/src/hibiscussaddle/fleet/sharing.py
+++ b/src/hibiscussaddle/fleet/sharing.py
@@ -36,6 +36,12 @@
 # Pause after a reader failed until one is followed again, in seconds: about
 # as long as a reader needs to notice and to call the store again.
 _RETRY_SECONDS: typing.Final = 1.0
+# A new instance that has not found a reader after this time reads the store
+# itself, in seconds.
+_JOIN_SECONDS: typing.Final = 1.2
+# How often it looks for its own key, and asks a reader that is not ready.
+_JOIN_STEP_SECONDS: typing.Final = 0.02
+_JOIN_RETRY_SECONDS: typing.Final = 0.1
 # How often an instance that follows nobody looks for a reader, in seconds.
 _LOOK_SECONDS: typing.Final = 0.5
 
@@ -135,9 +141,21 @@
         self._feeds = feeds
         # Instance whose changes are taken; empty while there is none.
         self.followed = ""
+        self._is_held = False
+
+    def hold(self) -> None:
+        """Let no feed call the store before run() has looked for a reader."""
+        self._is_held = True
+        for feed in self._feeds:
+            feed.suspend()
 
     async def run(self) -> None:
         """Follow until cancelled."""
+        if self._is_held:
+            with anyio.move_on_after(_JOIN_SECONDS):
+                await self._join()
+            if not self.followed:
+                self._leave("")
         while True:
             reader = self._members.zone_reader()
             if reader is None or any(f.after is None for f in self._feeds):
@@ -149,6 +167,27 @@
                 self._leave(why)
                 await anyio.sleep(_RETRY_SECONDS)
 
+    async def _join(self) -> None:
+        """Take the first state from the zone's reader if there is one.
+
+        Returns without one when this instance is to read the store itself.
+        """
+        members = next(
+            feed
+            for feed in self._feeds
+            if presence.PREFIX.startswith(feed.prefix)
+        )
+        await self._members.registered.wait()
+        members.resume()
+        while self._members.me.instance not in self._members.all:
+            await anyio.sleep(_JOIN_STEP_SECONDS)
+        members.suspend()
+        while (reader := self._members.zone_reader()) is not None:
+            if not await self._poll(reader):
+                return
+            # It may have started just now, and lists the keys itself.
+            await anyio.sleep(_JOIN_RETRY_SECONDS)
+
     def _leave(self, why: str) -> None:
         """Let every feed call the store itself."""
         if self.followed:
--- a/src/hibiscussaddle/gateway_parts.py
+++ b/src/hibiscussaddle/gateway_parts.py
@@ -128,6 +128,8 @@
         instance=machine,
     )
     feeds = _create_feeds(store_client, view, members, claims)
+    follower = sharing.Follower(client, members, feeds)
+    follower.hold()
     batches = storage.BatchStorage(store_client)
     engines = placement.Placement()
     balancer = balance.Balancer(cfg.zone, random.Random())
@@ -177,7 +179,7 @@
         view=view,
         feeds=feeds,
         reader=sharing.Reader(feeds),
-        follower=sharing.Follower(client, members, feeds),
+        follower=follower,
         presence=presence,
         batch_owners=batch_owners,
         waiting=tools.waiting,
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -6,6 +6,7 @@
 
 import anyio
 import httpx
+import msgspec
 from starlette import applications
 
 from hibiscussaddle.adapters import store
@@ -218,3 +219,112 @@
     )
     # The reader looks up that often, then the follower calls the store.
     assert overdue + sharing.OVERDUE_SECONDS + 0.15 < 2.0
+
+
+class Starting:
+    """Hold an instance that starts beside a reader of its zone."""
+
+    def __init__(
+        self, client: store.StoreClient, http: httpx.AsyncClient
+    ) -> None:
+        """Register under a lease and hold every feed."""
+        me = presence.Member("a-new", "zone-a", 1, "here:1")
+        self.members = presence.Members(me)
+        self.client = client
+        self.presence = presence.Presence(client, self.members)
+        self.config: list[store.StoreEntry] = []
+        self.feeds = (
+            feed.Feed(
+                client, PREFIX, self.config.extend, self.config.extend, 0.3
+            ),
+            feed.Feed(
+                client,
+                presence.PREFIX,
+                self.members.put_listing,
+                self.members.put_changes,
+                0.3,
+            ),
+        )
+        self.follower = sharing.Follower(http, self.members, self.feeds)
+        self.follower.hold()
+
+
+@contextlib.asynccontextmanager
+async def starting(
+    reader_status: int = 0,
+) -> abc.AsyncIterator[tuple[Starting, fake_store.Store]]:
+    """Yield a starting instance; its reader answers with a status, if any."""
+    fake = fake_store.Store()
+    fake.write(PREFIX + "first", b"1")
+    async with contextlib.AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        url = await enter(loopback.serve(fake_store.create_app(fake)))
+        http = await enter(httpx.AsyncClient(trust_env=False))
+        reader = Starting(store.create_client(http, url, 2.0, 1000.0), http)
+        for followed in reader.feeds:
+            followed.resume()
+        route = sharing.create_route(sharing.Reader(reader.feeds))
+        app = applications.Starlette(routes=[route] * (not reader_status))
+        peer = await enter(loopback.serve(app))
+        other = presence.Member(
+            "reader", "zone-a", 1, peer.removeprefix("http://")
+        )
+        fake.write(
+            presence.PREFIX + other.instance, msgspec.json.encode(other)
+        )
+        found = Starting(store.create_client(http, url, 2.0, 1000.0), http)
+        found.members.zone_reader = lambda: (  # type: ignore[method-assign]
+            found.members.all.get(other.instance)
+        )
+        tasks = await enter(anyio.create_task_group())
+        for loop in (
+            *(followed.run for followed in reader.feeds),
+            *(followed.run for followed in found.feeds),
+            found.presence.run,
+            found.follower.run,
+        ):
+            tasks.start_soon(loop)
+        yield found, fake
+        tasks.cancel_scope.cancel()
+
+
+def test_new_instance_takes_the_first_state_from_its_reader() -> None:
+    """Fails when every instance that starts lists and watches the store.
+
+    Pattern: 165 instances start within a third of a second. Each listed
+    three prefixes and watched them until it found its reader.
+    """
+
+    async def main() -> None:
+        async with starting() as (found, _):
+            with anyio.fail_after(5):
+                while not found.config:
+                    await anyio.sleep(0.01)
+            await anyio.sleep(0.3)
+            calls = found.client.calls
+            # A lease, its key and one listing of the members.
+            assert calls["lease"] + calls["write"] == 2
+            assert calls["read"] + calls["watch"] <= 2
+
+    anyio.run(main)
+
+
+def test_new_instance_without_a_good_reader_reads_the_store() -> None:
+    """Fails when an instance stays without a configuration.
+
+    Pattern: the reader is lost, or started just now and is cut off.
+    """
+
+    async def main() -> None:
+        async with starting(reader_status=404) as (found, fake):
+            started = time.monotonic()
+            with anyio.fail_after(5):
+                while not found.config:
+                    await anyio.sleep(0.01)
+            assert time.monotonic() - started < 2.0
+            fake.write(PREFIX + "second", b"2")
+            with anyio.fail_after(2):
+                while len(found.config) < 2:
+                    await anyio.sleep(0.01)
+
+    anyio.run(main)
