Split the proof of ownership from the runner of a batch

A broken variant of the history checker follows the reader's cache as it is now; with the old signature it ended with a TypeError.

--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -7,9 +7,7 @@
 import typing
 
 import anyio
-import result
 
-from hibiscussaddle.adapters import store
 from hibiscussaddle.batches import engine_choice
 from hibiscussaddle.batches import events
 from hibiscussaddle.batches import gathering
@@ -18,6 +16,7 @@
 from hibiscussaddle.batches import limits
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import moves
+from hibiscussaddle.batches import ownership
 from hibiscussaddle.batches import placement
 from hibiscussaddle.batches import reader
 from hibiscussaddle.batches import report as report_lib
@@ -26,7 +25,6 @@
 from hibiscussaddle.batches import scores
 from hibiscussaddle.batches import storage
 from hibiscussaddle.batches import waiting as waiting_lib
-from hibiscussaddle import clocks
 from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import logs
@@ -38,19 +36,6 @@
 _CHECK_SECONDS: typing.Final = 0.1
 # Shorter texts are generated again sooner than they are kept, in events.
 _MIN_PARTIAL_EVENTS: typing.Final = 16
-# Wait before a read that failed is repeated, in seconds.
-_RETRY_SECONDS: typing.Final = 0.2
-# The owner record is read when no write confirmed it for this long, in
-# seconds.
-_OWNER_SECONDS: typing.Final = 1.0
-# An owner that could not confirm its ownership for this long starts no run,
-# in seconds: the batch may be ended, and an item must not reach an engine
-# later than 3 s after that.
-_CONFIRM_SECONDS: typing.Final = 2.4
-# An owner that could not confirm its ownership for this long answers no read,
-# in seconds: what a successor has listed must be shown within a second after
-# it was read.
-_SURE_SECONDS: typing.Final = 1.2
 # Ends of a run that the engine did not start; it gets a probe next.
 _NOT_STARTED: typing.Final = (
     runs.RunEnd.OTHER_ENDPOINT,
@@ -92,13 +77,16 @@
             tools.view, tools.engines, batch
         )
         self._limits = limits.ItemLimits(batch, self._choice.route)
+        self._ownership = ownership.Ownership(
+            tools.storage, record, self._is_complete
+        )
         self._log = result_log.ResultLog(
             tools.storage,
             record,
             len(batch.items),
             log,
             self._partials,
-            self._confirm,
+            self._ownership.confirm,
             self._gather_seconds,
             lambda entry: tools.reader.note_listed(batch.id, entry),
         )
@@ -108,7 +96,7 @@
             batch,
             self._limits,
             self._groups,
-            self._is_confirmed,
+            self._ownership.is_confirmed,
         )
         kept = {partial.item_id: partial for partial in partials}
         self._progress: dict[str, runs.Progress] = {}
@@ -118,7 +106,6 @@
             if item.id not in self._log.listed:
                 self._add_item(item, kept.get(item.id))
         self._started_at = time.monotonic()
-        self._confirmed_at = clocks.boot_seconds()
         self._scope = anyio.CancelScope()
         self.why_stopped = ""
         tools.reader.note_owned(batch, log, self._is_sure)
@@ -304,7 +291,7 @@
         """Wait for an engine with room; None when the item is given up."""
 
         def choose(probes: bool) -> endpoints.Endpoint | None:
-            if not self._is_confirmed():
+            if not self._ownership.is_confirmed():
                 return None
             return self._choice.choose(progress, time.monotonic(), probes)
 
@@ -379,41 +366,11 @@
         return found
 
     async def _check_owner(self) -> None:
-        """Stop when the batch is ended or another instance took it over.
-
-        Writes confirm the ownership as well; only without them is it read.
-        """
-        while True:
-            due = self._confirmed_at + _OWNER_SECONDS - clocks.boot_seconds()
-            if due > 0:
-                await anyio.sleep(due)
-                continue
-            started = clocks.boot_seconds()
-            owner = await self._tools.storage.owner(self.batch.id)
-            if isinstance(owner, result.Ok):
-                if owner.ok_value.revision != self.record.revision:
-                    self.stop("owner_changed")
-                    return
-                self._confirm(started)
-                continue
-            if owner.err_value.failure is store.StoreFailure.MISSING:
-                if not self._is_complete():
-                    self.stop("owner_removed")
-                    return
-            await anyio.sleep(_RETRY_SECONDS)
-
-    def _confirm(self, at: float) -> None:
-        self._confirmed_at = max(self._confirmed_at, at)
-
-    def _is_confirmed(self) -> bool:
-        """Tell whether the batch was surely this owner's a moment ago."""
-        age = clocks.boot_seconds() - self._confirmed_at
-        return age < _CONFIRM_SECONDS
+        self.stop(await self._ownership.watch())
 
     def _is_sure(self) -> bool:
         """Tell whether this owner knows every listed result."""
-        age = clocks.boot_seconds() - self._confirmed_at
-        return not self.why_stopped and age < _SURE_SECONDS
+        return not self.why_stopped and self._ownership.is_sure()
 
     def _is_complete(self) -> bool:
         """Tell whether every item ran; the last append may be under way."""
--- a/tests/test_batch_histories.py
+++ b/tests/test_batch_histories.py
@@ -41,10 +41,10 @@
     add = reader.Cached.add
 
     def insert(
-        self: reader.Cached, entries: list[storage.LogEntry], revision: int
+        self: reader.Cached, entries: abc.Iterable[storage.LogEntry]
     ) -> None:
         before = len(self.results)
-        add(self, entries, revision)
+        add(self, entries)
         self.results = self.results[before:] + self.results[:before]
 
     monkeypatch.setattr(reader.Cached, "add", insert)
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -181,20 +181,25 @@
     assert _results(fleet, 1, "b1") == first
 
 
-def test_batch_survives_its_owner(fleet: processes.Fleet) -> None:
-    """Fails when a batch ends with the instance that runs it."""
-    items = 12
-    assert _submit(fleet, 1, "b2", items).status_code == 202
-    fleet.until(lambda: _results(fleet, 2, "b2") != [])
-    before = _results(fleet, 2, "b2")
-    # One of the two runs the batch; the stand-ins come first in the list.
+def _kill_owner(fleet: processes.Fleet) -> int:
+    """Kill the gateway that runs a batch; return the number of the other."""
+    # The stand-ins come first in the list.
     owner = next(
         number
         for number in (1, 2)
         if "batch_started" in fleet.processes[3 + number].log.read_text()
     )
     fleet.processes[3 + owner].signal(signal.SIGKILL)
-    other = 3 - owner
+    return 3 - owner
+
+
+def test_batch_survives_its_owner(fleet: processes.Fleet) -> None:
+    """Fails when a batch ends with the instance that runs it."""
+    items = 12
+    assert _submit(fleet, 1, "b2", items).status_code == 202
+    fleet.until(lambda: _results(fleet, 2, "b2") != [])
+    before = _results(fleet, 2, "b2")
+    other = _kill_owner(fleet)
     fleet.until(lambda: len(_results(fleet, other, "b2")) == items)
     after = _results(fleet, other, "b2")
     assert after[: len(before)] == before
@@ -210,13 +215,7 @@
     assert _submit(fleet, 1, "b6", items, scored=True).status_code == 202
     fleet.until(lambda: _results(fleet, 2, "b6") != [])
     before = _results(fleet, 2, "b6")
-    owner = next(
-        number
-        for number in (1, 2)
-        if "batch_started" in fleet.processes[3 + number].log.read_text()
-    )
-    fleet.processes[3 + owner].signal(signal.SIGKILL)
-    other = 3 - owner
+    other = _kill_owner(fleet)
     fleet.until(lambda: len(_results(fleet, other, "b6")) == items)
     after = _results(fleet, other, "b6")
     assert after[: len(before)] == before
--- a/tests/test_scorer.py
+++ b/tests/test_scorer.py
@@ -223,8 +223,8 @@
     class Slow(Desk):
         async def answer(self, req: requests.Request) -> responses.Response:
             self.seen.append(req)
-            await anyio.sleep(5.0)
-            return responses.Response(status_code=500)
+            await anyio.sleep_forever()
+            raise AssertionError("never ends")
 
     slow, good = Slow(), Desk()
 
