Ask the store at once when a zone's reader says that it lost it

Change: a follower whose reader fails probes the store within 0.35 s; a failure makes it unready and ends its waiting calls.

tests/test_store_paths.py plays the pattern.

--- a/src/hibiscussaddle/adapters/store_paths.py
+++ b/src/hibiscussaddle/adapters/store_paths.py
@@ -27,6 +27,9 @@
 # A store that answers at all answers within this time, in seconds; sixty
 # times its usual answer is 0.24 s.
 _PROBE_TIMEOUT: typing.Final = 0.6
+# The same when a peer says that it lost the store: the answer decides whether
+# callers go elsewhere, and a slow store answers in 0.24 s.
+_SUSPECT_TIMEOUT: typing.Final = 0.35
 # Calls through peers that fail in a row until there is no way to the store:
 # one bad peer must not count as none.
 _LOST_FAILURES: typing.Final = 2
@@ -114,6 +117,8 @@
         # Called when the store answers directly again.
         self.on_recover: abc.Callable[[], None] = lambda: None
         self._failed = anyio.Event()
+        # Set while run() has something to find out.
+        self._wake = anyio.Event()
         self._watches: set[anyio.CancelScope] = set()
 
     @property
@@ -217,21 +222,33 @@
         self._peer_number += 1
         self._relay_failures = (self._relay_failures or 0) + 1
 
+    def suspect(self) -> None:
+        """Find out now whether the store answers directly."""
+        self._wake.set()
+
     async def run(self) -> None:
-        """Find out when the store answers directly again."""
-        probe = store_wire.scan("probe/", "", stale=True)
+        """Find out when the store answers directly again, or no more."""
         while True:
-            await self._failed.wait()
-            await anyio.sleep(_PROBE_SECONDS)
-            try:
-                await self.send_direct(probe, _PROBE_TIMEOUT)
-            except httpx.HTTPError as exc:
-                logs.event(_LOG, "store_probe_failed", logging.DEBUG, why=exc)
+            await self._wake.wait()
+            if self._failed.is_set():
+                await anyio.sleep(_PROBE_SECONDS)
+                await self._probe(_PROBE_TIMEOUT)
+            else:
+                self._wake = anyio.Event()
+                await self._probe(_SUSPECT_TIMEOUT)
+
+    async def _probe(self, timeout: float) -> None:
+        probe = store_wire.scan("probe/", "", stale=True)
+        try:
+            await self.send_direct(probe, timeout)
+        except httpx.HTTPError as exc:
+            logs.event(_LOG, "store_probe_failed", logging.DEBUG, why=exc)
 
     def _fail(self, why: str) -> None:
         if not self._failed.is_set():
             logs.event(_LOG, "store_unreachable", logging.WARNING, why=why)
             self._failed.set()
+            self._wake.set()
             self._failed_at = time.monotonic()
             self._peers_lost = False
         for scope in list(self._watches):
@@ -241,6 +258,7 @@
         logs.event(_LOG, "store_reachable")
         self._relay_failures = None
         self._failed = anyio.Event()
+        self._wake = anyio.Event()
         self.on_recover()
 
 
--- a/src/hibiscussaddle/fleet/sharing.py
+++ b/src/hibiscussaddle/fleet/sharing.py
@@ -141,6 +141,8 @@
         self._feeds = feeds
         # Instance whose changes are taken; empty while there is none.
         self.followed = ""
+        # Called when a reader that was followed fails.
+        self.on_failure: abc.Callable[[], None] = lambda: None
         self._is_held = False
 
     def hold(self) -> None:
@@ -195,6 +197,8 @@
                 _LOG, "reader_left", reader=self.followed, why=why or "-"
             )
             self.followed = ""
+            if why:
+                self.on_failure()
         for feed in self._feeds:
             feed.resume()
 
--- a/src/hibiscussaddle/gateway_parts.py
+++ b/src/hibiscussaddle/gateway_parts.py
@@ -135,6 +135,8 @@
     feeds = _create_feeds(store_client, view, members, claims)
     follower = sharing.Follower(client, members, feeds)
     follower.hold()
+    # A whole zone may be cut off; followers have no calls that show it soon.
+    follower.on_failure = path.suspect
     batches = storage.BatchStorage(store_client)
     engines = placement.Placement()
     balancer = balance.Balancer(cfg.zone, random.Random())
--- a/tests/test_store_paths.py
+++ b/tests/test_store_paths.py
@@ -20,6 +20,8 @@
 
     cut = False
     hangs = False
+    # Calls end with their time limit, as on a link that drops packets.
+    drops = False
 
     async def send(
         self, call: store_wire.Call, timeout: float
@@ -27,6 +29,9 @@
         """Fail or hang while cut off."""
         if self.hangs and call.kind == "watch":
             await anyio.sleep_forever()
+        if self.drops:
+            await anyio.sleep(timeout)
+            raise httpx.ReadTimeout("dropped")
         if self.cut:
             raise httpx.ConnectError("cut off")
         return await super().send(call, timeout)
@@ -197,3 +202,32 @@
             assert not node.path.is_lost
 
     anyio.run(main)
+
+
+def test_suspected_store_is_asked_at_once() -> None:
+    """Fails when a follower of a cut zone stays ready for seconds.
+
+    Pattern: a zone is cut off and its reader says so; the followers' own
+    renewals come each two seconds only.
+    """
+
+    async def main() -> None:
+        async with nodes(fake_store.Store(), 1) as (node,):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(node.path.run)
+                node.path.suspect()
+                await anyio.sleep(0.2)
+                # A store that answers is not lost by a suspicion.
+                assert node.path.is_direct
+                node.direct.drops = True
+                node.path.suspect()
+                with anyio.fail_after(0.5):
+                    while not node.path.is_lost:
+                        await anyio.sleep(0.01)
+                node.direct.drops = False
+                with anyio.fail_after(2.5):
+                    while not node.path.is_direct:
+                        await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(main)
