--- /dev/null
+++ b/tests/desks.py
@@ -0,0 +1,59 @@
+"""Serve fake plain services on loopback behind a forwarder."""
+
+from collections import abc
+import contextlib
+import random
+import typing
+
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from hibiscussaddle.adapters import connections
+from hibiscussaddle import endpoints
+from hibiscussaddle.fleet import view as view_lib
+from hibiscussaddle.routes import balance
+from hibiscussaddle.routes import forward
+
+import loopback
+
+Answer: typing.TypeAlias = abc.Callable[
+    [requests.Request], abc.Awaitable[responses.Response]
+]
+# Latency of every service but the first, which is therefore chosen first, in
+# seconds.
+_LATER_SECONDS: typing.Final = 0.04
+
+
+def endpoint(number: int, url: str) -> endpoints.Endpoint:
+    """Return an endpoint of service 'desk'."""
+    return endpoints.Endpoint(
+        id=f"desk-{number}",
+        kind=endpoints.EndpointKind.SERVICE,
+        zone="zone-a",
+        address=url,
+        service="desk",
+        slots=4,
+    )
+
+
+@contextlib.asynccontextmanager
+async def serve(
+    *answers: Answer,
+) -> abc.AsyncIterator[tuple[forward.Forwarder, view_lib.View]]:
+    """Yield a forwarder before one fake service for each way to answer."""
+    view = view_lib.create_view()
+    balancer = balance.Balancer("zone-a", random.Random(1))
+    async with contextlib.AsyncExitStack() as stack:
+        for number, answer in enumerate(answers):
+            route = routing.Route("/{path:path}", answer, methods=["POST"])
+            app = applications.Starlette(routes=[route])
+            url = await stack.enter_async_context(loopback.serve(app))
+            found = endpoint(number, url)
+            view.directory.put(found)
+            if number:
+                balancer.succeeded(found, _LATER_SECONDS)
+        client = connections.create_client()
+        stack.push_async_callback(client.aclose)
+        yield forward.Forwarder(client, view, balancer), view
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -2,26 +2,19 @@
 
 from collections import abc
 import contextlib
-import random
 import time
 import typing
 
 import anyio
-from starlette import applications
 from starlette import requests
 from starlette import responses
-from starlette import routing
 
-from hibiscussaddle.adapters import connections
 from hibiscussaddle import codes
-from hibiscussaddle import endpoints
-from hibiscussaddle.fleet import view as view_lib
-from hibiscussaddle.routes import balance
 from hibiscussaddle.routes import forward
 from hibiscussaddle.routes import routing_config
 
 import batch_builders
-import loopback
+import desks
 
 Behaviour: typing.TypeAlias = abc.Callable[
     [requests.Request], abc.Awaitable[responses.Response]
@@ -86,32 +79,9 @@
     *behaviours: Behaviour,
 ) -> abc.AsyncIterator[tuple[forward.Forwarder, list[Desk]]]:
     """Yield a forwarder before one fake endpoint for each behaviour."""
-    view = view_lib.create_view()
-    desks = [Desk(behaviour) for behaviour in behaviours]
-    async with contextlib.AsyncExitStack() as stack:
-        for number, desk in enumerate(desks):
-            route = routing.Route(
-                "/{path:path}", desk.answer, methods=["POST"]
-            )
-            app = applications.Starlette(routes=[route])
-            url = await stack.enter_async_context(loopback.serve(app))
-            view.directory.put(
-                endpoints.Endpoint(
-                    id=f"desk-{number}",
-                    kind=endpoints.EndpointKind.SERVICE,
-                    zone="zone-a",
-                    address=url,
-                    service="desk",
-                )
-            )
-        client = connections.create_client()
-        stack.push_async_callback(client.aclose)
-        balancer = balance.Balancer("zone-a", random.Random(1))
-        # The first endpoint is chosen first.
-        for number in range(1, len(desks)):
-            found = view.directory.get(f"desk-{number}")
-            balancer.succeeded(found, 0.04)
-        yield forward.Forwarder(client, view, balancer), desks
+    found = [Desk(behaviour) for behaviour in behaviours]
+    async with desks.serve(*(desk.answer for desk in found)) as (forwarder, _):
+        yield forwarder, found
 
 
 def _request(target: str = "/orders/7") -> forward.CallerRequest:
--- a/tests/test_scorer.py
+++ b/tests/test_scorer.py
@@ -7,24 +7,19 @@
 import typing
 
 import anyio
-from starlette import applications
 from starlette import requests
 from starlette import responses
-from starlette import routing
 
 from hibiscussaddle.adapters import connections
-from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import view as view_lib
-from hibiscussaddle.routes import balance
-from hibiscussaddle.routes import forward
 from hibiscussaddle.routes import routing_config
 from hibiscussaddle.scoring import admission
 from hibiscussaddle.scoring import model
 from hibiscussaddle.scoring import scorer
 
 import batch_builders
+import desks
 import hostile
-import loopback
 
 CALL: typing.Final = model.ScoringCall(
     "call-1", "desk.example", "/checks/5?deep=%7E", b"\x00raw"
@@ -58,11 +53,10 @@
 
 @contextlib.asynccontextmanager
 async def serve(
-    *desks: Desk,
+    *found: Desk,
 ) -> abc.AsyncIterator[tuple[scorer.Scorer, view_lib.View]]:
     """Yield a scorer before these desks on the route of the calls."""
-    view = view_lib.create_view()
-    view.config = routing_config.RoutingConfig(
+    cfg = routing_config.RoutingConfig(
         1,
         (
             batch_builders.route(),
@@ -77,27 +71,9 @@
             ),
         ),
     )
-    async with contextlib.AsyncExitStack() as stack:
-        for number, desk in enumerate(desks):
-            route = routing.Route(
-                "/{path:path}", desk.answer, methods=["POST"]
-            )
-            app = applications.Starlette(routes=[route])
-            url = await stack.enter_async_context(loopback.serve(app))
-            view.directory.put(
-                endpoints.Endpoint(
-                    id=f"desk-{number}",
-                    kind=endpoints.EndpointKind.SERVICE,
-                    zone="zone-a",
-                    address=url,
-                    service="desk",
-                    slots=4,
-                )
-            )
-        client = connections.create_client()
-        stack.push_async_callback(client.aclose)
-        balancer = balance.Balancer("zone-a", random.Random(1))
-        forwarder = forward.Forwarder(client, view, balancer)
+    answers = [desk.answer for desk in found]
+    async with desks.serve(*answers) as (forwarder, view):
+        view.config = cfg
         yield scorer.Scorer(forwarder, view, random.Random(1)), view
 
 
