Release a connection as soon as its client closes it

Cause: hypercorn starts an idle timer after each response and waits for it before a connection ends, also when the client has closed the connection. With our keep-alive timeout of 75 s each closed connection kept three tasks, its buffers and, after a reset during a response, that response: the stream reader keeps the ConnectionResetError, whose traceback refers to the frame that wrote the response. Readers in other zones reset such reads when a page of up to 0.9 MB did not arrive in time.

Evidence: with memory logged in a trial, two owners grew from 40 MB to 128 MB in 37 s, of which responses in hypercorn's RawData were 10, 27, 42 and 50 MB at 70, 90, 108 and 118 MB; shows the chain from RawData over the frame of protocol_send and the ConnectionResetError to the StreamReader of a connection that still runs.

Change: the connection stops its idle timer when reading has ended and starts no new one. hypercorn has no setting for this, so its connection class is replaced by a subclass.

--- a/src/hibiscussaddle/serving.py
+++ b/src/hibiscussaddle/serving.py
@@ -5,7 +5,10 @@
 
 import anyio
 from hypercorn import asyncio as hypercorn_asyncio
+from hypercorn.asyncio import run as hypercorn_run
+from hypercorn.asyncio import tcp_server
 from hypercorn import config as hypercorn_config
+from hypercorn import events as hypercorn_events
 
 # Streams may run long after a stop was requested; the caller of serve() ends
 # them by cancelling it.
@@ -19,6 +22,33 @@
 _MAX_HEADER_BYTES: typing.Final = 64 << 10
 
 
+class _Connection(tcp_server.TCPServer):
+    """Serve one connection and release it once it is closed.
+
+    The base class waits for the keep-alive timeout even if the client has
+    closed the connection, and keeps the response that was being written.
+    """
+
+    _is_closed = False
+
+    async def protocol_send(self, event: hypercorn_events.Event) -> None:
+        """Send data, or start or stop the idle timer of an open connection."""
+        if self._is_closed and isinstance(event, hypercorn_events.Updated):
+            return
+        await super().protocol_send(event)
+
+    async def _read_data(self) -> None:
+        try:
+            await super()._read_data()
+        finally:
+            self._is_closed = True
+            await self.idle_task.stop()
+
+
+# hypercorn has no setting for the class that serves a connection.
+hypercorn_run.TCPServer = _Connection  # type: ignore[attr-defined,misc]
+
+
 class Server:
     """Serve one ASGI app until stop() returns."""
 
