Report the memory of an instance and what holds it in logs and metrics

An instance now reads its resident memory from /proc/self/statm once a second and logs memory_grown when a peak is 8 MiB above the last logged one, with the sizes of its caches, running texts, idle connections and tasks. The limit divided by the step bounds the lines: 16 at 128 MiB. The same values are gauges. Memory that cannot be read is logged once and is NaN in the metrics. Results of an append that is retried count as running texts, as they are in neither the pending results nor the log. The sums over all texts are computed only for a due line or a scrape.

The memory gauges do not count encoded copies of values in flight.

--- a/src/hibiscussaddle/adapters/connections.py
+++ b/src/hibiscussaddle/adapters/connections.py
@@ -60,6 +60,11 @@
         self._tls_context: ssl.SSLContext | None = None
         self._responses = 0
 
+    @property
+    def idle_count(self) -> int:
+        """Return the number of idle connections to all origins."""
+        return sum(map(len, self._idle.values()))
+
     async def handle_async_request(
         self, request: httpx.Request
     ) -> httpx.Response:
@@ -159,12 +164,14 @@
                 await self._pool.release(self._origin, transport)
 
 
-def create_client() -> httpx.AsyncClient:
-    """Return an HTTP client without default headers.
+def create_client(pool: OriginTransport | None = None) -> httpx.AsyncClient:
+    """Return an HTTP client without default headers, on a new pool if None.
 
     Endpoints receive the caller's headers; an Accept-Encoding header added
     by the client would change the bytes of their responses.
     """
-    client = httpx.AsyncClient(transport=OriginTransport(), trust_env=False)
+    client = httpx.AsyncClient(
+        transport=pool or OriginTransport(), trust_env=False
+    )
     client.headers.clear()
     return client
--- a/src/hibiscussaddle/batches/model.py
+++ b/src/hibiscussaddle/batches/model.py
@@ -1,7 +1,9 @@
 """Batches, their items and results, and their keys and values in the store."""
 
+from collections import abc
 import dataclasses
 import enum
+import sys
 import typing
 
 import msgspec
@@ -105,6 +107,15 @@
     incarnation: int
 
 
+def held_bytes(texts: abc.Iterable[str | bytes]) -> int:
+    """Return the memory that texts hold, without that of their containers.
+
+    Includes the header of each string, which counts for texts that arrive as
+    many short events.
+    """
+    return sum(map(sys.getsizeof, texts))
+
+
 def head_key(batch_id: str) -> str:
     """Return the key of a batch's head."""
     return f"batch/{batch_id}/head"
--- a/src/hibiscussaddle/batches/reader.py
+++ b/src/hibiscussaddle/batches/reader.py
@@ -208,6 +208,14 @@
             cached.items if wants_items else {},
         )
 
+    def cached_bytes(self) -> int:
+        """Return the memory that cached results and item bodies hold."""
+        return sum(
+            model.held_bytes(item_result.text for item_result in batch.results)
+            + model.held_bytes(batch.items.values())
+            for batch in self._cache.values()
+        )
+
     def record_owned_batch(
         self,
         batch: model.Batch,
--- a/src/hibiscussaddle/batches/result_log.py
+++ b/src/hibiscussaddle/batches/result_log.py
@@ -55,6 +55,8 @@
         }
         # Results that wait for the next append.
         self.pending: list[model.Result] = []
+        # Results of the append that is under way or retried.
+        self._appending: list[model.Result] = []
         self._storage = batch_storage
         self._record = record
         self._item_count = item_count
@@ -82,6 +84,7 @@
                     return False
                 continue
             results = _pop_entry_results(self.pending)
+            self._appending = results
             if not await self._append(results):
                 return False
             key = model.log_key(self._record.batch_id, self._next_number)
@@ -89,9 +92,16 @@
             self.logged.update(
                 {item_result.item_id: item_result for item_result in results}
             )
+            self._appending = []
             self._on_logged(storage.LogEntry(key, tuple(results)))
         return True
 
+    def held_bytes(self) -> int:
+        """Return the memory that the texts of unlogged results hold."""
+        return model.held_bytes(
+            item_result.text for item_result in self._appending + self.pending
+        )
+
     async def _wait_for_results(self) -> bool:
         """Wait for results and store text checkpoints meanwhile.
 
--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -162,6 +162,16 @@
             self.batch, self._log.logged, self._progress
         )
 
+    def held_bytes(self) -> int:
+        """Return the memory that texts outside the log hold.
+
+        The read cache of the instance counts the results in the log.
+        """
+        return self._log.held_bytes() + sum(
+            model.held_bytes(progress.transcript.texts)
+            for progress in self._progress.values()
+        )
+
     def stop(self, reason: str) -> None:
         """Stop all runs and append no further results."""
         if not self.stop_reason:
--- a/src/hibiscussaddle/batches/text_cache.py
+++ b/src/hibiscussaddle/batches/text_cache.py
@@ -37,6 +37,14 @@
         while len(self._texts) > _MAX_TEXTS:
             self._texts.popitem(last=False)
 
+    def cached_bytes(self) -> int:
+        """Return the memory that the cached texts hold."""
+        return sum(
+            model.held_bytes(text.checkpoint.texts if text.checkpoint else ())
+            + model.held_bytes([text.result.text] if text.result else ())
+            for text in self._texts.values()
+        )
+
     def pop(self, item_id: str) -> CachedText:
         """Remove and return the text of an item, empty if there is none."""
         return self._texts.pop(item_id, CachedText())
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -2,10 +2,12 @@
 
 from collections import abc
 import dataclasses
+import math
 import random
 import time
 import typing
 
+import anyio
 import httpx
 
 from hibiscussaddle.adapters import connections
@@ -32,6 +34,7 @@
 from hibiscussaddle import gateway_settings
 from hibiscussaddle.platform import config_wire
 from hibiscussaddle.platform import endpoint_wire
+from hibiscussaddle import process_memory
 from hibiscussaddle.routes import balance
 from hibiscussaddle.routes import forward
 from hibiscussaddle.scoring import scorer as scorer_lib
@@ -78,6 +81,7 @@
     retirement: retirement.Retirement
     gateway: gateway_lib.Gateway
     metrics: gateway_metrics.GatewayMetrics
+    memory_growth: process_memory.GrowthLog
 
     @property
     def background_loops(
@@ -96,12 +100,14 @@
             self.weight_lease.run,
             self.weight_controller.run,
             self.retirement.run,
+            self.memory_growth.run,
         )
 
 
 def create_components(cfg: gateway_settings.GatewaySettings) -> Components:
     """Create and connect the components of an instance."""
-    client = connections.create_client()
+    pool = connections.OriginTransport()
+    client = connections.create_client(pool)
     incarnation = time.time_ns() // 1_000_000
     me = presence_lib.Member(
         cfg.instance,
@@ -178,6 +184,7 @@
         transport,
         random.Random(),
     )
+    resident = process_memory.ResidentMemory()
     gauges = gateway_metrics.create_gauges(
         running=lambda: gateway.running_requests,
         batches=lambda: len(batch_owners.runners),
@@ -186,6 +193,16 @@
         config_version=lambda: view.config.version if view.config else 0,
         holds_lease=lambda: lease.fencing_number(guarded=True) is not None,
         store_direct=lambda: transport.is_direct,
+        memory=lambda: _number(resident.read_bytes()),
+        cached_texts=lambda: (
+            batch_reader.cached_bytes()
+            + dependencies.text_cache.cached_bytes()
+        ),
+        running_texts=lambda: sum(
+            owned.held_bytes() for owned in batch_owners.runners.values()
+        ),
+        idle_connections=lambda: pool.idle_count,
+        tasks=lambda: len(anyio.get_running_tasks()),
     )
     metrics = gateway_metrics.GatewayMetrics(
         gauges, dependencies.scorer.outcomes
@@ -211,9 +228,18 @@
         retirement=retirement.Retirement(store_client, view, lease),
         gateway=gateway,
         metrics=metrics,
+        memory_growth=process_memory.GrowthLog(
+            resident.read_bytes,
+            lambda: gateway_metrics.create_memory_fields(gauges),
+        ),
     )
 
 
+def _number(value: int | None) -> float:
+    """Return a gauge value, which is not a number if it is unknown."""
+    return math.nan if value is None else value
+
+
 def _create_feeds(
     client: store.StoreClient,
     view: view_lib.View,
--- a/src/hibiscussaddle/gateway_metrics.py
+++ b/src/hibiscussaddle/gateway_metrics.py
@@ -104,6 +104,11 @@
     config_version: abc.Callable[[], float],
     holds_lease: abc.Callable[[], float],
     store_direct: abc.Callable[[], float],
+    memory: abc.Callable[[], float],
+    cached_texts: abc.Callable[[], float],
+    running_texts: abc.Callable[[], float],
+    idle_connections: abc.Callable[[], float],
+    tasks: abc.Callable[[], float],
 ) -> Gauges:
     """Return the gauges of an instance by metric name."""
     return {
@@ -114,4 +119,21 @@
         "config_version": config_version,
         "weight_lease_held": holds_lease,
         "store_direct": store_direct,
+        "memory_bytes": memory,
+        "cached_text_bytes": cached_texts,
+        "running_text_bytes": running_texts,
+        "idle_connections": idle_connections,
+        "tasks": tasks,
+    }
+
+
+def create_memory_fields(gauges: Gauges) -> dict[str, int]:
+    """Return the fields of a log line that tell what holds memory."""
+    return {
+        "cached_text_kb": int(gauges["cached_text_bytes"]()) >> 10,
+        "running_text_kb": int(gauges["running_text_bytes"]()) >> 10,
+        "idle_connections": int(gauges["idle_connections"]()),
+        "tasks": int(gauges["tasks"]()),
+        "batches_owned": int(gauges["batches_owned"]()),
+        "requests_running": int(gauges["requests_running"]()),
     }
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -89,7 +89,7 @@
             components.cfg.ready_address,
             ingress.create_ready_app(components.gateway),
         ),
-        (components.cfg.metrics_address, _create_metrics_app(components)),
+        (components.cfg.metrics_address, create_metrics_app(components)),
     ):
         if not address:
             continue
@@ -115,9 +115,11 @@
     )
 
 
-def _create_metrics_app(
+def create_metrics_app(
     components: gateway_components.Components,
 ) -> applications.Starlette:
+    """Return the app that serves the metrics."""
+
     async def serve_metrics(req: requests.Request) -> responses.Response:
         body, headers = components.metrics.render(
             components.store.calls, req.headers.getlist("accept")
