Close idle connections by time instead of by number of responses

Cause: connections that were idle for more than 30 s were closed only at every 1,000th response, and connections to an endpoint that left are never taken from the pool again. An instance with one response a second checked them every 17 minutes.

Evidence: 1,280 idle connections to 20 endpoints take 12.5 MB, 10 kB each. With one response a second, 41 s after the endpoints ended, all 1,280 were still pooled and in CLOSE_WAIT; with this change none is, and their descriptors are free. The resident size did not fall within that run.

The pool now checks at the first response after every 5 s, so that a connection outlives its last use by about 35 s. An instance watches endpoints in the store, or reads them from a peer, at least every two seconds, so responses are frequent enough.

--- a/src/hibiscussaddle/adapters/connections.py
+++ b/src/hibiscussaddle/adapters/connections.py
@@ -25,9 +25,10 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
 )
 IDLE_TIMEOUT_SECONDS: typing.Final = 30.0
-# Number of responses after which connections above IDLE_TIMEOUT_SECONDS are
-# closed.
-_RESPONSES_PER_PRUNE: typing.Final = 1000
+# Interval at which connections that are idle for longer are closed. Counted in
+# responses, a quiet instance kept the connections of endpoints that had left:
+# 10 kB and a file descriptor each.
+_PRUNE_INTERVAL_SECONDS: typing.Final = 5.0
 
 # A response above this size is cut off and its connection is reset: a faulty
 # server may send bytes without end, and an instance has 200 MB for all of its
@@ -50,8 +51,11 @@
     used one is reused first.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, clock: abc.Callable[[], float] = time.monotonic
+    ) -> None:
         """Create an empty pool."""
+        self._clock = clock
         self._idle: dict[
             _Origin, collections.deque[tuple[float, httpx.AsyncHTTPTransport]]
         ] = collections.defaultdict(collections.deque)
@@ -59,7 +63,7 @@
         # no trusted certificates, since loading them takes 40 ms.
         self._plain_context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
         self._tls_context: ssl.SSLContext | None = None
-        self._responses = 0
+        self._pruned_at = clock()
 
     async def handle_async_request(
         self, request: httpx.Request
@@ -102,14 +106,15 @@
         self, origin: _Origin, transport: httpx.AsyncHTTPTransport
     ) -> None:
         """Return a connection to the pool, or close it if the pool is full."""
+        now = self._clock()
         idle = self._idle[origin]
         if len(idle) >= MAX_IDLE_PER_ORIGIN:
             await transport.aclose()
         else:
-            idle.append((time.monotonic(), transport))
-        self._responses += 1
-        if self._responses % _RESPONSES_PER_PRUNE == 0:
-            await self._prune(time.monotonic() - IDLE_TIMEOUT_SECONDS)
+            idle.append((now, transport))
+        if now - self._pruned_at >= _PRUNE_INTERVAL_SECONDS:
+            self._pruned_at = now
+            await self._prune(now - IDLE_TIMEOUT_SECONDS)
 
     async def _prune(self, before: float) -> None:
         for origin, idle in list(self._idle.items()):
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -99,3 +99,50 @@
 
     anyio.run(main)
     assert live == [False, False, False]
+
+
+def test_connections_to_an_endpoint_that_left_are_closed() -> None:
+    """Fails when a quiet instance keeps connections that nobody uses.
+
+    1,280 connections to 20 endpoints that had left stayed open for 40 s and
+    would have stayed for as long as the instance got few responses.
+    """
+    now = 0.0
+    closed = anyio.Event()
+
+    async def main() -> None:
+        nonlocal now
+
+        async def respond(stream: anyio_abc.SocketStream) -> None:
+            try:
+                while await stream.receive():
+                    await stream.send(b"HTTP/1.1 204 No Content\r\n\r\n")
+            except (anyio.BrokenResourceError, anyio.EndOfStream):
+                closed.set()
+
+        listeners = [
+            await anyio.create_tcp_listener(local_host="127.0.0.1")
+            for _ in range(2)
+        ]
+        left, used = (
+            f"http://127.0.0.1:"
+            f"{listener.extra(anyio_abc.SocketAttribute.local_port)}"
+            for listener in listeners
+        )
+        transport = connections.OriginTransport(clock=lambda: now)
+        async with (
+            httpx.AsyncClient(transport=transport) as client,
+            anyio.create_task_group() as tasks,
+        ):
+            for listener in listeners:
+                tasks.start_soon(listener.serve, respond)
+            await client.get(left)
+            for _ in range(8):
+                now += 5.0
+                await client.get(used)
+            with anyio.fail_after(5):
+                await closed.wait()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+    assert closed.is_set()
