Return a batch's log to other instances in pages

Instances that read a batch which they do not cache got no response from its owner in time and read the store instead.

Cause: the owner returned all log entries after the requested key in one response, which has 0.6 to 0.9 MB on the grown deployments. Its link has 60 Mbit/s, 7.5 MB/s, and serves several readers at once, while a reader gives up 0.3 s after its wait, backs off from the owner for 1 s and calls the store. The bytes already sent were wasted, and the owner held an encoded copy of the log for each of these reads.

* A longer timeout, or one that grows with the size: the owner still holds a whole copy for each reader, and a dead owner blocks reads for longer.
* A limit on concurrent responses at the owner: bounds the copies, but those that wait run into the same timeout, and one slow reader blocks the others.
* Pages that the reader requests one after another: bounds each copy, and a failure loses one page at most.
The reader could state the limit in its query, so that only builds that know pages get them; not done, since a build without pages handles one.

The owner returns the next entries within 128 KiB of encoded results, or one entry if that is larger, and in has_more whether it knows others. 17 such responses take 0.3 s on the link by calculation. The reader adds each page before it requests the next one, so that a failed page loses none before it, and the store is read from the last known entry on. It returns as soon as it has results from its caller's position on; otherwise it requests the next page at once, and waits only when the owner knows nothing newer. is_final is set only with the last entries. A cut response without a new entry counts as no response, since the same request would follow without end.

Both builds understand each other during a rolling restart: a response without has_more holds all entries, as before, and a build that ignores has_more sees a response that is not final and requests the rest. Such a build requests one page a read if its caller does not wait, so a read far behind may return an empty page before it has the results.

--- a/src/hibiscussaddle/batches/peer_reads.py
+++ b/src/hibiscussaddle/batches/peer_reads.py
@@ -37,7 +37,7 @@
 
 
 class Query(msgspec.Struct, frozen=True):
-    """Request the log entries of a batch after a known one."""
+    """Request the first log entries of a batch after a known one."""
 
     batch_id: str
     # Key of the newest known log entry.
--- a/src/hibiscussaddle/batches/reader.py
+++ b/src/hibiscussaddle/batches/reader.py
@@ -21,6 +21,11 @@
 # Batches that this instance runs don't count against those it only reads.
 _MAX_CACHED_BATCHES: typing.Final = 12
 _MAX_OWNED_BATCHES: typing.Final = 24
+# Limit of the encoded results in one response to a peer. Whole logs have 0.6
+# to 0.9 MB; a few at once on the owner's 7.5 MB/s link exceeded the peers'
+# timeout of 0.3 s, and the bytes already sent were lost. 17 responses of this
+# size fit into that time.
+MAX_PEER_PAGE_BYTES: typing.Final = 128 * 1024
 # A remaining wait below this isn't worth another call.
 _MIN_WATCH_SECONDS: typing.Final = 0.05
 
@@ -72,16 +77,25 @@
             changed, self.changed = self.changed, anyio.Event()
             changed.set()
 
-    def entries_after(self, key: str) -> tuple[storage.LogEntry, ...]:
-        """Return the known log entries after a key."""
+    def entries_after(
+        self, key: str, max_bytes: int
+    ) -> tuple[tuple[storage.LogEntry, ...], bool]:
+        """Return the next known log entries and whether more follow.
+
+        The entries are within a size, but at least one if any is known.
+        """
         start = 0
-        entries = []
+        size = 0
+        entries: list[storage.LogEntry] = []
         for entry_key, end in self.entry_ends:
             if entry_key > key:
-                results = tuple(self.results[start:end])
-                entries.append(storage.LogEntry(entry_key, results))
+                results = self.results[start:end]
+                size += len(model.encode_results(results))
+                if entries and size > max_bytes:
+                    return tuple(entries), True
+                entries.append(storage.LogEntry(entry_key, tuple(results)))
             start = end
-        return tuple(entries)
+        return tuple(entries), False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,12 +112,16 @@
     """Hold the state of a batch as known to the instance that runs it."""
 
     head: model.Head
-    # Log entries that the requester does not know.
+    # The first log entries that the requester does not know.
     entries: tuple[storage.LogEntry, ...]
-    # Whether no more results can be added.
+    # Whether no results can follow the entries. False in a response that was
+    # cut: builds that don't know has_more then request the rest.
     is_final: bool
     # Bodies by item id, empty unless requested.
     items: dict[str, bytes]
+    # Whether the responder knows entries after these. Builds without this
+    # field return all entries.
+    has_more: bool = False
 
 
 class PeerClient(typing.Protocol):
@@ -201,11 +219,13 @@
             await self._read_remaining(batch_id, cached)
         if not (cached.is_complete or cached.is_authoritative()):
             return None
+        entries, has_more = cached.entries_after(after, MAX_PEER_PAGE_BYTES)
         return PeerResponse(
             cached.head,
-            cached.entries_after(after),
-            cached.is_complete,
+            entries,
+            cached.is_complete and not has_more,
             cached.items if wants_items else {},
+            has_more,
         )
 
     def record_owned_batch(
@@ -255,8 +275,7 @@
             response = await self._peers.fetch(batch_id, "", "", 0.0, False)
             if response is not None:
                 cached = CachedBatch(response.head)
-                cached.add(response.entries)
-                cached.is_final = response.is_final
+                _add_response(cached, response)
         if cached is None:
             head = await self._storage.head(batch_id)
             if isinstance(head, result.Err):
@@ -287,46 +306,51 @@
         cached: CachedBatch,
         wait: float,
         wants_items: bool,
-    ) -> bool:
-        """Add the log entries of a peer; return whether one responded."""
+    ) -> PeerResponse | None:
+        """Add the log entries of a peer's response and return it."""
         if self._peers is None:
-            return False
+            return None
+        after = cached.last_key
         response = await self._peers.fetch(
-            batch_id, cached.head.route, cached.last_key, wait, wants_items
+            batch_id, cached.head.route, after, wait, wants_items
         )
         if response is None:
-            return False
-        cached.add(response.entries)
-        cached.is_final = cached.is_final or response.is_final
-        cached.items = cached.items or response.items
-        return True
+            return None
+        _add_response(cached, response)
+        if response.has_more and cached.last_key == after:
+            # The same request would follow without end.
+            return None
+        return response
 
     async def _refresh(
         self, batch_id: str, cached: CachedBatch, position: int, wait: float
     ) -> store.StoreError | None:
-        """Wait for results after a position until the wait is over."""
+        """Read on to a position, waiting for results if none are known."""
         deadline = time.monotonic() + wait
+        has_more = False
         while True:
             remaining = max(0.0, deadline - time.monotonic())
             if cached.is_authoritative():
                 with anyio.move_on_after(remaining):
                     await cached.changed.wait()
                 is_current = cached.is_authoritative() or cached.is_complete
+                has_more = False
             else:
-                is_current = await self._fetch_from_peer(
-                    batch_id, cached, remaining, False
+                # A peer that knows more entries responds at once, so the
+                # wait would only extend the timeout.
+                response = await self._fetch_from_peer(
+                    batch_id, cached, 0.0 if has_more else remaining, False
                 )
+                is_current = response is not None
+                has_more = response is not None and response.has_more
             if not is_current:
                 error = await self._read_log(batch_id, cached, remaining)
                 if error is not None:
                     return error
-            remaining = deadline - time.monotonic()
-            if (
-                len(cached.results) > position
-                or remaining < _MIN_WATCH_SECONDS
-            ):
+            if len(cached.results) > position or cached.is_complete:
                 return None
-            if cached.is_complete:
+            remaining = deadline - time.monotonic()
+            if not has_more and remaining < _MIN_WATCH_SECONDS:
                 return None
 
     async def _read_log(
@@ -375,6 +399,14 @@
         return None
 
 
+def _add_response(cached: CachedBatch, response: PeerResponse) -> None:
+    """Add the state that a peer returned."""
+    cached.add(response.entries)
+    if response.is_final and not response.has_more:
+        cached.is_final = True
+    cached.items = cached.items or response.items
+
+
 def _first_results(
     results: list[model.Result], max_bytes: int
 ) -> tuple[model.Result, ...]:
