Return every known result to a read that needs several peer pages

Pages of 128 KiB let a read at an instance that did not cache the batch return after the first page. A trainer reads about twice a second, each time at another instance, so a step of 0.9 MB could take several reads more.

The reader requests the next page until the owner knows no more, as it got the whole log before. If a later page fails and the store fails too, the results that are known are returned in place of a refusal.

--- a/src/hibiscussaddle/batches/reader.py
+++ b/src/hibiscussaddle/batches/reader.py
@@ -53,6 +53,8 @@
     is_ended: bool = False
     # Whether the log was read after the end, so that no results are missing.
     is_final: bool = False
+    # Whether the last response of a peer left out entries that it knew.
+    has_more: bool = False
     # Set and replaced when results are added or ownership is lost.
     changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
@@ -167,9 +169,10 @@
         if isinstance(lookup, result.Err):
             return lookup
         cached = lookup.ok_value
-        if position >= len(cached.results) and not cached.is_complete:
+        is_missing = position >= len(cached.results) or cached.has_more
+        if is_missing and not cached.is_complete:
             error = await self._refresh(batch_id, cached, position, wait)
-            if error is not None:
+            if error is not None and position >= len(cached.results):
                 return result.Err(error)
         page = _first_results(cached.results[position:], max_bytes)
         return result.Ok(Page(cached.head.total, page))
@@ -314,51 +317,57 @@
         cached: CachedBatch,
         wait: float,
         wants_items: bool,
-    ) -> PeerResponse | None:
-        """Add the log entries of a peer's response and return it."""
+    ) -> bool:
+        """Add the log entries of a peer; return whether one responded."""
         if self._peers is None:
-            return None
+            return False
         after = cached.last_key
         response = await self._peers.fetch(
             batch_id, cached.head.route, after, wait, wants_items
         )
         if response is None:
-            return None
+            return False
         _add_response(cached, response)
         if response.has_more and cached.last_key == after:
             # The same request would follow without end.
-            return None
-        return response
+            cached.has_more = False
+            return False
+        return True
 
     async def _refresh(
         self, batch_id: str, cached: CachedBatch, position: int, wait: float
     ) -> store.StoreError | None:
-        """Read on to a position, waiting for results if none are known."""
+        """Read all that a peer knows, waiting for results after a position."""
         deadline = time.monotonic() + wait
-        has_more = False
         while True:
             remaining = max(0.0, deadline - time.monotonic())
             if cached.is_authoritative():
                 with anyio.move_on_after(remaining):
                     await cached.changed.wait()
                 is_current = cached.is_authoritative() or cached.is_complete
-                has_more = False
             else:
                 # A peer that knows more entries responds at once, so the
                 # wait would only extend the timeout.
-                response = await self._fetch_from_peer(
-                    batch_id, cached, 0.0 if has_more else remaining, False
+                is_current = await self._fetch_from_peer(
+                    batch_id,
+                    cached,
+                    0.0 if cached.has_more else remaining,
+                    False,
                 )
-                is_current = response is not None
-                has_more = response is not None and response.has_more
             if not is_current:
                 error = await self._read_log(batch_id, cached, remaining)
                 if error is not None:
                     return error
-            if len(cached.results) > position or cached.is_complete:
+                cached.has_more = False
+            if cached.is_complete:
                 return None
+            if cached.has_more:
+                continue
             remaining = deadline - time.monotonic()
-            if not has_more and remaining < _MIN_WATCH_SECONDS:
+            if (
+                len(cached.results) > position
+                or remaining < _MIN_WATCH_SECONDS
+            ):
                 return None
 
     async def _read_log(
@@ -410,6 +419,7 @@
 def _add_response(cached: CachedBatch, response: PeerResponse) -> None:
     """Add the state that a peer returned."""
     cached.add(response.entries)
+    cached.has_more = response.has_more
     if response.is_final and not response.has_more:
         cached.is_final = True
     cached.items = cached.items or response.items
