--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -181,6 +181,8 @@
         for _ in range(2):
             async with serve_transports(create_peer("two", PORTS[1])):
                 response = await one.request(target, Echo("a"), 5.0)
+                # Shows the error, which is not known yet (KNOWN-RED.txt).
+                assert isinstance(response, result.Ok), response
                 assert response.ok_value.text == "one:a"
         one.close()
 
