Run every batch that the store assigns to this instance

Cause: in three cases the owner record named this instance, but no runner ran the batch, and only the scan for orphaned batches, every 5 s, ended that: - A takeover took effect without a response. The retry met a conflict, which counted as "another instance was faster", or skipped the record because it no longer named the dead owner. The lease of the dead owner has already cost up to 2.4 s by then. - A takeover took effect, but the batch could not be read in time. - A batch returned to an instance before its runner of the earlier ownership had noticed the loss. That runner counted as the new one and then stopped.

Change: a takeover that fails makes the takeover loop look at the batches of this instance as well. A runner counts only if its owner record is at least as new as that in the store; an older one is replaced, never a newer one. An acceptance with an unknown outcome retries its takeover too.

Why it works: the record in the store decides who runs a batch, so the takeover loop reads it again after every attempt whose effect is in doubt. The takeover of an own record is a compare-and-swap like any other, so a late first attempt can't leave two runners whose writes both succeed.

--- a/src/hibiscussaddle/batches/owners.py
+++ b/src/hibiscussaddle/batches/owners.py
@@ -128,8 +128,7 @@
         """Run a batch that a peer accepted; return whether it runs here."""
         if self._is_stopping or record.owner != self._me:
             return False
-        if batch.id not in self.runners:
-            self._start(batch, record)
+        self._start(batch, record)
         return True
 
     def ensure_running(self, record: storage.OwnerRecord) -> bool:
@@ -137,7 +136,7 @@
 
         Returns whether it runs here.
         """
-        if record.batch_id in self.runners:
+        if self._is_running_here(record):
             return True
         if self._is_stopping or record.owner != self._me:
             return False
@@ -168,10 +167,8 @@
         record: storage.OwnerRecord,
     ) -> None:
         """Send a batch to its owner; take it over if the owner refuses it."""
-        if await self._handoffs.send(member, batch, record):
-            return
-        while not await self._take_over(record):
-            await anyio.sleep(_RETRY_DELAY_SECONDS)
+        if not await self._handoffs.send(member, batch, record):
+            await self._take_over_with_retries(record)
 
     def _spawn(
         self,
@@ -209,6 +206,9 @@
         log: typing.Sequence[storage.LogEntry] = (),
         checkpoints: typing.Sequence[model.TextCheckpoint] = (),
     ) -> None:
+        """Run a batch, in place of a runner with an older owner record."""
+        if self._is_running_here(record):
+            return
         owned = runner.BatchRunner(
             self._dependencies, batch, record, log, checkpoints
         )
@@ -218,6 +218,14 @@
         self.runners[batch.id] = owned
         self._spawn(self._run, owned)
 
+    def _is_running_here(self, record: storage.OwnerRecord) -> bool:
+        """Return whether a runner has this owner record or a newer one.
+
+        A runner with an older record stops as soon as it reads the store.
+        """
+        owned = self.runners.get(record.batch_id)
+        return owned is not None and owned.record.revision >= record.revision
+
     async def _run(self, owned: runner.BatchRunner) -> None:
         try:
             await owned.run()
@@ -234,7 +242,7 @@
             record = await self._storage.owner(batch_id)
             if isinstance(record, result.Ok):
                 # Its owner was never notified, so this instance takes over.
-                await self._take_over(record.ok_value)
+                await self._take_over_with_retries(record.ok_value)
                 return
 
     def _record_member_removal(self, instance: str) -> None:
@@ -333,30 +341,40 @@
         self._collect_dead_owners()
         if self._is_stopping or not self._owners_to_replace:
             return True
-        replaced = set(self._owners_to_replace)
+        # Failed takeovers add this instance again meanwhile.
+        replaced, self._owners_to_replace = self._owners_to_replace, set()
         records = await self._storage.owners()
         if isinstance(records, result.Err):
+            self._owners_to_replace |= replaced
             return False
         all_taken_over = True
         for record in records.ok_value:
             owner = record.owner
             if owner.instance not in replaced and owner.instance:
                 continue
-            if owner == self._me and record.batch_id in self.runners:
+            if owner == self._me and self._is_running_here(record):
                 continue
             if owner != self._me and not self._may_take_over(owner):
                 continue
             all_taken_over = await self._take_over(record) and all_taken_over
-        if all_taken_over:
-            self._owners_to_replace -= replaced
+        if not all_taken_over:
+            self._owners_to_replace |= replaced
         return all_taken_over
 
+    async def _take_over_with_retries(
+        self, record: storage.OwnerRecord
+    ) -> None:
+        while not await self._take_over(record):
+            await anyio.sleep(_RETRY_DELAY_SECONDS)
+
     async def _take_over(self, record: storage.OwnerRecord) -> bool:
         """Take over a batch; return False if that must be retried."""
         response = await self._storage.take_over(record, self._me)
         if isinstance(response, result.Err):
+            self._find_own_batches()
             failure = response.err_value.failure
-            # On a conflict another instance was faster or the batch ended.
+            # On a conflict the batch ended, another instance was faster, or
+            # an earlier attempt took effect without a response.
             return failure is store.StoreFailure.CONFLICT
         logs.event(
             _LOG,
@@ -368,7 +386,18 @@
         new_record = storage.OwnerRecord(
             record.batch_id, self._me, response.ok_value
         )
-        return await self._resume(new_record)
+        is_resumed = await self._resume(new_record)
+        if not is_resumed:
+            self._find_own_batches()
+        return is_resumed
+
+    def _find_own_batches(self) -> None:
+        """Look for batches that this instance owns but doesn't run.
+
+        No other instance takes them over while this one is alive.
+        """
+        self._owners_to_replace.add(self._me.instance)
+        self._takeover_now.set()
 
     async def _resume(self, record: storage.OwnerRecord) -> bool:
         """Continue an owned batch after its logged results.
@@ -389,11 +418,7 @@
             if time.monotonic() - started > sum(_RECHECK_DELAYS_SECONDS):
                 return False
             await anyio.sleep(_RETRY_DELAY_SECONDS)
-        if record.batch_id not in self.runners:
-            self._start(
-                batch.ok_value,
-                record,
-                log.ok_value[0],
-                checkpoints.ok_value,
-            )
+        self._start(
+            batch.ok_value, record, log.ok_value[0], checkpoints.ok_value
+        )
         return True
--- a/tests/test_batch_owners.py
+++ b/tests/test_batch_owners.py
@@ -7,11 +7,13 @@
 
 import anyio
 import httpx
+import result
 
 from hibiscussaddle.adapters import store
 from hibiscussaddle.batches import handoff
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import owners
+from hibiscussaddle.batches import runs
 from hibiscussaddle.batches import storage
 from hibiscussaddle.fleet import presence
 from hibiscussaddle import gateway
@@ -47,6 +49,7 @@
 @contextlib.asynccontextmanager
 async def owned_batches(
     accepts: bool,
+    items: batch_harness.FakeItemRunner | None = None,
 ) -> abc.AsyncIterator[tuple[owners.OwnedBatches, storage.BatchStorage]]:
     """Yield the batches of gateway-1, whose peer gateway-9 is alive."""
     fake = fake_store.Store()
@@ -61,7 +64,7 @@
         members.all = {member.instance: member for member in (ME, OTHER)}
         members.route_owner = lambda _: OTHER
         owned = owners.OwnedBatches(
-            harness.dependencies(batch_harness.FakeItemRunner()),
+            harness.dependencies(items or batch_harness.FakeItemRunner()),
             members,
             typing.cast(handoff.HandoffClient, FakeHandoff(accepts)),
         )
@@ -222,6 +225,117 @@
     anyio.run(main)
 
 
+def _lose_first_takeover_response(batches: storage.BatchStorage) -> None:
+    """Let the first takeover take effect without a response."""
+    take_over = batches.take_over
+    attempts = 0
+
+    async def lose_first(
+        record: storage.OwnerRecord, owner: model.Owner
+    ) -> result.Result[int, store.StoreError]:
+        nonlocal attempts
+        attempts += 1
+        response = await take_over(record, owner)
+        if attempts > 1:
+            return response
+        return result.Err(store.StoreError(store.StoreFailure.UNKNOWN))
+
+    batches.take_over = lose_first
+
+
+def test_takeover_without_a_response_runs_the_batch() -> None:
+    """Fails when a successor doesn't learn that it owns a batch.
+
+    The batch then waits for the next scan for orphaned batches, up to 5 s
+    after the 2.4 s in which the lease of the dead owner expires.
+    """
+
+    async def main() -> None:
+        async with owned_batches(accepts=True) as (owned, batches):
+            batch = await _create_batch_of_peer(batches)
+            _lose_first_takeover_response(batches)
+            _remove_member(owned, OTHER)
+            await _wait_until_logged(batches, batch.id, seconds=2)
+
+    anyio.run(main)
+
+
+def test_refused_batch_runs_after_a_takeover_without_a_response() -> None:
+    """Fails when a batch that its peer refused waits for a scan."""
+
+    async def main() -> None:
+        async with owned_batches(accepts=False) as (owned, batches):
+            _lose_first_takeover_response(batches)
+            batch = batch_builders.batch()
+            (await owned.accept(batch, 1.0)).unwrap()
+            await _wait_until_logged(batches, batch.id, seconds=2)
+
+    anyio.run(main)
+
+
+def test_batch_that_could_not_be_read_is_resumed() -> None:
+    """Fails when a takeover is forgotten because its batch was unreadable."""
+
+    async def main() -> None:
+        async with owned_batches(accepts=True) as (owned, batches):
+            batch = await _create_batch_of_peer(batches)
+            resume = owned._resume
+            attempts = 0
+
+            async def fail_first(record: storage.OwnerRecord) -> bool:
+                nonlocal attempts
+                attempts += 1
+                return attempts > 1 and await resume(record)
+
+            owned._resume = fail_first
+            _remove_member(owned, OTHER)
+            await _wait_until_logged(batches, batch.id, seconds=2)
+
+    anyio.run(main)
+
+
+class _FirstRunHangs(batch_harness.FakeItemRunner):
+    """Complete every run but the first one, which never ends."""
+
+    async def run(
+        self, progress: runs.Progress, batch: model.Batch, endpoint: object
+    ) -> runs.RunEnd:
+        """Record the start of a run; complete it unless it is the first."""
+        if not self.started_after:
+            self.started_after.append((progress.item.id, None))
+            await anyio.sleep_forever()
+        return await super().run(progress, batch, endpoint)
+
+
+def test_batch_that_was_lost_and_taken_back_runs_again() -> None:
+    """Fails when the runner of the earlier ownership hides the new one.
+
+    When leases of live members expire, a batch can return to its first owner
+    before that instance has read that it lost the batch. The old runner then
+    stops, and nothing runs the batch until the next scan.
+    """
+
+    async def main() -> None:
+        items = _FirstRunHangs()
+        async with owned_batches(accepts=True, items=items) as (
+            owned,
+            batches,
+        ):
+            batch = batch_builders.batch()
+            me = model.Owner(ME.instance, ME.incarnation)
+            revision = (await batches.accept(batch, me, 1.0)).unwrap()
+            record = storage.OwnerRecord(batch.id, me, revision)
+            assert owned.accept_handoff(batch, record)
+            await anyio.wait_all_tasks_blocked()
+            assert items.started_after
+            peer = model.Owner(OTHER.instance, OTHER.incarnation)
+            (await batches.take_over(record, peer)).unwrap()
+            _remove_member(owned, OTHER)
+            await _wait_until_logged(batches, batch.id, seconds=2)
+
+    anyio.run(main)
+
+
 def test_refused_callers_retry_after_the_outage() -> None:
     """Fails when callers exhaust their retries while the store is down.
 
