Limit the time in which a request's body arrives

A caller that was cut off within its body without a reset kept its request until it came back: ten callers with 2 MB each held 39 MB and 20 tasks, unchanged after 100 s, and a planned stop was still open after 6 s. The body was read without a time limit. Peers' calls and the first interface's callers had the same gap.

Callers now get 408 with the new code 1114 at the deadline that they sent, after which nobody waits for the response, and the connection closes. The request has not reached an endpoint, so the promise of 408 holds. Bodies of peers' calls have 10 s. A deadline of "inf" or "nan" counts as malformed, since it would set no limit.

hypercorn waited up to an hour for open connections at the end of a stop. The gateway now aborts them 0.5 s before the end of its grace time.

--- a/src/hibiscussaddle/caller_app.py
+++ b/src/hibiscussaddle/caller_app.py
@@ -196,7 +196,13 @@
                 "X-Deadline-Seconds is not a number above 0 and up to "
                 f"{MAX_DEADLINE_SECONDS:.0f}",
             )
-        body = await _read_body(receive, self.runtime.cfg.max_body_bytes)
+        with anyio.move_on_after(seconds) as body_scope:
+            body = await _read_body(receive, self.runtime.cfg.max_body_bytes)
+        if body_scope.cancelled_caught:
+            return exchange.refuse(
+                codes.Code.BODY_INCOMPLETE,
+                f"the body was not complete after {seconds:.3f} s",
+            )
         if isinstance(body, result.Err):
             return body
         return result.Ok(
@@ -303,6 +309,8 @@
         headers["x-request-id"] = request_id
     if refusal.retry_after is not None:
         headers["retry-after"] = str(max(1, round(refusal.retry_after)))
+    if refusal.code is codes.Code.BODY_INCOMPLETE:
+        headers["connection"] = "close"
     return responses.Response(
         msgspec.json.encode(refusal.to_dict()),
         info.http_status,
--- a/src/hibiscussaddle/codes.py
+++ b/src/hibiscussaddle/codes.py
@@ -79,6 +79,15 @@
         "No such path, customer, instance, endpoint, service or batch.",
         "List the known names with the command line.",
     )
+    BODY_INCOMPLETE = CodeInfo(
+        1114,
+        "body_incomplete",
+        "no",
+        408,
+        15,
+        "The body was not complete before its deadline.",
+        "Send the request again on a new connection.",
+    )
     OVERLOADED = CodeInfo(
         1120,
         "overloaded",
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -12,6 +12,7 @@
 from anyio import abc as anyio_abc
 import result
 from starlette import applications
+from starlette import middleware
 from starlette import requests
 from starlette import responses
 from starlette import routing
@@ -19,6 +20,7 @@
 from hibiscussaddle.adapters import store_transports
 from hibiscussaddle.batches import handoff
 from hibiscussaddle.batches import peer_reads
+from hibiscussaddle import body_timeout
 from hibiscussaddle.fleet import feed_sharing
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import gateway_components
@@ -36,8 +38,12 @@
 # Time of the grace period that is reserved for handing batches over and
 # closing connections.
 _CLOSE_RESERVE_SECONDS: typing.Final = 2.0
+# Time of the grace period that is reserved for the exit of the process.
+_EXIT_RESERVE_SECONDS: typing.Final = 0.5
 _IDLE_CHECK_INTERVAL_SECONDS: typing.Final = 0.05
 _EXPIRY_CHECK_INTERVAL_SECONDS: typing.Final = 0.5
+# Longer than peers wait for the response to a call that they have sent.
+_PEER_BODY_TIMEOUT_SECONDS: typing.Final = 10.0
 
 
 async def run(cfg: gateway_settings.GatewaySettings) -> None:
@@ -62,7 +68,13 @@
             tasks.start_soon(loop)
         tasks.start_soon(expire_endpoints, components.view)
         await stop_requested.wait()
+        grace_ends_at = time.monotonic() + cfg.grace_seconds
         await _drain(components)
+        # A connection that is within a request body would otherwise keep the
+        # process until its deadline.
+        remaining = grace_ends_at - time.monotonic() - _EXIT_RESERVE_SECONDS
+        for server in servers:
+            server.limit_stop(max(0.0, remaining))
         closing.set()
         for server in servers:
             await server.wait()
@@ -111,7 +123,12 @@
             store_transports.create_relay_route(components.store_transport),
             feed_sharing.create_route(components.zone_reader),
             gateway_report.create_route(components),
-        ]
+        ],
+        middleware=[
+            middleware.Middleware(
+                body_timeout.BodyTimeout, seconds=_PEER_BODY_TIMEOUT_SECONDS
+            )
+        ],
     )
 
 
--- a/src/hibiscussaddle/platform/ingress.py
+++ b/src/hibiscussaddle/platform/ingress.py
@@ -6,6 +6,7 @@
 from collections import abc
 import dataclasses
 import logging
+import math
 import time
 import typing
 
@@ -43,9 +44,9 @@
     path: str
     query: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
     # Monotonic time.
     arrived_at: float
+    body: bytes = b""
 
     def header(self, name: str) -> str:
         """Return a header's value, or an empty string if it is absent."""
@@ -91,10 +92,22 @@
             return
         arrived_at = time.monotonic()
         limit = self._gateway.limits.max_body_bytes
-        body = await _read_body(receive, limit)
+        call = _to_call(scope, arrived_at)
+        timeout = _timeout_seconds(call)
+        # Nobody waits for the response after the deadline, and a caller that
+        # was cut off without a reset would keep its request forever.
+        with anyio.move_on_after(timeout) as body_scope:
+            body = await _read_body(receive, limit)
+        if body_scope.cancelled_caught:
+            refusal = codes.Refusal(
+                codes.Code.BODY_INCOMPLETE,
+                f"the body was not complete after {timeout:.3f} s",
+            )
+            response = _refusal_response(refusal, call)
+            await _send_response(send, response, closes_connection=True)
+            return
         if body is None:
             return
-        call = _to_call(scope, body, arrived_at)
         if len(body) > limit:
             refusal = codes.Refusal(
                 codes.Code.TOO_LARGE, f"the body exceeds {limit} bytes"
@@ -103,6 +116,7 @@
                 send, _refusal_response(refusal, call), self._closes_connection
             )
             return
+        call = dataclasses.replace(call, body=body)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
                 _cancel_on_disconnect, receive, tasks.cancel_scope
@@ -266,19 +280,25 @@
 
 def _timeout_seconds(call: _Call) -> float:
     raw = call.header(endpoint_wire.DEADLINE_MS_HEADER)
+    if not raw:
+        return _DEFAULT_TIMEOUT_SECONDS
     try:
-        return float(raw) / 1000 if raw else _DEFAULT_TIMEOUT_SECONDS
+        seconds = float(raw) / 1000
     except ValueError:
-        logs.event(
-            _LOG,
-            "deadline_malformed",
-            request=call.header(endpoint_wire.REQUEST_ID_HEADER),
-            value=raw,
-        )
-        return _DEFAULT_TIMEOUT_SECONDS
+        seconds = math.nan
+    # float() also parses "inf" and "nan", which set no limit.
+    if math.isfinite(seconds):
+        return seconds
+    logs.event(
+        _LOG,
+        "deadline_malformed",
+        request=call.header(endpoint_wire.REQUEST_ID_HEADER),
+        value=raw,
+    )
+    return _DEFAULT_TIMEOUT_SECONDS
 
 
-def _to_call(scope: Scope, body: bytes, arrived_at: float) -> _Call:
+def _to_call(scope: Scope, arrived_at: float) -> _Call:
     # Accepts servers that include the query string in raw_path.
     path, _, query = scope["raw_path"].decode("latin-1").partition("?")
     query = query or scope["query_string"].decode("latin-1")
@@ -286,7 +306,7 @@
         (name.decode("latin-1").lower(), value.decode("latin-1"))
         for name, value in scope["headers"]
     )
-    return _Call(scope["method"], path, query, headers, body, arrived_at)
+    return _Call(scope["method"], path, query, headers, arrived_at)
 
 
 async def _read_body(receive: Receive, limit: int) -> bytes | None:
