Leave the end of a planned stop as it was

The limit on open connections at the end of a stop came with the time limit of request bodies and is another matter: it would abort requests that still run half a second before the grace time ends.

--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -38,8 +38,6 @@
 # Time of the grace period that is reserved for handing batches over and
 # closing connections.
 _CLOSE_RESERVE_SECONDS: typing.Final = 2.0
-# Time of the grace period that is reserved for the exit of the process.
-_EXIT_RESERVE_SECONDS: typing.Final = 0.5
 _IDLE_CHECK_INTERVAL_SECONDS: typing.Final = 0.05
 _EXPIRY_CHECK_INTERVAL_SECONDS: typing.Final = 0.5
 # Longer than peers wait for the response to a call that they have sent.
@@ -68,13 +66,7 @@
             tasks.start_soon(loop)
         tasks.start_soon(expire_endpoints, components.view)
         await stop_requested.wait()
-        grace_ends_at = time.monotonic() + cfg.grace_seconds
         await _drain(components)
-        # A connection that is within a request body would otherwise keep the
-        # process until its deadline.
-        remaining = grace_ends_at - time.monotonic() - _EXIT_RESERVE_SECONDS
-        for server in servers:
-            server.limit_stop(max(0.0, remaining))
         closing.set()
         for server in servers:
             await server.wait()
--- a/src/hibiscussaddle/serving.py
+++ b/src/hibiscussaddle/serving.py
@@ -103,13 +103,6 @@
         await self._stop()
         self._shutdown_requested.set()
 
-    def limit_stop(self, seconds: float) -> None:
-        """Abort the connections that are open so long after stop() returns.
-
-        Has no effect once stop() has returned.
-        """
-        self._cfg.graceful_timeout = seconds
-
     async def wait(self) -> None:
         """Wait until serve() has ended."""
         await self._closed.wait()
