Evict the least recently used endpoint's observations first

The 4,096 observations of an instance were evicted in the order of their first use, and a read did not refresh them. Once 4,096 other ids were seen, an engine in use lost its state: `running` fell from 5 to 0 in Placement, and the engine got more runs than it has slots. Its block after refusals and its median interval were lost as well.

Each access now moves the entry to the end, and so does a new incarnation, which kept the place of the earlier one. An endpoint is evicted only after 4,096 others were used since its last use.

Both new tests fail on the code before.

--- a/src/hibiscussaddle/fleet/observations.py
+++ b/src/hibiscussaddle/fleet/observations.py
@@ -6,8 +6,9 @@
 
 from hibiscussaddle import endpoints
 
-# Endpoints whose observations are kept. Four times the number of endpoints of
-# the target fleet, since each restart brings a new id.
+# Endpoints whose observations are kept; the least recently used ones are
+# evicted, so that those in use keep their counts of runs. Four times the
+# number of endpoints of the target fleet, since each restart brings a new id.
 _MAX_ENDPOINTS: typing.Final = 4096
 
 _T = typing.TypeVar("_T")
@@ -26,9 +27,11 @@
         """Return the observations of an endpoint's incarnation."""
         entry = self._observations.get(endpoint.id)
         if entry is not None and entry[0] == endpoint.incarnation:
+            self._observations.move_to_end(endpoint.id)
             return entry[1]
         created = self._create()
         self._observations[endpoint.id] = (endpoint.incarnation, created)
+        self._observations.move_to_end(endpoint.id)
         if len(self._observations) > _MAX_ENDPOINTS:
             self._observations.popitem(last=False)
         return created
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -346,3 +346,31 @@
     assert observed.for_endpoint(batch_builders.engine("engine-9999")) == [
         9999
     ]
+
+
+def test_engine_in_use_keeps_its_observations() -> None:
+    """Fails when a full engine gets more runs after many others were seen.
+
+    Its count of runs was evicted by the time of its first use.
+    """
+    engines = placement.Placement()
+    used = batch_builders.engine("engine-used")
+    for _ in range(used.slots):
+        engines.record_start(used)
+    for number in range(10_000):
+        engines.state(batch_builders.engine(f"engine-{number}"))
+        if number % 4000 == 0:
+            assert engines.choose([used], 10.0) is None
+    assert engines.state(used).running == used.slots
+
+
+def test_restarted_endpoint_counts_as_used() -> None:
+    """Fails when a new incarnation inherits the age of the earlier one."""
+    observed = observations.Observations(list)
+    observed.for_endpoint(batch_builders.engine("engine-used"))
+    restarted = batch_builders.engine("engine-used", incarnation=2)
+    for number in range(8000):
+        if number == 4000:
+            observed.for_endpoint(restarted).append("run")
+        observed.for_endpoint(batch_builders.engine(f"engine-{number}"))
+    assert observed.for_endpoint(restarted) == ["run"]
