Limit the read cache and the text cache in bytes

Instances with 128 MB, of which the started process takes about 40, exit above their limit, and callers lose the requests that run there. The read cache was limited to 12 batches that are only read, whatever their size. At the target size, 1,024 texts of 8 kB a step, 12 of them take 124 MB, as measured with objects built by hand. The text cache kept 512 texts of any size.

The batches that are only read now hold at most 20 MiB of texts and item bodies; the least recently used are evicted first. The limit by count stays. 20 MiB hold two steps of the target size (16.9 MB of texts); 16 MiB would just miss that, and reads that alternate between two steps would request a whole log each. The newest batch stays whatever its size. Batches are checked after each growth, not only when they are inserted, and when their owner stops. Reads by peers now count as use, and so does the end of a run here, since peers read the last results there.

A read holds its CachedBatch, so an eviction meanwhile doesn't change what it returns. It doesn't cache the batch again, and its memory is freed when the read ends. Batches that run here are not evicted by this limit: they answer peers, and their runner holds the same strings in its log until it stops. They are bounded by the limit of 24 by count and by their items, with one result each, but not in bytes.

The text cache holds at most 8 MiB; the oldest texts are evicted first and the newest one stays.

Each cached batch keeps a running size, so a check sums at most 36 numbers.

--- a/src/hibiscussaddle/batches/reader.py
+++ b/src/hibiscussaddle/batches/reader.py
@@ -17,10 +17,14 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Limits of the cache, which holds about half a megabyte of text a batch.
-# Batches that this instance runs don't count against those it only reads.
+# Limits of the cache. Batches that this instance runs don't count against
+# those it only reads.
 _MAX_CACHED_BATCHES: typing.Final = 12
 _MAX_OWNED_BATCHES: typing.Final = 24
+# Limit of the texts and bodies of the batches that are only read. Holds two
+# steps of the target size, 1,024 texts of 8 kB each; twelve such steps would
+# take nearly all of an instance's 128 MB.
+_MAX_CACHED_BYTES: typing.Final = 20 * 1024 * 1024
 # Limit of the encoded results in one response to a peer. Whole logs have 0.6
 # to 0.9 MB; a few at once on the owner's 7.5 MB/s link exceeded the peers'
 # timeout of 0.3 s, and the bytes already sent were lost. 17 responses of this
@@ -47,6 +51,9 @@
     revision: int | None = None
     # Bodies by item id, empty while they are unknown.
     items: dict[str, bytes] = dataclasses.field(default_factory=dict)
+    # Memory that the texts of the results and the bodies hold. Kept up to
+    # date by add() and set_items(), since each read compares it to a limit.
+    held_bytes: int = 0
     # Returns whether this instance owns the batch and knows all results now.
     is_authoritative: abc.Callable[[], bool] = _never
     # Whether the batch has ended, after which no results are logged.
@@ -74,11 +81,20 @@
         for entry in entries:
             if entry.key > self.last_key:
                 self.results.extend(entry.results)
+                self.held_bytes += model.held_bytes(
+                    item_result.text for item_result in entry.results
+                )
                 self.entry_ends.append((entry.key, len(self.results)))
         if len(self.results) > before:
             changed, self.changed = self.changed, anyio.Event()
             changed.set()
 
+    def set_items(self, items: dict[str, bytes]) -> None:
+        """Replace the bodies by item id."""
+        self.held_bytes -= model.held_bytes(self.items.values())
+        self.held_bytes += model.held_bytes(items.values())
+        self.items = items
+
     def entries_after(
         self, key: str, max_bytes: int
     ) -> tuple[tuple[storage.LogEntry, ...], bool]:
@@ -194,7 +210,8 @@
             if isinstance(batch, result.Err):
                 return batch
             items = batch.ok_value.items
-            cached.items = {item.id: item.body for item in items}
+            cached.set_items({item.id: item.body for item in items})
+            self._record_use(batch_id, cached)
         if item_id not in cached.items:
             missing = store.StoreError(store.StoreFailure.MISSING)
             return result.Err(missing)
@@ -215,6 +232,7 @@
         cached = self._cache.get(batch_id)
         if cached is None:
             return None
+        self._record_use(batch_id, cached)
         if cached.last_key <= after and cached.is_authoritative():
             with anyio.move_on_after(wait):
                 await cached.changed.wait()
@@ -233,11 +251,7 @@
 
     def cached_bytes(self) -> int:
         """Return the memory that cached results and item bodies hold."""
-        return sum(
-            model.held_bytes(item_result.text for item_result in batch.results)
-            + model.held_bytes(batch.items.values())
-            for batch in self._cache.values()
-        )
+        return sum(cached.held_bytes for cached in self._cache.values())
 
     def record_owned_batch(
         self,
@@ -248,10 +262,10 @@
         """Cache a batch that this instance runs, with its logged results."""
         head = model.create_head(batch)
         cached = self._cache.setdefault(batch.id, CachedBatch(head))
-        cached.items = {item.id: item.body for item in batch.items}
+        cached.set_items({item.id: item.body for item in batch.items})
         cached.is_authoritative = is_authoritative
         cached.add(entries)
-        self._evict(batch.id)
+        self._record_use(batch.id, cached)
 
     def record_entry(self, batch_id: str, entry: storage.LogEntry) -> None:
         """Cache an entry that this instance has logged."""
@@ -271,6 +285,8 @@
             cached.is_authoritative = _never
             changed, cached.changed = cached.changed, anyio.Event()
             changed.set()
+            # Peers read the last results here, so older batches go first.
+            self._record_use(batch_id, cached)
 
     def record_end(self, batch_id: str) -> None:
         """Record that the store has acknowledged the end of a batch."""
@@ -293,19 +309,38 @@
                 return head
             cached = CachedBatch(head.ok_value)
         cached = self._cache.setdefault(batch_id, cached)
-        self._evict(batch_id)
+        self._record_use(batch_id, cached)
         return result.Ok(cached)
 
-    def _evict(self, newest: str) -> None:
-        """Evict the least recently used batches."""
-        self._cache.move_to_end(newest)
-        counts = collections.Counter[bool]()
+    def _record_use(self, batch_id: str, cached: CachedBatch) -> None:
+        """Make a batch the most recently used one and evict others.
+
+        Called after each growth of a batch that isn't run here. A read keeps
+        its batch when another read evicts it meanwhile; it isn't cached again
+        then, since a newer copy may have taken its place.
+        """
+        if self._cache.get(batch_id) is cached:
+            self._cache.move_to_end(batch_id)
+            self._evict()
+
+    def _evict(self) -> None:
+        """Evict the least recently used batches.
+
+        The newest batch that isn't run here stays whatever its size, or each
+        read of a large one would request all of it again.
+        """
+        owned_count = read_count = read_bytes = 0
         for batch_id, cached in reversed(list(self._cache.items())):
-            is_owned = cached.is_authoritative is not _never
-            counts[is_owned] += 1
-            if counts[is_owned] > (
-                _MAX_OWNED_BATCHES if is_owned else _MAX_CACHED_BATCHES
-            ):
+            if cached.is_authoritative is not _never:
+                owned_count += 1
+                is_evicted = owned_count > _MAX_OWNED_BATCHES
+            else:
+                read_count += 1
+                read_bytes += cached.held_bytes
+                is_evicted = read_count > _MAX_CACHED_BATCHES or (
+                    read_count > 1 and read_bytes > _MAX_CACHED_BYTES
+                )
+            if is_evicted:
                 del self._cache[batch_id]
                 logs.event(
                     _LOG, "batch_uncached", logging.DEBUG, batch=batch_id
@@ -328,6 +363,7 @@
         if response is None:
             return False
         _add_response(cached, response)
+        self._record_use(batch_id, cached)
         if response.has_more and cached.last_key == after:
             # The same request would follow without end.
             cached.has_more = False
@@ -397,6 +433,7 @@
             # it doesn't advance the revision from which the next one starts.
             cached.revision = max(cached.revision or 0, revision)
         cached.add(entries)
+        self._record_use(batch_id, cached)
         return None
 
     async def _read_remaining(
@@ -413,6 +450,7 @@
             return response.err_value
         cached.add(response.ok_value[0])
         cached.is_final = True
+        self._record_use(batch_id, cached)
         return None
 
 
@@ -422,7 +460,8 @@
     cached.has_more = response.has_more
     if response.is_final and not response.has_more:
         cached.is_final = True
-    cached.items = cached.items or response.items
+    if not cached.items:
+        cached.set_items(response.items)
 
 
 def _first_results(
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -25,6 +25,10 @@
 
 MIB = 1 << 20
 RESULT = model.Result("item-1", model.Outcome.COMPLETED, "x" * 5000)
+# Seven of these fit into the text cache.
+LARGE_CACHED_TEXT = text_cache.CachedText(
+    result=model.Result("item-1", model.Outcome.COMPLETED, "x" * MIB)
+)
 
 
 class LastCheckError(Exception):
@@ -241,6 +245,20 @@
     assert cache.cached_bytes() == 0
 
 
+def test_text_cache_is_limited_in_bytes() -> None:
+    """Fails when texts far longer than usual fill the memory."""
+    cache = text_cache.TextCache()
+    for number in range(20):
+        # The second put replaces the first, whose size no longer counts.
+        for _ in range(2):
+            cache.put(f"item-{number}", LARGE_CACHED_TEXT)
+        assert cache.cached_bytes() <= 8 * MIB
+    assert cache.pop("item-12") == text_cache.CachedText()
+    for number in range(13, 20):
+        assert cache.pop(f"item-{number}") == LARGE_CACHED_TEXT
+    assert cache.cached_bytes() == 0
+
+
 def test_read_cache_counts_results_and_bodies() -> None:
     """Fails when the memory of cached results or bodies is missing."""
     batch = batch_builders.batch(batch_builders.item(body=b"x" * 9000))
