Test half-closed connections and planned stops of the HTTP server

Seen: tests/test_serving.py passed on faulty versions of serving.py: one that drops every event once reading has ended, so that a client that half-closes its connection gets no response, one that releases all connections but the first, and two that end a planned stop wrongly.

Cause: no test half-closed a connection or stopped the server, and the task count to compare with included the tasks of the connection that waited for the server to listen, so that one leaked connection passed.

Change: the harness waits for the bound port and for all tasks to block, and opens no connection. A half-closed connection must receive its whole response, sent after reading has ended, and then the end. During a planned stop an idle connection must end, a response whose last part is not sent yet must arrive whole, and the server must end after it and not before.

Evidence: each faulty version fails now in one test, where the tests before passed: all events dropped after reading, or the transport aborted then (half- closed connection); the first connection not released (closed connection); the grace period of a cancellation used for a planned stop, or no idle timer after a response (planned stop). Without the replacement of hypercorn's connection class four of the five cases fail, so a changed import there is noticed.

--- a/tests/ports.py
+++ b/tests/ports.py
@@ -33,7 +33,7 @@
     _, ports = _claim_block()
     found: list[int] = []
     for port in itertools.islice(ports, _BLOCK_PORTS):
-        if _is_free(port):
+        if is_free(port):
             found.append(port)
         if len(found) == count:
             return found
@@ -49,7 +49,8 @@
     return found[0]
 
 
-def _is_free(port: int) -> bool:
+def is_free(port: int) -> bool:
+    """Return whether a socket can be bound to a port."""
     # Without SO_REUSEADDR, which nng does not set either: a port stays in use
     # for the minute in which its connections are in TIME_WAIT.
     with socket.socket() as probe:
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -1,13 +1,15 @@
-"""Test the release of connections by the HTTP server."""
+"""Test how the HTTP server ends connections."""
 
 import asyncio
 from collections import abc
+import contextlib
 import gc
 import socket
 import struct
 import typing
 
 import anyio
+from anyio.streams import buffered
 from hypercorn import events
 import pytest
 
@@ -21,17 +23,21 @@
 _CONNECTIONS: typing.Final = 5
 # Far below the keep-alive timeout of the server.
 _RELEASE_TIMEOUT_SECONDS: typing.Final = 5.0
+# Longer than the server waits before it aborts connections when cancelled.
+_READER_PAUSE_SECONDS: typing.Final = 0.5
 _RESET_ON_CLOSE: typing.Final = struct.pack("ii", 1, 0)
 _REQUEST: typing.Final = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
 
 Scope: typing.TypeAlias = abc.MutableMapping[str, typing.Any]
 
 
-def _create_app(body_bytes: int) -> typing.Any:
+def _create_app(part_bytes: int, parts: int = 1) -> typing.Any:
+    """Return an app whose response bodies have equal parts."""
+
     async def app(scope: Scope, receive: typing.Any, send: typing.Any) -> None:
         if scope["type"] != "http":
             return
-        length = str(body_bytes).encode()
+        length = str(part_bytes * parts).encode()
         await send(
             {
                 "type": "http.response.start",
@@ -39,7 +45,14 @@
                 "headers": [(b"content-length", length)],
             }
         )
-        await send({"type": "http.response.body", "body": bytes(body_bytes)})
+        for remaining in reversed(range(parts)):
+            await send(
+                {
+                    "type": "http.response.body",
+                    "body": bytes(part_bytes),
+                    "more_body": remaining > 0,
+                }
+            )
 
     return app
 
@@ -74,6 +87,21 @@
     return count()
 
 
+@contextlib.asynccontextmanager
+async def _serve(
+    app: typing.Any,
+    stop: abc.Callable[[], abc.Awaitable[None]] = anyio.sleep_forever,
+) -> abc.AsyncIterator[tuple[serving.Server, tuple[str, int]]]:
+    """Serve an app on a free port; give the server and its address."""
+    address = ("127.0.0.1", ports.free_ports(1)[0])
+    server = serving.Server(app, *address, stop)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve)
+        await _wait_until_listening(address)
+        yield server, address
+        tasks.cancel_scope.cancel()
+
+
 def _serve_and_close(
     body_bytes: int,
     close: abc.Callable[[tuple[str, int]], abc.Awaitable[None]],
@@ -82,37 +110,26 @@
     """Close connections to a server, then check with the tasks before."""
 
     async def main() -> None:
-        port = ports.free_ports(1)[0]
-        address = ("127.0.0.1", port)
-        app = _create_app(body_bytes)
-        server = serving.Server(app, *address, anyio.sleep_forever)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(server.serve)
-            await _wait_until_listening(address)
+        async with _serve(_create_app(body_bytes)) as (_, address):
             before = len(asyncio.all_tasks())
             for _ in range(_CONNECTIONS):
                 await close(address)
             await check(before)
-            tasks.cancel_scope.cancel()
 
     anyio.run(main)
 
 
 async def _wait_until_listening(address: tuple[str, int]) -> None:
+    """Wait without a connection, whose tasks a test would count."""
     with anyio.fail_after(_RELEASE_TIMEOUT_SECONDS):
-        while True:
-            try:
-                # Resets itself, since no request follows.
-                conn = await anyio.connect_tcp(*address)
-            except OSError:
-                await anyio.sleep(0.02)
-            else:
-                raw = conn.extra(anyio.abc.SocketAttribute.raw_socket)
-                raw.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-                )
-                await conn.aclose()
-                return
+        while ports.is_free(address[1]):
+            await anyio.sleep(0.02)
+        await anyio.wait_all_tasks_blocked()
+
+
+async def _receive_all(conn: anyio.abc.ByteStream) -> bytes:
+    """Return what a connection still receives until its end."""
+    return b"".join([data async for data in conn])
 
 
 @pytest.mark.parametrize(
@@ -154,3 +171,66 @@
         _serve_and_close(_BODY_BYTES, _reset_during_response, check)
     finally:
         gc.enable()
+
+
+def test_half_closed_connection_receives_its_response() -> None:
+    """Fails when the end of reading discards a response or delays its end.
+
+    The app responds only after the server has read the end of the stream.
+    """
+    respond = _create_app(_BODY_BYTES)
+
+    async def app(scope: Scope, receive: typing.Any, send: typing.Any) -> None:
+        if scope["type"] != "http":
+            return
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        await respond(scope, receive, send)
+
+    async def main() -> None:
+        async with (
+            _serve(app) as (_, address),
+            await anyio.connect_tcp(*address) as conn,
+        ):
+            await conn.send(_REQUEST)
+            await conn.send_eof()
+            with anyio.fail_after(_RELEASE_TIMEOUT_SECONDS):
+                response = await _receive_all(conn)
+            assert len(response.partition(b"\r\n\r\n")[2]) == _BODY_BYTES
+
+    anyio.run(main)
+
+
+def test_planned_stop_completes_responses_and_closes_idle() -> None:
+    """Fails when a planned stop aborts a response or waits for idle clients.
+
+    The reader pauses during the stop, while the app still waits to send the
+    last part. The server must not end before, since the process ends with it.
+    """
+    body_bytes = 2 * _BODY_BYTES
+
+    async def main() -> None:
+        app = _create_app(_BODY_BYTES, 2)
+        stop = anyio.Event()
+        async with (
+            _serve(app, stop.wait) as (server, address),
+            await anyio.connect_tcp(*address) as idle,
+            await anyio.connect_tcp(*address) as writing,
+        ):
+            with anyio.fail_after(_RELEASE_TIMEOUT_SECONDS):
+                await idle.send(_REQUEST)
+                reader = buffered.BufferedByteReceiveStream(idle)
+                await reader.receive_until(b"\r\n\r\n", 1 << 10)
+                await reader.receive_exactly(body_bytes)
+                await writing.send(_REQUEST)
+                response = await writing.receive()
+                stop.set()
+                assert await _receive_all(idle) == b""
+                with anyio.move_on_after(_READER_PAUSE_SECONDS) as pause:
+                    await server.wait()
+                assert pause.cancelled_caught
+                response += await _receive_all(writing)
+                await server.wait()
+            assert len(response.partition(b"\r\n\r\n")[2]) == body_bytes
+
+    anyio.run(main)
