End HTTP/2 responses whose client has closed the connection

Seen: a client that resets or closes an HTTP/2 connection during a response leaves two tasks and the response behind for good (170 MB traced after five responses of 16 MB, by close and by reset), and a planned stop waits for them for up to an hour.

Cause: when a connection is closed, hypercorn ends the task that sends HTTP/2 data. The app waits until that task has taken the response from the buffer of its stream, which never happens.

Evidence: the three new cases fail before (16 tasks in place of 6 after five connections). HTTP/2 is reached in three ways: negotiated by TLS, assumed from the client's first bytes, and by "upgrade: h2c". The last two need no certificate. To offer only HTTP/1.1 during the TLS negotiation is thus not enough: in a trial of that the last two cases failed as before.

Change: once reading has ended, the connection closes the buffers of all its streams, which wakes the app; hypercorn then drops what it still sends. Measured after it: 0.4 MB and no tasks remain, a planned stop after such a reset ends in 0.00 s (before: still open after 6 s).

--- a/src/hibiscussaddle/serving.py
+++ b/src/hibiscussaddle/serving.py
@@ -9,6 +9,7 @@
 from hypercorn.asyncio import tcp_server
 from hypercorn import config as hypercorn_config
 from hypercorn import events as hypercorn_events
+from hypercorn.protocol import h2
 
 # Streams may run long after a stop was requested; the caller of serve() ends
 # them by cancelling it.
@@ -43,6 +44,12 @@
         finally:
             self._is_closed = True
             await self.idle_task.stop()
+            # hypercorn ends the task that sends HTTP/2 data, and the response
+            # would wait for it in its buffer forever.
+            protocol = self.protocol.protocol
+            if isinstance(protocol, h2.H2Protocol):
+                for buffer in list(protocol.stream_buffers.values()):
+                    await buffer.close()
 
 
 # hypercorn has no setting for the class that serves a connection.
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -4,12 +4,15 @@
 from collections import abc
 import contextlib
 import gc
+import pathlib
 import socket
+import ssl
 import struct
 import typing
 
 import anyio
 from anyio.streams import buffered
+from anyio.streams import tls as streams_tls
 from hypercorn import events
 import pytest
 
@@ -27,6 +30,25 @@
 _READER_PAUSE_SECONDS: typing.Final = 0.5
 _RESET_ON_CLOSE: typing.Final = struct.pack("ii", 1, 0)
 _REQUEST: typing.Final = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
+# The client preface, an empty SETTINGS frame and a HEADERS frame with
+# ":method: GET", ":path: /", ":scheme: https" and ":authority: h" that ends
+# stream 1 (RFC 9113, RFC 7541).
+_HTTP2_REQUEST: typing.Final = (
+    b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+    b"\x00\x00\x00\x04\x00\x00\x00\x00\x00"
+    b"\x00\x00\x06\x01\x05\x00\x00\x00\x01\x82\x84\x87\x41\x01h"
+)
+# The flow-control window that a client has without a setting of its own.
+_HTTP2_WINDOW_BYTES: typing.Final = 65_535
+_UPGRADE_REQUEST: typing.Final = (
+    b"GET / HTTP/1.1\r\nhost: h\r\nconnection: upgrade, http2-settings\r\n"
+    b"upgrade: h2c\r\nhttp2-settings: AAMAAABk\r\n\r\n"
+)
+_HTTP2_PREFACE: typing.Final = _HTTP2_REQUEST[:33]
+_DATA: typing.Final = pathlib.Path(__file__).parent / "data"
+# Self-signed for 127.0.0.1.
+_CERT: typing.Final = str(_DATA / "server.pem")
+_KEY: typing.Final = str(_DATA / "server.key")
 
 Scope: typing.TypeAlias = abc.MutableMapping[str, typing.Any]
 
@@ -71,6 +93,40 @@
         await conn.receive()
 
 
+async def _leave_http2_response(
+    conn: anyio.abc.ByteStream, request: bytes
+) -> None:
+    """Reset a connection after it has received as much as it allows."""
+    raw = conn.extra(anyio.abc.SocketAttribute.raw_socket)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    await conn.send(request)
+    received = 0
+    with anyio.fail_after(_RELEASE_TIMEOUT_SECONDS):
+        while received < _HTTP2_WINDOW_BYTES:
+            received += len(await conn.receive())
+    await conn.aclose()
+
+
+async def _reset_negotiated_http2(address: tuple[str, int]) -> None:
+    context = ssl.create_default_context(cafile=_CERT)
+    context.set_alpn_protocols(["h2"])
+    conn = await anyio.connect_tcp(
+        *address, ssl_context=context, tls_standard_compatible=False
+    )
+    assert conn.extra(streams_tls.TLSAttribute.alpn_protocol) == "h2"
+    await _leave_http2_response(conn, _HTTP2_REQUEST)
+
+
+async def _reset_assumed_http2(address: tuple[str, int]) -> None:
+    conn = await anyio.connect_tcp(*address)
+    await _leave_http2_response(conn, _HTTP2_REQUEST)
+
+
+async def _reset_upgraded_http2(address: tuple[str, int]) -> None:
+    conn = await anyio.connect_tcp(*address)
+    await _leave_http2_response(conn, _UPGRADE_REQUEST + _HTTP2_PREFACE)
+
+
 def _response_count() -> int:
     """Return the number of large responses in memory."""
     return sum(
@@ -91,12 +147,13 @@
 async def _serve(
     app: typing.Any,
     stop: abc.Callable[[], abc.Awaitable[None]] = anyio.sleep_forever,
+    tls: tuple[str, str] = ("", ""),
 ) -> abc.AsyncIterator[tuple[serving.Server, tuple[str, int]]]:
     """Serve an app on a free port; give the server and its address."""
     address = ("127.0.0.1", ports.free_ports(1)[0])
     server = serving.Server(app, *address, stop)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(server.serve)
+        tasks.start_soon(server.serve, *tls)
         await _wait_until_listening(address)
         yield server, address
         tasks.cancel_scope.cancel()
@@ -106,11 +163,13 @@
     body_bytes: int,
     close: abc.Callable[[tuple[str, int]], abc.Awaitable[None]],
     check: abc.Callable[[int], abc.Awaitable[None]],
+    tls: tuple[str, str] = ("", ""),
 ) -> None:
     """Close connections to a server, then check with the tasks before."""
 
     async def main() -> None:
-        async with _serve(_create_app(body_bytes)) as (_, address):
+        app = _create_app(body_bytes)
+        async with _serve(app, tls=tls) as (_, address):
             before = len(asyncio.all_tasks())
             for _ in range(_CONNECTIONS):
                 await close(address)
@@ -154,6 +213,33 @@
     _serve_and_close(body_bytes, close, check)
 
 
+@pytest.mark.parametrize(
+    ("reset", "tls"),
+    [
+        (_reset_negotiated_http2, (_CERT, _KEY)),
+        (_reset_assumed_http2, ("", "")),
+        (_reset_upgraded_http2, ("", "")),
+    ],
+)
+def test_reset_http2_connection_ends_its_tasks(
+    reset: abc.Callable[[tuple[str, int]], abc.Awaitable[None]],
+    tls: tuple[str, str],
+) -> None:
+    """Fails when a response waits forever for the window of a gone client.
+
+    A planned stop would wait for it as long as for a stream. Without TLS a
+    client may start with HTTP/2 or ask for it in an HTTP/1.1 request.
+    """
+
+    async def check(tasks_before: int) -> None:
+        tasks = await _count_after(
+            lambda: len(asyncio.all_tasks()), tasks_before
+        )
+        assert tasks <= tasks_before
+
+    _serve_and_close(_BODY_BYTES, reset, check, tls)
+
+
 def test_reset_connection_releases_its_response() -> None:
     """Fails when the response of a reset connection stays in memory.
 
