--- a/tests/test_peer_reads.py
+++ b/tests/test_peer_reads.py
@@ -1,162 +1,15 @@
 """Guard reads that the owner of a batch serves instead of the store."""
 
-from collections import abc
-import contextlib
-import dataclasses
 import time
-import typing
 
 import anyio
-import httpx
-import hypothesis
-from hypothesis import strategies
-import msgspec
-import pytest
-import result
-from starlette import applications
-from starlette import requests
-from starlette import responses
-from starlette import routing
 
 from hibiscussaddle.adapters import store
-from hibiscussaddle.batches import model
 from hibiscussaddle.batches import peer_reads
-from hibiscussaddle.batches import reader
-from hibiscussaddle.batches import storage
 from hibiscussaddle.fleet import presence
-from hibiscussaddle.fleet import view as view_lib
-from hibiscussaddle.platform.standins import store as fake_store
-from hibiscussaddle.routes import routing_config
 
 import batch_builders
-import loopback
-
-OWNER: typing.Final = model.Owner("gateway-1", 1)
-MAX_BYTES: typing.Final = 1_000_000
-
-
-ResponseChange: typing.TypeAlias = abc.Callable[
-    [int, responses.Response], responses.Response
-]
-
-
-class ReadHarness:
-    """Hold the reader of a batch's owner and the one of another instance."""
-
-    def __init__(
-        self,
-        client: store.StoreClient,
-        http: httpx.AsyncClient,
-        members: presence.Members,
-    ) -> None:
-        """Read through one store client, whose calls are counted."""
-        self.client = client
-        self.http = http
-        # Base URL of the owner, set once it is served.
-        self.peer_url = ""
-        self.storage = storage.BatchStorage(client)
-        self.owner = reader.BatchReader(self.storage)
-        view = view_lib.create_view()
-        view.config = routing_config.RoutingConfig(
-            1, (batch_builders.route(),)
-        )
-        peers = peer_reads.PeerReadClient(http, members, view)
-        self.reader = reader.BatchReader(self.storage, peers)
-        self.batch = batch_builders.batch(
-            *(batch_builders.item(f"item-{n}") for n in range(3))
-        )
-        self.is_authoritative = True
-        # Bodies of the owner's responses, in order.
-        self.peer_bodies: list[bytes] = []
-        # Returns what is sent for the owner's response of a number from 1 on.
-        self.change_response: ResponseChange = lambda number, response: (
-            response
-        )
-        self._revision = 0
-
-    async def accept(self) -> None:
-        """Store the batch and let the owner run it."""
-        accepted = await self.storage.accept(self.batch, OWNER, 1.0)
-        self._revision = accepted.unwrap()
-        self.owner.record_owned_batch(
-            self.batch, (), self.owner_is_authoritative
-        )
-
-    def owner_is_authoritative(self) -> bool:
-        """Return whether the owner may serve reads of the batch."""
-        return self.is_authoritative
-
-    async def log_result(
-        self, number: int, is_known: bool = True, text: str = "text"
-    ) -> None:
-        """Append a result; without is_known its owner's cache misses it."""
-        item_result = model.Result(
-            f"item-{number}", model.Outcome.COMPLETED, text
-        )
-        appended = await self.storage.append(
-            self.batch.id, self._revision, number, [item_result], [], False
-        )
-        appended.unwrap()
-        if is_known:
-            key = model.log_key(self.batch.id, number)
-            entry = storage.LogEntry(key, (item_result,))
-            self.owner.record_entry(self.batch.id, entry)
-
-    async def read(self, position: int, wait: float = 0.0) -> list[str]:
-        """Return the item ids of results that the other instance reads."""
-        page = await self.reader.results(
-            self.batch.id, position, wait, MAX_BYTES
-        )
-        return [item_result.item_id for item_result in page.unwrap().results]
-
-    def calls(self) -> int:
-        """Return the number of store calls so far."""
-        return sum(self.client.calls.values())
-
-
-@contextlib.asynccontextmanager
-async def read_harness() -> abc.AsyncIterator[ReadHarness]:
-    """Yield two instances that share a stand-in store."""
-    fake = fake_store.Store()
-    app = applications.Starlette()
-    me = presence.Member("gateway-2", "zone-a", 1, "127.0.0.1:1")
-    async with (
-        loopback.serve(fake_store.create_app(fake)) as url,
-        loopback.serve(app) as peer,
-        httpx.AsyncClient(trust_env=False) as http,
-    ):
-        members = presence.Members(me)
-        address = peer.removeprefix("http://")
-        other = presence.Member(OWNER.instance, "zone-b", 1, address)
-        members.all = {other.instance: other}
-        client = store.create_client(http, url, calls_per_second=1000)
-        harness = ReadHarness(client, http, members)
-        harness.peer_url = peer
-        app.router.routes.append(_create_recording_route(harness))
-        await harness.accept()
-        yield harness
-
-
-def _create_recording_route(harness: ReadHarness) -> routing.Route:
-    route = peer_reads.create_route(harness.owner)
-
-    async def read(req: requests.Request) -> responses.Response:
-        response = await route.endpoint(req)
-        harness.peer_bodies.append(response.body)
-        return harness.change_response(len(harness.peer_bodies), response)
-
-    return routing.Route(route.path, read, methods=["POST"])
-
-
-def _run_scenario(
-    scenario: abc.Callable[[ReadHarness], abc.Awaitable[None]],
-) -> None:
-    async def main() -> None:
-        async with read_harness() as harness:
-            with anyio.fail_after(10):
-                await scenario(harness)
-
-    anyio.run(main)
+import peer_read_harness
 
 
 def test_reads_at_other_instances_make_no_store_call() -> None:
@@ -167,7 +20,7 @@
     for 26 batches.
     """
 
-    async def scenario(harness: ReadHarness) -> None:
+    async def scenario(harness: peer_read_harness.ReadHarness) -> None:
         await harness.log_result(0)
         before = harness.calls()
         assert await harness.read(0) == ["item-0"]
@@ -179,13 +32,13 @@
         # Only the second append calls the store.
         assert harness.calls() - before == 1
 
-    _run_scenario(scenario)
+    peer_read_harness.run_scenario(scenario)
 
 
 def test_read_waits_at_the_owner() -> None:
     """Fails when a waiting read returns late or polls."""
 
-    async def scenario(harness: ReadHarness) -> None:
+    async def scenario(harness: peer_read_harness.ReadHarness) -> None:
         seen: list[tuple[list[str], float]] = []
 
         async def read() -> None:
@@ -200,7 +53,7 @@
         assert seen[0][0] == ["item-0"]
         assert 0.6 < seen[0][1] < 1.2
 
-    _run_scenario(scenario)
+    peer_read_harness.run_scenario(scenario)
 
 
 def test_owner_without_authority_serves_no_reads() -> None:
@@ -209,30 +62,32 @@
     The owner's machine froze, and its successor has logged results.
     """
 
-    async def scenario(harness: ReadHarness) -> None:
+    async def scenario(harness: peer_read_harness.ReadHarness) -> None:
         await harness.log_result(0)
         assert await harness.read(0) == ["item-0"]
         harness.is_authoritative = False
         await harness.log_result(1, is_known=False)
         assert await harness.read(1) == ["item-1"]
 
-    _run_scenario(scenario)
+    peer_read_harness.run_scenario(scenario)
 
 
 def test_dead_owner_does_not_block_reads() -> None:
     """Fails when reads hang because the owner of their batch is dead."""
 
-    async def scenario(harness: ReadHarness) -> None:
+    async def scenario(harness: peer_read_harness.ReadHarness) -> None:
         await harness.log_result(0)
         peers = harness.reader._peers
         assert isinstance(peers, peer_reads.PeerReadClient)
         members = peers._members
-        dead = presence.Member(OWNER.instance, "zone-b", 1, "127.0.0.1:9")
+        dead = presence.Member(
+            peer_read_harness.OWNER.instance, "zone-b", 1, "127.0.0.1:9"
+        )
         members.all[dead.instance] = dead
         for _ in range(3):
             assert await harness.read(0) == ["item-0"]
 
-    _run_scenario(scenario)
+    peer_read_harness.run_scenario(scenario)
 
 
 def test_ended_batch_is_read_from_the_store_once() -> None:
@@ -241,7 +96,7 @@
     The owner did not receive the response to its last append.
     """
 
-    async def scenario(harness: ReadHarness) -> None:
+    async def scenario(harness: peer_read_harness.ReadHarness) -> None:
         await harness.log_result(0)
         await harness.log_result(1, is_known=False)
         (await harness.storage.end(harness.batch.id)).unwrap()
@@ -255,425 +110,35 @@
             assert await harness.read(2, 0.2) == []
         assert harness.calls() - before == 1
 
-    _run_scenario(scenario)
+    peer_read_harness.run_scenario(scenario)
 
 
 def test_batch_unknown_to_its_owner_is_read_from_the_store() -> None:
     """Fails when a batch counts as missing because its owner evicted it."""
 
-    async def scenario(harness: ReadHarness) -> None:
+    async def scenario(harness: peer_read_harness.ReadHarness) -> None:
         await harness.log_result(0)
         harness.owner._cache.clear()
         assert await harness.read(0) == ["item-0"]
         unknown = await harness.reader.head("none")
         assert unknown.unwrap_err().failure is store.StoreFailure.MISSING
 
-    _run_scenario(scenario)
+    peer_read_harness.run_scenario(scenario)
 
 
 def test_cache_keeps_the_batches_that_run_here() -> None:
     """Fails when reads of old batches evict those that run here."""
 
-    async def scenario(harness: ReadHarness) -> None:
+    async def scenario(harness: peer_read_harness.ReadHarness) -> None:
         for number in range(40):
             batch = batch_builders.batch(id=f"old-{number}")
-            (await harness.storage.accept(batch, OWNER, 1.0)).unwrap()
+            (
+                await harness.storage.accept(
+                    batch, peer_read_harness.OWNER, 1.0
+                )
+            ).unwrap()
             (await harness.owner.head(batch.id)).unwrap()
         assert harness.batch.id in harness.owner._cache
         assert len(harness.owner._cache) < 40
 
-    _run_scenario(scenario)
-
-
-# Two texts of this size exceed a page.
-LONG_TEXT: typing.Final = "x" * 100_000
-# Head, keys and names of fields in a response.
-OVERHEAD_BYTES: typing.Final = 1_000
-
-
-@dataclasses.dataclass(frozen=True)
-class OldPeerResponse:
-    """Have the fields of builds that return all entries at once."""
-
-    head: model.Head
-    entries: tuple[storage.LogEntry, ...]
-    is_final: bool
-    items: dict[str, bytes]
-
-
-class DirectPeers:
-    """Pass encoded responses of an owner's reader to another reader."""
-
-    def __init__(
-        self, owner: reader.BatchReader, failures: abc.Container[int] = ()
-    ) -> None:
-        """Fail the requests of the given numbers, counted from 1."""
-        self.bodies: list[bytes] = []
-        self._owner = owner
-        self._failures = failures
-        self._count = 0
-
-    async def fetch(
-        self,
-        batch_id: str,
-        route: str,
-        after: str,
-        wait: float,
-        wants_items: bool,
-    ) -> reader.PeerResponse | None:
-        """Return the owner's response unless this request fails."""
-        self._count += 1
-        if self._count in self._failures:
-            return None
-        response = await self._owner.peer_response(
-            batch_id, after, wait, wants_items
-        )
-        self.bodies.append(msgspec.msgpack.encode(response))
-        return msgspec.msgpack.decode(
-            self.bodies[-1], type=reader.PeerResponse
-        )
-
-
-class MemoryStorage(storage.BatchStorage):
-    """Hold the log of one batch in memory."""
-
-    def __init__(
-        self, head: model.Head, entries: abc.Sequence[storage.LogEntry]
-    ) -> None:
-        """Hold a log whose entries never change."""
-        self._head = head
-        self._entries = entries
-
-    async def head(
-        self, batch_id: str
-    ) -> result.Result[model.Head, store.StoreError]:
-        """Return the head."""
-        return result.Ok(self._head)
-
-    async def log_entries_after(
-        self, batch_id: str, last_key: str
-    ) -> result.Result[tuple[list[storage.LogEntry], int], store.StoreError]:
-        """Return the entries after a key."""
-        entries = [entry for entry in self._entries if entry.key > last_key]
-        return result.Ok((entries, 1))
-
-    async def watch_log(
-        self, batch_id: str, after: int, wait: float
-    ) -> result.Result[tuple[list[storage.LogEntry], int], store.StoreError]:
-        """Return no changes."""
-        return result.Ok(([], after))
-
-
-async def _log_long_results(harness: ReadHarness) -> None:
-    for number in range(3):
-        await harness.log_result(number, text=LONG_TEXT)
-
-
-def test_response_to_a_peer_is_limited() -> None:
-    """Fails when one response holds a whole log.
-
-    On the grown deployments it had 0.6 to 0.9 MB and did not arrive within
-    the timeout when several instances read from one owner.
-    """
-
-    async def scenario(harness: ReadHarness) -> None:
-        await _log_long_results(harness)
-        # A first read that stops at the end of a page would delay a trainer,
-        # which reads about twice a second.
-        assert await harness.read(0) == ["item-0", "item-1", "item-2"]
-        assert len(harness.peer_bodies) == 3
-        for body in harness.peer_bodies:
-            assert len(body) <= reader.MAX_PEER_PAGE_BYTES + OVERHEAD_BYTES
-
-    _run_scenario(scenario)
-
-
-def test_read_gets_a_log_of_several_pages() -> None:
-    """Fails when a reader takes a cut response for the whole log.
-
-    The caller would get no result although results were shown elsewhere.
-    """
-
-    async def scenario(harness: ReadHarness) -> None:
-        await _log_long_results(harness)
-        before = harness.calls()
-        started = time.monotonic()
-        assert await harness.read(2) == ["item-2"]
-        assert await harness.read(0) == ["item-0", "item-1", "item-2"]
-        assert len(harness.peer_bodies) == 3
-        assert harness.calls() == before
-        assert time.monotonic() - started < 1.0
-
-    _run_scenario(scenario)
-
-
-def test_read_waits_after_the_last_page() -> None:
-    """Fails when a read returns at the end of the known log without a wait.
-
-    Requests for further pages don't wait at the owner; the one after the last
-    page must.
-    """
-
-    async def scenario(harness: ReadHarness) -> None:
-        await harness.log_result(0, text=LONG_TEXT)
-        await harness.log_result(1, text=LONG_TEXT)
-        seen: list[list[str]] = []
-
-        async def read() -> None:
-            seen.append(await harness.read(2, wait=2.0))
-
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(read)
-            await anyio.sleep(0.3)
-            # Two pages and one request that waits.
-            assert len(harness.peer_bodies) == 2
-            await harness.log_result(2, text=LONG_TEXT)
-        assert seen == [["item-2"]]
-        assert len(harness.peer_bodies) == 3
-
-    _run_scenario(scenario)
-
-
-def test_entry_above_the_limit_is_sent_alone() -> None:
-    """Fails when an entry above the limit stops the reader's progress."""
-
-    async def scenario(harness: ReadHarness) -> None:
-        await harness.log_result(0)
-        await harness.log_result(1, text="x" * 600_000)
-        await harness.log_result(2)
-        before = harness.calls()
-        assert await harness.read(2) == ["item-2"]
-        assert len(harness.peer_bodies) == 3
-        assert harness.calls() == before
-
-    _run_scenario(scenario)
-
-
-def test_only_the_last_page_is_final() -> None:
-    """Fails when a reader stops before the last results of an ended batch."""
-
-    async def scenario(harness: ReadHarness) -> None:
-        await harness.log_result(0, text=LONG_TEXT)
-        await harness.log_result(1, text=LONG_TEXT)
-        (await harness.storage.end(harness.batch.id)).unwrap()
-        harness.owner.record_end(harness.batch.id)
-        # Reads the head of the batch with the first page.
-        (await harness.reader.head(harness.batch.id)).unwrap()
-        assert not harness.reader._cache[harness.batch.id].is_complete
-        assert await harness.read(0) == ["item-0", "item-1"]
-        assert await harness.read(2, wait=1.0) == []
-        flags = [
-            (response.is_final, response.has_more)
-            for response in (
-                msgspec.msgpack.decode(body, type=reader.PeerResponse)
-                for body in harness.peer_bodies
-            )
-        ]
-        assert flags == [(False, True), (True, False)]
-
-    _run_scenario(scenario)
-
-
-def _cut(response: responses.Response) -> responses.Response:
-    return responses.Response(response.body[: len(response.body) // 2])
-
-
-def _reset(response: responses.Response) -> responses.Response:
-    """Return a response whose connection is closed before its end."""
-    size = {"content-length": str(len(response.body))}
-    return responses.Response(
-        response.body[: len(response.body) // 2], 200, size
-    )
-
-
-def _fail(response: responses.Response) -> responses.Response:
-    return responses.Response(status_code=500)
-
-
-def _lose_authority(response: responses.Response) -> responses.Response:
-    return responses.Response(status_code=404)
-
-
-@pytest.mark.parametrize("change", [_cut, _reset, _fail, _lose_authority])
-def test_failure_of_a_page_keeps_the_pages_before(
-    change: abc.Callable[[responses.Response], responses.Response],
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """Fails when a failed page discards results or hides the others.
-
-    The store must be read from the last known entry on, not from the start.
-    """
-
-    async def scenario(harness: ReadHarness) -> None:
-        await _log_long_results(harness)
-        harness.change_response = lambda number, response: (
-            response if number == 1 else change(response)
-        )
-        scans: list[str] = []
-        scan = harness.storage.log_entries_after
-
-        async def record_scan(batch_id: str, last_key: str) -> typing.Any:
-            scans.append(last_key)
-            return await scan(batch_id, last_key)
-
-        monkeypatch.setattr(harness.storage, "log_entries_after", record_scan)
-        assert await harness.read(2) == ["item-2"]
-        assert scans == [model.log_key(harness.batch.id, 0)]
-        assert len(harness.peer_bodies) == 2
-        assert await harness.read(0) == ["item-0", "item-1", "item-2"]
-
-    _run_scenario(scenario)
-
-
-def test_peer_without_progress_is_not_asked_again() -> None:
-    """Fails when a peer that never returns its further entries blocks reads.
-
-    The reader would repeat the same request without a pause. It also fails
-    when the reader takes such a response for the last one.
-    """
-
-    async def scenario(harness: ReadHarness) -> None:
-        await harness.log_result(0)
-
-        def withhold(
-            number: int, response: responses.Response
-        ) -> responses.Response:
-            head = model.create_head(harness.batch)
-            empty = reader.PeerResponse(head, (), True, {}, has_more=True)
-            return responses.Response(msgspec.msgpack.encode(empty))
-
-        harness.change_response = withhold
-        assert await harness.read(0) == ["item-0"]
-        assert not harness.reader._cache[harness.batch.id].is_complete
-
-    _run_scenario(scenario)
-
-
-def test_build_without_pages_reads_pages() -> None:
-    """Fails when an instance of the build before loses results of a page.
-
-    Both builds run during a rolling restart. That build ignores has_more and
-    requests more unless a response is final.
-    """
-
-    async def scenario(harness: ReadHarness) -> None:
-        await _log_long_results(harness)
-        entries: list[storage.LogEntry] = []
-        finals: list[bool] = []
-        while not (finals and finals[-1]):
-            query = {
-                "batch_id": harness.batch.id,
-                "after": entries[-1].key if entries else "",
-                "wait": 0.0,
-                "wants_items": False,
-            }
-            resp = await harness.http.post(
-                f"{harness.peer_url}/v1/batches/reads",
-                content=msgspec.msgpack.encode(query),
-            )
-            response = msgspec.msgpack.decode(
-                resp.content, type=OldPeerResponse
-            )
-            assert response.entries
-            entries += response.entries
-            finals.append(response.is_final)
-        assert finals == [False, False, True]
-        assert [entry.key for entry in entries] == [
-            model.log_key(harness.batch.id, number) for number in range(3)
-        ]
-
-    _run_scenario(scenario)
-
-
-def test_response_of_a_build_without_pages_is_read() -> None:
-    """Fails when the response of the build before is refused or repeated.
-
-    That build returns all entries, without has_more.
-    """
-
-    async def scenario(harness: ReadHarness) -> None:
-        await _log_long_results(harness)
-        cached = harness.owner._cache[harness.batch.id]
-        entries, _ = cached.entries_after("", MAX_BYTES)
-        old = OldPeerResponse(cached.head, entries, True, {})
-        body = msgspec.msgpack.encode(old)
-        harness.change_response = lambda number, response: responses.Response(
-            body
-        )
-        before = harness.calls()
-        assert await harness.read(2) == ["item-2"]
-        assert harness.reader._cache[harness.batch.id].is_final
-        assert len(harness.peer_bodies) == 1
-        assert harness.calls() == before
-
-    _run_scenario(scenario)
-
-
-@hypothesis.given(
-    sizes=strategies.lists(
-        strategies.lists(strategies.integers(0, 150_000), max_size=3),
-        max_size=8,
-    ),
-    failures=strategies.sets(strategies.integers(1, 8)),
-    is_ended=strategies.booleans(),
-    first=strategies.integers(0, 24),
-)
-@hypothesis.example([[100_000]] * 8, set(), False, 0)
-@hypothesis.example([[100_000]] * 8, set(), False, 7)
-def test_pages_hold_the_results_in_order(
-    sizes: list[list[int]], failures: set[int], is_ended: bool, first: int
-) -> None:
-    """Fails when a split of the log loses, repeats or reorders results."""
-    entries = []
-    item_results: list[model.Result] = []
-    for number, texts in enumerate(sizes):
-        added = tuple(
-            model.Result(
-                f"item-{len(item_results) + index}",
-                model.Outcome.COMPLETED,
-                "x" * size,
-            )
-            for index, size in enumerate(texts)
-        )
-        item_results += added
-        key = model.log_key("batch-1", number)
-        entries.append(storage.LogEntry(key, added))
-    # One item has no result unless the batch has ended.
-    batch = batch_builders.batch(
-        *(
-            batch_builders.item(f"item-{n}")
-            for n in range(len(item_results) + 1)
-        )
-    )
-    batch_storage = MemoryStorage(model.create_head(batch), entries)
-    owner = reader.BatchReader(batch_storage)
-    owner.record_owned_batch(batch, entries, lambda: True)
-    if is_ended:
-        owner.record_end(batch.id)
-    peers = DirectPeers(owner, failures)
-    other = reader.BatchReader(batch_storage, peers)
-    seen: list[model.Result] = []
-
-    async def main() -> None:
-        if first < len(item_results):
-            page = await other.results(batch.id, first, 0.0, MAX_BYTES)
-            assert page.unwrap().results[0] == item_results[first]
-        while len(seen) < len(item_results):
-            page = await other.results(batch.id, len(seen), 0.0, MAX_BYTES)
-            assert page.unwrap().results
-            seen.extend(page.unwrap().results)
-        page = await other.results(batch.id, len(seen), 0.0, MAX_BYTES)
-        assert not page.unwrap().results
-
-    anyio.run(main)
-    assert seen == item_results
-    for body in peers.bodies:
-        response = msgspec.msgpack.decode(body, type=reader.PeerResponse)
-        size = sum(
-            len(model.encode_results(list(entry.results)))
-            for entry in response.entries
-        )
-        assert size <= reader.MAX_PEER_PAGE_BYTES or len(response.entries) == 1
-        assert not (response.is_final and response.has_more)
-        if response.is_final and response.entries:
-            assert response.entries[-1] == entries[-1]
+    peer_read_harness.run_scenario(scenario)
