--- a/src/hibiscussaddle/adapters/connections.py
+++ b/src/hibiscussaddle/adapters/connections.py
@@ -31,8 +31,8 @@
 _PRUNE_INTERVAL_SECONDS: typing.Final = 5.0
 
 # A response above this size is cut off and its connection is reset: a faulty
-# server may send bytes without end, and an instance has 200 MB for all of its
-# requests. Values in the store have up to a megabyte, batches a few.
+# server may send bytes without end, and an instance may have 128 MB for all of
+# its requests. Values in the store have up to a megabyte, batches a few.
 MAX_RESPONSE_BYTES: typing.Final = 8 << 20
 
 _Origin: typing.TypeAlias = tuple[str, str, int | None]
