Log the rate limits that endpoints name

No log line told which instance knew of an endpoint's Server-Limit when it sent a request, so the hypotheses of docs/incidents/server-limit.md could not be told apart.

--- a/src/hibiscussaddle/batches/runs.py
+++ b/src/hibiscussaddle/batches/runs.py
@@ -15,6 +15,7 @@
 from hibiscussaddle import endpoints
 from hibiscussaddle import logs
 from hibiscussaddle.platform import endpoint_wire
+from hibiscussaddle.rate_limits import observed
 
 _LOG = logging.getLogger(__name__)
 
@@ -81,10 +82,14 @@
     """Run items over a shared HTTP client."""
 
     def __init__(
-        self, client: httpx.AsyncClient, engines: placement.Placement
+        self,
+        client: httpx.AsyncClient,
+        engines: placement.Placement,
+        limits: observed.ObservedLimits,
     ) -> None:
         """Record what is observed of the engines in the placement."""
         self._client = client
+        self._limits = limits
         self._engines = engines
 
     async def run(
@@ -165,6 +170,9 @@
             raise events.MalformedStreamError(
                 f"response has request id {echoed!r}, not {progress.item.id!r}"
             )
+        self._limits.observe(
+            endpoint, resp, progress.item.id, time.monotonic()
+        )
         if resp.status_code != httpx.codes.OK:
             # Reading the body to its end lets the connection be reused.
             await resp.aread()
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -35,6 +35,7 @@
 from hibiscussaddle.platform import config_wire
 from hibiscussaddle.platform import endpoint_wire
 from hibiscussaddle import process_memory
+from hibiscussaddle.rate_limits import observed
 from hibiscussaddle.routes import balance
 from hibiscussaddle.routes import forward
 from hibiscussaddle.scoring import scorer as scorer_lib
@@ -154,7 +155,8 @@
     batches = storage.BatchStorage(store_client)
     engines = placement.Placement()
     balancer = balance.Balancer(cfg.zone, random.Random())
-    forwarder = forward.Forwarder(client, view, balancer)
+    limits = observed.ObservedLimits()
+    forwarder = forward.Forwarder(client, view, balancer, limits)
     batch_reader = reader.BatchReader(
         batches, peer_reads.PeerReadClient(client, members, view)
     )
@@ -162,7 +164,7 @@
         batches,
         view,
         engines,
-        runs.ItemRunner(client, engines),
+        runs.ItemRunner(client, engines, limits),
         text_cache.TextCache(),
         waiting_items.WaitingItems(engines),
         scorer_lib.Scorer(forwarder, view, random.Random()),
--- a/src/hibiscussaddle/platform/endpoint_wire.py
+++ b/src/hibiscussaddle/platform/endpoint_wire.py
@@ -1,6 +1,8 @@
 """Wire format of endpoints: entries in the store and HTTP messages."""
 
+from collections import abc
 import dataclasses
+import math
 import typing
 
 import msgspec
@@ -22,6 +24,9 @@
 NOT_RUN_HEADER: typing.Final = "x-not-run"
 # Proves that the response comes from the endpoint itself.
 PROOF_HEADER: typing.Final = "x-server-stamp"
+# Requests a second that the endpoint takes from all instances together, for as
+# long as its responses say so.
+RATE_LIMIT_HEADER: typing.Final = "server-limit"
 # A single integer despite the plural; a response header, and a field of the
 # events in a stream.
 WEIGHT_VERSION_HEADER: typing.Final = "x-weight-versions"
@@ -100,6 +105,29 @@
     )
 
 
+def decode_rate_limit(values: abc.Iterable[str]) -> float | None:
+    """Return the lowest rate limit among header values, None without one.
+
+    The unit is requests per second. Raises ValueError when no value is a
+    finite number of at least 0.
+    """
+    rates: list[float] = []
+    malformed: list[str] = []
+    for value in ",".join(values).split(","):
+        text = value.strip()
+        try:
+            rate = float(text)
+        except ValueError:
+            rate = math.nan
+        if math.isfinite(rate) and rate >= 0:
+            rates.append(rate)
+        elif text:
+            malformed.append(text)
+    if not rates and malformed:
+        raise ValueError(f"{malformed[0]!r} is not a number of requests")
+    return min(rates, default=None)
+
+
 def encode_weight_order(
     model: str,
     version: int,
--- a/src/hibiscussaddle/platform/standins/endpoint.py
+++ b/src/hibiscussaddle/platform/standins/endpoint.py
@@ -39,6 +39,8 @@
     # Number of events in each stream, and the interval between them.
     events: int = 10
     event_seconds: float = 0.01
+    # Requests per second that responses name as the limit; negative for none.
+    rate_limit: float = -1.0
 
 
 class FakeEndpoint:
@@ -54,6 +56,8 @@
         self.is_draining = False
         # IDs of the requests that started, in order.
         self.started_requests: list[str] = []
+        # Unix seconds at which each request arrived.
+        self.arrivals: list[float] = []
         # Number of next requests to a plain service that fail.
         self.failures_left = 0
         self._heartbeats = 0
@@ -129,8 +133,11 @@
         if expected not in (None, endpoint.cfg.id):
             # The request is meant for another endpoint and does not run.
             return responses.Response(status_code=421)
+        endpoint.arrivals.append(time.time())
         request_id = req.headers["x-request-id"]
         headers = {"x-request-id": request_id}
+        if endpoint.cfg.rate_limit >= 0:
+            headers["server-limit"] = str(endpoint.cfg.rate_limit)
         if endpoint.is_loading:
             headers["x-not-run"] = "1"
             return responses.Response(status_code=503, headers=headers)
@@ -163,6 +170,9 @@
     async def started(_: requests.Request) -> responses.Response:
         return responses.JSONResponse(endpoint.started_requests)
 
+    async def arrivals(_: requests.Request) -> responses.Response:
+        return responses.JSONResponse(endpoint.arrivals)
+
     @contextlib.asynccontextmanager
     async def lifespan(
         app: applications.Starlette,
@@ -178,6 +188,7 @@
             routing.Route("/-/report", report),
             routing.Route("/-/order", order, methods=["POST"]),
             routing.Route("/started", started),
+            routing.Route("/arrivals", arrivals),
             routing.Route(
                 "/{path:path}", run, methods=["GET", "POST", "PUT", "DELETE"]
             ),
--- a/src/hibiscussaddle/routes/forward.py
+++ b/src/hibiscussaddle/routes/forward.py
@@ -15,6 +15,7 @@
 from hibiscussaddle import logs
 from hibiscussaddle.platform import endpoint_wire
 from hibiscussaddle.policy import retries
+from hibiscussaddle.rate_limits import observed
 from hibiscussaddle.routes import balance
 from hibiscussaddle.routes import routing_config
 
@@ -164,9 +165,11 @@
         client: httpx.AsyncClient,
         view: view_lib.View,
         balancer: balance.Balancer,
+        limits: observed.ObservedLimits,
     ) -> None:
         """Use a shared HTTP client."""
         self._client = client
+        self._limits = limits
         self._view = view
         self._balancer = balancer
 
@@ -358,6 +361,7 @@
             return self._fail_attempt(
                 state, endpoint, error, _AttemptEnd.UNKNOWN
             )
+        self._limits.observe(endpoint, resp, state.req.id, now)
         if resp.headers.get(
             endpoint_wire.NOT_RUN_HEADER
         ) or resp.status_code == (httpx.codes.MISDIRECTED_REQUEST):
--- a/src/hibiscussaddle/standins/run.py
+++ b/src/hibiscussaddle/standins/run.py
@@ -92,6 +92,7 @@
         model=str(options.get("model", "")),
         events=int(options.get("events", 10)),
         event_seconds=float(options.get("event_seconds", 0.01)),
+        rate_limit=float(options.get("rate_limit", -1.0)),
     )
     return endpoint.create_registered_app(cfg, str(options["store_url"]))
 
--- a/tests/fake_services.py
+++ b/tests/fake_services.py
@@ -13,6 +13,7 @@
 from hibiscussaddle.adapters import connections
 from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import view as view_lib
+from hibiscussaddle.rate_limits import observed
 from hibiscussaddle.routes import balance
 from hibiscussaddle.routes import forward
 
@@ -57,4 +58,7 @@
                 )
         client = connections.create_client()
         stack.push_async_callback(client.aclose)
-        yield forward.Forwarder(client, view, balancer), view
+        forwarder = forward.Forwarder(
+            client, view, balancer, observed.ObservedLimits()
+        )
+        yield forwarder, view
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -20,6 +20,7 @@
 from hibiscussaddle import codes
 from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import view as view_lib
+from hibiscussaddle.rate_limits import observed
 from hibiscussaddle.routes import balance
 from hibiscussaddle.routes import forward
 from hibiscussaddle.routes import routing_config
@@ -65,7 +66,9 @@
     view.directory.put(_endpoint(url))
     client = connections.create_client()
     balancer = balance.Balancer("zone-a", random.Random(1))
-    forwarder = forward.Forwarder(client, view, balancer)
+    forwarder = forward.Forwarder(
+        client, view, balancer, observed.ObservedLimits()
+    )
     route = batch_builders.route(
         kind=routing_config.RouteKind.NON_IDEMPOTENT, timeout=5.0
     )
@@ -86,7 +89,9 @@
 
 async def _run_item(url: str) -> runs.RunEnd:
     client = connections.create_client()
-    runner = runs.ItemRunner(client, placement.Placement())
+    runner = runs.ItemRunner(
+        client, placement.Placement(), observed.ObservedLimits()
+    )
     batch = batch_builders.batch(batch_builders.item("r-1"))
     progress = runs.Progress(batch.items[0], events.Transcript())
     with anyio.move_on_after(TIMEOUT_SECONDS):
--- a/tests/test_item_runs.py
+++ b/tests/test_item_runs.py
@@ -15,6 +15,7 @@
 from hibiscussaddle.batches import events
 from hibiscussaddle.batches import placement
 from hibiscussaddle.batches import runs
+from hibiscussaddle.rate_limits import observed
 
 import batch_builders
 import loopback
@@ -59,7 +60,9 @@
         item = self.batch.items[0]
         self.progress = runs.Progress(item, events.Transcript())
         self.received_headers: list[dict[str, str]] = []
-        self._runner = runs.ItemRunner(client, placement.Placement())
+        self._runner = runs.ItemRunner(
+            client, placement.Placement(), observed.ObservedLimits()
+        )
 
     async def run(self) -> runs.RunEnd:
         """Run the item once."""
