Keep the rate limits that endpoints name, across all instances

Cause: nothing read Server-Limit, and no part of the product spaced requests by rate at all: what bounds load is latency, slots and refusals, each as one instance sees them.

Each request to an endpoint that named a limit now needs a permit: first attempts, repeats, items, scoring calls, weight orders and reports. Hedges never go to a limited endpoint. What no endpoint may take is refused at once with code 1123.

An owner that takes over learns of a limit from its first responses only.

--- a/src/hibiscussaddle/batches/engine_choice.py
+++ b/src/hibiscussaddle/batches/engine_choice.py
@@ -5,6 +5,7 @@
 from hibiscussaddle.batches import runs
 from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import view as view_lib
+from hibiscussaddle.rate_limits import limiter as limiter_lib
 from hibiscussaddle.routes import routing_config
 
 
@@ -15,11 +16,13 @@
         self,
         view: view_lib.View,
         engines: placement.Placement,
+        limiter: limiter_lib.Limiter,
         batch: model.Batch,
     ) -> None:
         """Start without a preferred engine for any group."""
         self._view = view
         self._engines = engines
+        self._limiter = limiter
         self._batch = batch
         # Engine that read the prompt of each group first and caches it.
         self._group_engines: dict[str, str] = {}
@@ -32,22 +35,52 @@
     def choose(
         self, progress: runs.Progress, now: float, allow_probe: bool
     ) -> endpoints.Endpoint | None:
-        """Return the engine for an item's next run, None without capacity."""
-        group = progress.item.group
-        endpoint = self._engines.choose(
-            self.candidates(progress.item),
-            now,
-            self._group_engines.get(group, ""),
-            {progress.excluded_endpoint_id}
-            if progress.excluded_endpoint_id
-            else (),
-            allow_probe,
-        )
+        """Return the engine for an item's next run, None without capacity.
+
+        An engine that named a rate limit needs a permit, and comes after the
+        others unless a run has to show whether its limit still applies.
+        """
+        candidates = self.candidates(progress.item)
+        deferred = list(filter(self._limiter.is_deferred, candidates))
+        first = [ep for ep in candidates if ep not in deferred]
+        unlimited = [ep for ep in first if not self._limiter.is_limited(ep)]
+        endpoint = None
+        for choices in (first, unlimited, deferred):
+            if not choices or endpoint is not None:
+                continue
+            chosen = self._choose(choices, progress, now, allow_probe)
+            if chosen is not None and self._limiter.take_item_permit(chosen):
+                endpoint = chosen
         progress.excluded_endpoint_id = ""
+        group = progress.item.group
         if endpoint is not None and group:
             self._group_engines.setdefault(group, endpoint.id)
         return endpoint
 
+    def _choose(
+        self,
+        candidates: list[endpoints.Endpoint],
+        progress: runs.Progress,
+        now: float,
+        allow_probe: bool,
+    ) -> endpoints.Endpoint | None:
+        excluded = {progress.excluded_endpoint_id} - {""}
+        return self._engines.choose(
+            candidates,
+            now,
+            self._group_engines.get(progress.item.group, ""),
+            excluded,
+            allow_probe,
+        )
+
+    def move_candidates(self, item: model.Item) -> list[endpoints.Endpoint]:
+        """Return the engines that an item may move to without a permit."""
+        return [
+            endpoint
+            for endpoint in self.candidates(item)
+            if not self._limiter.is_limited(endpoint)
+        ]
+
     def candidates(self, item: model.Item) -> list[endpoints.Endpoint]:
         """Return the engines that may run an item."""
         route = self.route()
--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -28,6 +28,7 @@
 from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import logs
+from hibiscussaddle.rate_limits import limiter as limiter_lib
 from hibiscussaddle.scoring import scorer
 
 _LOG = logging.getLogger(__name__)
@@ -56,6 +57,7 @@
     waiting_items: waiting_items.WaitingItems
     scorer: scorer.Scorer
     reader: reader.BatchReader
+    limiter: limiter_lib.Limiter
 
 
 class BatchRunner:
@@ -74,7 +76,10 @@
         self.record = record
         self._dependencies = dependencies
         self._choice = engine_choice.EngineChoice(
-            dependencies.view, dependencies.engines, batch
+            dependencies.view,
+            dependencies.engines,
+            dependencies.limiter,
+            batch,
         )
         self._limits = limits.ItemLimits(batch, self._choice.route)
         self._ownership = ownership.Ownership(
@@ -344,7 +349,7 @@
                 reason = moves.move_reason(
                     self._dependencies.engines,
                     progress,
-                    self._choice.candidates(progress.item),
+                    self._choice.move_candidates(progress.item),
                     now,
                 )
                 if reason is not None:
--- a/src/hibiscussaddle/batches/runs.py
+++ b/src/hibiscussaddle/batches/runs.py
@@ -15,7 +15,7 @@
 from hibiscussaddle import endpoints
 from hibiscussaddle import logs
 from hibiscussaddle.platform import endpoint_wire
-from hibiscussaddle.rate_limits import observed
+from hibiscussaddle.rate_limits import limiter as limiter_lib
 
 _LOG = logging.getLogger(__name__)
 
@@ -85,11 +85,11 @@
         self,
         client: httpx.AsyncClient,
         engines: placement.Placement,
-        limits: observed.ObservedLimits,
+        limiter: limiter_lib.Limiter,
     ) -> None:
         """Record what is observed of the engines in the placement."""
         self._client = client
-        self._limits = limits
+        self._limiter = limiter
         self._engines = engines
 
     async def run(
@@ -170,9 +170,7 @@
             raise events.MalformedStreamError(
                 f"response has request id {echoed!r}, not {progress.item.id!r}"
             )
-        self._limits.observe(
-            endpoint, resp, progress.item.id, time.monotonic()
-        )
+        self._limiter.observe(endpoint, resp, progress.item.id)
         if resp.status_code != httpx.codes.OK:
             # Reading the body to its end lets the connection be reused.
             await resp.aread()
--- a/src/hibiscussaddle/codes.py
+++ b/src/hibiscussaddle/codes.py
@@ -115,6 +115,15 @@
         "No endpoint of this kind may take new work.",
         "Check 'endpoint list' for leave marks and ejected endpoints.",
     )
+    RATE_LIMITED = CodeInfo(
+        1123,
+        "rate_limited",
+        "no",
+        503,
+        16,
+        "The endpoints that accept work have reached their rate limits.",
+        "Retry after the given time; see 'fleet endpoints' for the limits.",
+    )
     TICKET_REQUIRED = CodeInfo(
         1201,
         "ticket_required",
--- a/src/hibiscussaddle/fleet/observations.py
+++ b/src/hibiscussaddle/fleet/observations.py
@@ -25,13 +25,17 @@
 
     def for_endpoint(self, endpoint: endpoints.Endpoint) -> _T:
         """Return the observations of an endpoint's incarnation."""
-        entry = self._observations.get(endpoint.id)
-        if entry is not None and entry[0] == endpoint.incarnation:
-            self._observations.move_to_end(endpoint.id)
+        return self.for_key(endpoint.id, endpoint.incarnation)
+
+    def for_key(self, key: str, incarnation: int) -> _T:
+        """Return the observations of an incarnation by its key."""
+        entry = self._observations.get(key)
+        if entry is not None and entry[0] == incarnation:
+            self._observations.move_to_end(key)
             return entry[1]
         created = self._create()
-        self._observations[endpoint.id] = (endpoint.incarnation, created)
-        self._observations.move_to_end(endpoint.id)
+        self._observations[key] = (incarnation, created)
+        self._observations.move_to_end(key)
         if len(self._observations) > _MAX_ENDPOINTS:
             self._observations.popitem(last=False)
         return created
--- a/src/hibiscussaddle/fleet/presence.py
+++ b/src/hibiscussaddle/fleet/presence.py
@@ -257,6 +257,11 @@
             )
             logs.event(_LOG, "role_changed", is_core=is_eligible)
 
+    def holds_lease(self) -> bool:
+        """Return whether the lease is valid, as far as this instance knows."""
+        valid_until = self._renewed_at + self._lease_seconds
+        return self._lease != 0 and time.monotonic() < valid_until
+
     def publish_allowed_lag(self, model: str, lag: int) -> None:
         """Lower the published lag of a model to that of a new batch."""
         me = self.members.me
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -35,7 +35,8 @@
 from hibiscussaddle.platform import config_wire
 from hibiscussaddle.platform import endpoint_wire
 from hibiscussaddle import process_memory
-from hibiscussaddle.rate_limits import observed
+from hibiscussaddle.rate_limits import limiter as limiter_lib
+from hibiscussaddle.rate_limits import permits
 from hibiscussaddle.routes import balance
 from hibiscussaddle.routes import forward
 from hibiscussaddle.scoring import scorer as scorer_lib
@@ -80,6 +81,7 @@
     weight_lease: weight_lease.WeightLease
     weight_controller: weight_controller.WeightController
     retirement: retirement.Retirement
+    limiter: limiter_lib.Limiter
     gateway: gateway_lib.Gateway
     metrics: gateway_metrics.GatewayMetrics
     memory_growth: process_memory.GrowthLog
@@ -101,6 +103,7 @@
             self.weight_lease.run,
             self.weight_controller.run,
             self.retirement.run,
+            self.limiter.run,
             self.memory_growth.run,
         )
 
@@ -155,8 +158,13 @@
     batches = storage.BatchStorage(store_client)
     engines = placement.Placement()
     balancer = balance.Balancer(cfg.zone, random.Random())
-    limits = observed.ObservedLimits()
-    forwarder = forward.Forwarder(client, view, balancer, limits)
+    limiter = limiter_lib.Limiter(
+        members,
+        presence.holds_lease,
+        permits.PermitClient(client),
+        random.Random(),
+    )
+    forwarder = forward.Forwarder(client, view, balancer, limiter)
     batch_reader = reader.BatchReader(
         batches, peer_reads.PeerReadClient(client, members, view)
     )
@@ -164,12 +172,14 @@
         batches,
         view,
         engines,
-        runs.ItemRunner(client, engines, limits),
+        runs.ItemRunner(client, engines, limiter),
         text_cache.TextCache(),
         waiting_items.WaitingItems(engines),
         scorer_lib.Scorer(forwarder, view, random.Random()),
         batch_reader,
+        limiter,
     )
+    limiter.on_item_permit = dependencies.waiting_items.wake
     batch_owners = owners.OwnedBatches(
         dependencies, members, handoff.HandoffClient(client)
     )
@@ -192,6 +202,9 @@
         batches=lambda: len(batch_owners.runners),
         members=lambda: len(members.all),
         endpoints=lambda: len(view.directory.all()),
+        endpoints_limited=lambda: sum(
+            map(limiter.is_limited, view.directory.all())
+        ),
         config_version=lambda: view.config.version if view.config else 0,
         holds_lease=lambda: lease.fencing_number(guarded=True) is not None,
         store_direct=lambda: transport.is_direct,
@@ -207,7 +220,7 @@
         tasks=lambda: len(anyio.get_running_tasks()),
     )
     metrics = gateway_metrics.GatewayMetrics(
-        gauges, dependencies.scorer.outcomes
+        gauges, dependencies.scorer.outcomes, limiter.outcomes
     )
     gateway.on_response = metrics.count_response
     return Components(
@@ -225,9 +238,15 @@
         engines=engines,
         weight_lease=lease,
         weight_controller=weight_controller.WeightController(
-            client, view, lease, cfg.instance, members.allowed_lag
+            client,
+            view,
+            lease,
+            cfg.instance,
+            members.allowed_lag,
+            limiter,
         ),
         retirement=retirement.Retirement(store_client, view, lease),
+        limiter=limiter,
         gateway=gateway,
         metrics=metrics,
         memory_growth=process_memory.GrowthLog(
--- a/src/hibiscussaddle/gateway_metrics.py
+++ b/src/hibiscussaddle/gateway_metrics.py
@@ -28,7 +28,10 @@
     """Keep histograms and render every metric of an instance."""
 
     def __init__(
-        self, gauges: Gauges, score_attempts: abc.Mapping[str, int]
+        self,
+        gauges: Gauges,
+        score_attempts: abc.Mapping[str, int],
+        permits: abc.Mapping[tuple[str, str], int],
     ) -> None:
         """Register the metrics; the arguments are read on each scrape."""
         self.registry = collectors.Registry()
@@ -53,6 +56,12 @@
             registry=self.registry,
         )
         self._score_attempts = score_attempts
+        self._permits_total = collectors.Counter(
+            "hibiscussaddle_limit_permits_total",
+            "Permits for limited endpoints by purpose and outcome.",
+            registry=self.registry,
+        )
+        self._permits = permits
         self._response_seconds = collectors.Histogram(
             "hibiscussaddle_answer_seconds",
             "Seconds from the arrival of a request to its answer, by route.",
@@ -88,6 +97,10 @@
             self._store_calls.set({"kind": kind}, total)
         for outcome, total in self._score_attempts.items():
             self._score_attempts_total.set({"outcome": outcome}, total)
+        for (purpose, outcome), total in self._permits.items():
+            self._permits_total.set(
+                {"purpose": purpose, "outcome": outcome}, total
+            )
         for name, read_value in self._gauge_readers.items():
             self._gauges[name].set({}, read_value())
         return typing.cast(
@@ -101,6 +114,7 @@
     batches: abc.Callable[[], float],
     members: abc.Callable[[], float],
     endpoints: abc.Callable[[], float],
+    endpoints_limited: abc.Callable[[], float],
     config_version: abc.Callable[[], float],
     holds_lease: abc.Callable[[], float],
     store_direct: abc.Callable[[], float],
@@ -116,6 +130,7 @@
         "batches_owned": batches,
         "members": members,
         "endpoints": endpoints,
+        "endpoints_limited": endpoints_limited,
         "config_version": config_version,
         "weight_lease_held": holds_lease,
         "store_direct": store_direct,
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -28,6 +28,7 @@
 from hibiscussaddle import gateway_settings
 from hibiscussaddle import logs
 from hibiscussaddle.platform import ingress
+from hibiscussaddle.rate_limits import permits
 from hibiscussaddle import serving
 
 _LOG = logging.getLogger(__name__)
@@ -114,6 +115,7 @@
             peer_reads.create_route(components.gateway.batch_reader),
             store_transports.create_relay_route(components.store_transport),
             feed_sharing.create_route(components.zone_reader),
+            permits.create_route(components.limiter.serve),
             gateway_report.create_route(components),
         ],
         middleware=[
--- a/src/hibiscussaddle/gateway_report.py
+++ b/src/hibiscussaddle/gateway_report.py
@@ -12,6 +12,7 @@
 from hibiscussaddle.batches import report as batch_report
 from hibiscussaddle import endpoints
 from hibiscussaddle import gateway_components
+from hibiscussaddle.rate_limits import limiter as limiter_lib
 
 REPORT_PATH: typing.Final = "/v1/report"
 
@@ -41,6 +42,8 @@
     event_interval: float | None = msgspec.field(name="pace")
     # Empty when the endpoint takes new work.
     unused_reason: str = msgspec.field(name="unused_because")
+    # Requests per second that it takes from all instances; None without limit.
+    rate_limit: float | None = None
 
 
 class InstanceReport(msgspec.Struct, frozen=True):
@@ -92,7 +95,9 @@
             for member in components.presence.members.all.values()
         ),
         endpoints=tuple(
-            _describe_endpoint(endpoint, components.engines)
+            _describe_endpoint(
+                endpoint, components.engines, components.limiter
+            )
             for endpoint in view.directory.all()
         ),
         batches=tuple(
@@ -113,7 +118,9 @@
 
 
 def _describe_endpoint(
-    endpoint: endpoints.Endpoint, engines: placement.Placement
+    endpoint: endpoints.Endpoint,
+    engines: placement.Placement,
+    limiter: limiter_lib.Limiter,
 ) -> EndpointReport:
     engine_state = engines.state(endpoint)
     return EndpointReport(
@@ -125,6 +132,7 @@
         running=engine_state.running,
         event_interval=engine_state.median_interval,
         unused_reason=_unused_reason(endpoint, engine_state, time.monotonic()),
+        rate_limit=limiter.rate(endpoint),
     )
 
 
--- /dev/null
+++ b/src/hibiscussaddle/rate_limits/limiter.py
@@ -0,0 +1,372 @@
+"""Keep the rate limits of endpoints together with the other instances.
+
+Every request to an endpoint that named a limit needs a permit. The endpoint's
+holder grants them at the limit; see shares.py for who that is when holders
+don't answer.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+import logging
+import random
+import time
+import typing
+
+import anyio
+import httpx
+
+from hibiscussaddle import endpoints
+from hibiscussaddle.fleet import member as member_lib
+from hibiscussaddle.fleet import observations
+from hibiscussaddle.fleet import presence as presence_lib
+from hibiscussaddle import logs
+from hibiscussaddle.rate_limits import observed
+from hibiscussaddle.rate_limits import permits
+from hibiscussaddle.rate_limits import schedule
+from hibiscussaddle.rate_limits import shares
+
+_LOG = logging.getLogger(__name__)
+
+# An endpoint whose limit was last seen this long ago gets a request although
+# others are available: only a response tells that the limit has ended.
+RECHECK_SECONDS: typing.Final = 2.0
+# A denial applies to the requests of this time, without asking again.
+_DENIAL_CACHE_SECONDS: typing.Final = 0.1
+# A holder that didn't respond isn't asked for this long.
+_HOLDER_RETRY_SECONDS: typing.Final = 1.0
+# An item's permit lapses after this time; it may not be sent much later than
+# granted.
+_PERMIT_SECONDS: typing.Final = 0.5
+# Longest delay of a permit that is fetched for an item.
+_ITEM_DELAY_SECONDS: typing.Final = 0.2
+
+
+@dataclasses.dataclass
+class _AskState:
+    """Hold what this instance was told as it asked for permits."""
+
+    # Monotonic seconds until which the last denial is used, at which the
+    # endpoint is free again, and at which the denied caller should return.
+    denied_until: float = float("-inf")
+    free_at: float = float("-inf")
+    return_at: float = float("-inf")
+    # Permit for the next item, and whether one is being fetched.
+    item_permit_until: float = float("-inf")
+    is_fetching: bool = False
+
+
+@dataclasses.dataclass
+class _HeldSchedules:
+    """Hold the schedules of an endpoint for which this instance is asked."""
+
+    by_scope: dict[shares.Scope, schedule.Schedule] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class Limiter:
+    """Grant and ask for permits to send requests to endpoints."""
+
+    def __init__(
+        self,
+        members: presence_lib.Members,
+        holds_membership: abc.Callable[[], bool],
+        client: permits.PermitClient,
+        rng: random.Random,
+        clock: abc.Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Start without any limit.
+
+        The callable returns whether peers still count this instance as a
+        member; it holds for the fleet only then.
+        """
+        # Permits by purpose and outcome since the start.
+        self.outcomes: collections.Counter[tuple[str, str]]
+        self.outcomes = collections.Counter()
+        # Called when an item may get an endpoint that it didn't get before.
+        self.on_item_permit: abc.Callable[[], None] = lambda: None
+        self._members = members
+        self._holds_membership = holds_membership
+        self._client = client
+        self._rng = rng
+        self._clock = clock
+        self._limits = observed.ObservedLimits()
+        self._asked = observations.Observations(_AskState)
+        self._held = observations.Observations(_HeldSchedules)
+        self._unreachable_until: dict[str, float] = {}
+        # Endpoints whose holder must be told of a change of the limit, and
+        # those for which an item waits.
+        self._changed: dict[str, endpoints.Endpoint] = {}
+        self._wanted: dict[str, endpoints.Endpoint] = {}
+        self._wake = anyio.Event()
+
+    async def run(self) -> None:
+        """Tell holders of changes and fetch permits for items."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._wake.wait()
+                self._wake = anyio.Event()
+                changed, self._changed = self._changed, {}
+                wanted, self._wanted = self._wanted, {}
+                for endpoint in changed.values():
+                    tasks.start_soon(self._report_change, endpoint)
+                for endpoint in wanted.values():
+                    state = self._asked.for_endpoint(endpoint)
+                    if not state.is_fetching:
+                        state.is_fetching = True
+                        tasks.start_soon(self._fetch_for_item, endpoint)
+
+    def observe(
+        self,
+        endpoint: endpoints.Endpoint,
+        resp: httpx.Response,
+        request_id: str,
+        is_run: bool = True,
+    ) -> None:
+        """Record the limit that an endpoint's response names."""
+        now = self._clock()
+        if self._limits.observe(endpoint, resp, request_id, now, is_run):
+            self._changed[endpoint.id] = endpoint
+            self._wake.set()
+
+    def rate(self, endpoint: endpoints.Endpoint) -> float | None:
+        """Return the limit in force, in requests per second, None if none."""
+        known = self._limits.limit(endpoint.id, endpoint.incarnation)
+        return schedule.effective_rate(known.rate)
+
+    def is_limited(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether requests to an endpoint need a permit."""
+        return self.rate(endpoint) is not None
+
+    def is_deferred(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether endpoints without a limit come first."""
+        known = self._limits.limit(endpoint.id, endpoint.incarnation)
+        return (
+            schedule.effective_rate(known.rate) is not None
+            and self._clock() - known.observed_at < RECHECK_SECONDS
+        )
+
+    async def acquire(
+        self,
+        endpoint: endpoints.Endpoint,
+        purpose: str,
+        request_id: str,
+        max_delay: float,
+    ) -> float | None:
+        """Wait for a permit; return None, or when to return if it is denied.
+
+        Both durations are in seconds.
+        """
+        if not self.is_limited(endpoint):
+            return None
+        decision = self._cached_denial(endpoint, max_delay)
+        if decision is None:
+            decision = await self._ask(endpoint, max_delay)
+        outcome = "granted" if decision.is_granted else "denied"
+        self.outcomes[purpose, outcome] += 1
+        if decision.is_granted:
+            await anyio.sleep(decision.delay)
+            return None
+        logs.event(
+            _LOG,
+            "request_held_back",
+            request=request_id,
+            endpoint=endpoint.id,
+            purpose=purpose,
+            rate=self.rate(endpoint) or 0.0,
+            retry_after=decision.retry_after,
+        )
+        return decision.retry_after
+
+    def take_item_permit(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether an item may be sent now; fetch a permit if not."""
+        if not self.is_limited(endpoint):
+            return True
+        now = self._clock()
+        state = self._asked.for_endpoint(endpoint)
+        if now < state.item_permit_until:
+            state.item_permit_until = float("-inf")
+            return True
+        if (
+            not state.is_fetching
+            and now >= state.free_at - _ITEM_DELAY_SECONDS
+        ):
+            self._wanted[endpoint.id] = endpoint
+            self._wake.set()
+        return False
+
+    def serve(self, message: permits.PermitRequest) -> permits.PermitResponse:
+        """Decide on the request of a peer, or note the limit that it knows."""
+        now = self._clock()
+        self._limits.apply(
+            message.endpoint_id,
+            message.incarnation,
+            message.rate,
+            now - message.age,
+            "peer",
+        )
+        known = self._limits.limit(message.endpoint_id, message.incarnation)
+        age = now - known.observed_at
+        if not self._is_holder(message.scope, message.endpoint_id):
+            return permits.PermitResponse(False, rate=known.rate, age=age)
+        decision = schedule.Decision(True)
+        rate = schedule.effective_rate(known.rate)
+        if rate is not None and message.max_delay is not None:
+            decision = self._decide(message, rate, message.max_delay, now)
+        return permits.PermitResponse(
+            True,
+            decision.is_granted,
+            decision.delay,
+            decision.retry_after,
+            decision.free_after,
+            known.rate,
+            age,
+        )
+
+    def _decide(
+        self,
+        message: permits.PermitRequest,
+        rate: float,
+        max_delay: float,
+        now: float,
+    ) -> schedule.Decision:
+        share = shares.fraction(
+            message.scope, self._members.me, self._members.all.values()
+        )
+        if share <= 0:
+            wait = schedule.MAX_RETRY_SECONDS
+            return schedule.Decision(False, 0.0, wait, wait)
+        schedules = self._held.for_key(
+            f"{message.endpoint_id}/{message.incarnation}", 0
+        ).by_scope
+        current = schedules.get(message.scope)
+        if current is None:
+            # The shares of a fleet that loses its holders start at once.
+            is_share = message.scope is not shares.Scope.FLEET
+            phase = self._rng.random() if is_share else 0.0
+            current = schedule.Schedule(rate * share, now, phase)
+            schedules[message.scope] = current
+        else:
+            current.set_rate(rate * share, now)
+        return current.decide(now, max_delay)
+
+    def _is_holder(self, scope: shares.Scope, endpoint_id: str) -> bool:
+        if scope is shares.Scope.FLEET and not self._holds_membership():
+            return False
+        member = self._holder(scope, endpoint_id)
+        return (
+            member is not None and member.instance == self._members.me.instance
+        )
+
+    def _holder(
+        self, scope: shares.Scope, endpoint_id: str
+    ) -> member_lib.Member | None:
+        return shares.holder(
+            scope,
+            endpoint_id,
+            self._members.me,
+            self._members.all.values(),
+        )
+
+    def _cached_denial(
+        self, endpoint: endpoints.Endpoint, max_delay: float
+    ) -> schedule.Decision | None:
+        now = self._clock()
+        state = self._asked.for_endpoint(endpoint)
+        if now >= state.denied_until or now + max_delay >= state.free_at:
+            return None
+        # Spread the callers that are denied without asking the holder.
+        interval = 1 / (self.rate(endpoint) or schedule.MIN_RATE)
+        retry_after = state.return_at - now + interval * self._rng.random()
+        return schedule.Decision(
+            False,
+            retry_after=min(schedule.MAX_RETRY_SECONDS, retry_after),
+            free_after=state.free_at - now,
+        )
+
+    async def _ask(
+        self, endpoint: endpoints.Endpoint, max_delay: float
+    ) -> schedule.Decision:
+        """Ask the holders of ever fewer instances until one decides."""
+        scope: shares.Scope | None = shares.Scope.FLEET
+        while scope is not None:
+            sent_at = self._clock()
+            response = await self._ask_holder(scope, endpoint, max_delay)
+            if response is not None:
+                # The age was taken after the request was sent. Counted from
+                # the arrival, a limit would get newer with each round trip.
+                self._limits.apply(
+                    endpoint.id,
+                    endpoint.incarnation,
+                    response.rate,
+                    sent_at - response.age,
+                    "holder",
+                )
+                if response.is_holder:
+                    return self._apply_response(endpoint, response)
+            scope = shares.next_scope(scope, response is not None)
+        return schedule.Decision(False, retry_after=schedule.MAX_RETRY_SECONDS)
+
+    def _apply_response(
+        self, endpoint: endpoints.Endpoint, response: permits.PermitResponse
+    ) -> schedule.Decision:
+        if not response.is_granted:
+            now = self._clock()
+            state = self._asked.for_endpoint(endpoint)
+            state.denied_until = now + _DENIAL_CACHE_SECONDS
+            state.free_at = now + response.free_after
+            state.return_at = now + response.retry_after
+        return schedule.Decision(
+            response.is_granted,
+            response.delay,
+            response.retry_after,
+            response.free_after,
+        )
+
+    async def _ask_holder(
+        self,
+        scope: shares.Scope,
+        endpoint: endpoints.Endpoint,
+        max_delay: float | None,
+    ) -> permits.PermitResponse | None:
+        """Return the response of a scope's holder, None without one."""
+        holder = self._holder(scope, endpoint.id)
+        if holder is None:
+            return None
+        now = self._clock()
+        known = self._limits.limit(endpoint.id, endpoint.incarnation)
+        message = permits.PermitRequest(
+            endpoint.id,
+            endpoint.incarnation,
+            scope,
+            known.rate,
+            now - known.observed_at,
+            max_delay,
+        )
+        if holder.instance == self._members.me.instance:
+            return self.serve(message)
+        if now < self._unreachable_until.get(holder.instance, now):
+            return None
+        response = await self._client.ask(holder, message)
+        if response is None:
+            until = self._clock() + _HOLDER_RETRY_SECONDS
+            self._unreachable_until[holder.instance] = until
+        else:
+            self._unreachable_until.pop(holder.instance, None)
+        return response
+
+    async def _report_change(self, endpoint: endpoints.Endpoint) -> None:
+        await self._ask_holder(shares.Scope.FLEET, endpoint, None)
+
+    async def _fetch_for_item(self, endpoint: endpoints.Endpoint) -> None:
+        state = self._asked.for_endpoint(endpoint)
+        try:
+            denied = await self.acquire(
+                endpoint, "item", "-", _ITEM_DELAY_SECONDS
+            )
+        finally:
+            state.is_fetching = False
+        if denied is None:
+            state.item_permit_until = self._clock() + _PERMIT_SECONDS
+            self.on_item_permit()
--- a/src/hibiscussaddle/rate_limits/observed.py
+++ b/src/hibiscussaddle/rate_limits/observed.py
@@ -1,38 +1,84 @@
 """The rate limits that endpoints name in their responses."""
 
+import collections
 import dataclasses
 import logging
+import typing
 
 import httpx
 
 from hibiscussaddle import endpoints
-from hibiscussaddle.fleet import observations
 from hibiscussaddle import logs
 from hibiscussaddle.platform import endpoint_wire
 
 _LOG = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass
+# Incarnations whose limit is kept; the longest unchanged one is evicted first.
+_MAX_LIMITS: typing.Final = 4096
+
+
+@dataclasses.dataclass(frozen=True)
 class ObservedLimit:
     """Hold what one endpoint incarnation last said of its rate limit."""
 
     # Requests per second from all instances; None without a limit.
     rate: float | None = None
-    # Monotonic seconds at which the response with it arrived.
+    # Monotonic seconds at which an instance got the response with it.
     observed_at: float = float("-inf")
 
 
+_NO_LIMIT: typing.Final = ObservedLimit()
+
+
 class ObservedLimits:
-    """Track the rate limits of all endpoints."""
+    """Track the rate limits of all endpoints that ever named one."""
 
     def __init__(self) -> None:
         """Start without any limit."""
-        self._limits = observations.Observations(ObservedLimit)
+        # By id and incarnation: peers may still ask for permits of the
+        # incarnation before.
+        self._limits: collections.OrderedDict[tuple[str, int], ObservedLimit]
+        self._limits = collections.OrderedDict()
 
-    def limit(self, endpoint: endpoints.Endpoint) -> ObservedLimit:
-        """Return what an endpoint's incarnation last said."""
-        return self._limits.for_endpoint(endpoint)
+    def limit(self, endpoint_id: str, incarnation: int) -> ObservedLimit:
+        """Return what an incarnation of an endpoint last said."""
+        return self._limits.get((endpoint_id, incarnation), _NO_LIMIT)
+
+    def apply(
+        self,
+        endpoint_id: str,
+        incarnation: int,
+        rate: float | None,
+        observed_at: float,
+        source: str,
+    ) -> bool:
+        """Record a limit unless a newer one is known.
+
+        Return whether the known limit changed. The source is the id of the
+        request whose response named the limit, or the name of a peer.
+        """
+        known = self.limit(endpoint_id, incarnation)
+        if observed_at <= known.observed_at:
+            return False
+        if rate is None and known is _NO_LIMIT:
+            return False
+        key = (endpoint_id, incarnation)
+        self._limits[key] = ObservedLimit(rate, observed_at)
+        if rate == known.rate:
+            return False
+        self._limits.move_to_end(key)
+        if len(self._limits) > _MAX_LIMITS:
+            self._limits.popitem(last=False)
+        logs.event(
+            _LOG,
+            "endpoint_limit_changed",
+            endpoint=endpoint_id,
+            source=source,
+            rate="none" if rate is None else rate,
+            rate_before="none" if known.rate is None else known.rate,
+        )
+        return True
 
     def observe(
         self,
@@ -40,15 +86,16 @@
         resp: httpx.Response,
         request_id: str,
         now: float,
-    ) -> None:
-        """Record the limit that a response names.
+        is_run: bool = True,
+    ) -> bool:
+        """Record the limit that a response names; return if it changed.
 
         Only a response of a run ends a limit by naming none: endpoints may
         leave the header out of refusals and reports.
         """
         if resp.status_code == httpx.codes.MISDIRECTED_REQUEST:
             # Another endpoint at the same address responded.
-            return
+            return False
         values = resp.headers.get_list(endpoint_wire.RATE_LIMIT_HEADER)
         try:
             rate = endpoint_wire.decode_rate_limit(values)
@@ -61,19 +108,9 @@
                 request=request_id,
                 why=exc,
             )
-            return
-        if rate is None and not resp.is_success:
-            return
-        known = self.limit(endpoint)
-        if rate != known.rate:
-            logs.event(
-                _LOG,
-                "endpoint_limit_changed",
-                endpoint=endpoint.id,
-                service=endpoint.service,
-                request=request_id,
-                rate="none" if rate is None else rate,
-                rate_before="none" if known.rate is None else known.rate,
-            )
-        known.rate = rate
-        known.observed_at = now
+            return False
+        if rate is None and not (is_run and resp.is_success):
+            return False
+        return self.apply(
+            endpoint.id, endpoint.incarnation, rate, now, request_id
+        )
--- a/src/hibiscussaddle/routes/balance.py
+++ b/src/hibiscussaddle/routes/balance.py
@@ -70,9 +70,13 @@
         candidates: abc.Iterable[endpoints.Endpoint],
         now: float,
         tried: abc.Container[str] = (),
+        deferred: abc.Container[str] = (),
     ) -> endpoints.Endpoint | None:
-        """Return the endpoint with the least expected latency."""
-        best: tuple[tuple[bool, float, float], endpoints.Endpoint] | None
+        """Return the endpoint with the least expected latency.
+
+        Deferred endpoints come after all others that are not in backoff.
+        """
+        best: tuple[tuple[bool, bool, float, float], endpoints.Endpoint] | None
         best = None
         for endpoint in candidates:
             if endpoint.id in tried:
@@ -85,7 +89,13 @@
                 expected_latency += _OTHER_ZONE_PENALTY_SECONDS
             # An endpoint in backoff is still better than none.
             blocked = now < stats.blocked_until
-            rank = (blocked, expected_latency, self._rng.random())
+            is_deferred = endpoint.id in deferred
+            rank = (
+                blocked,
+                is_deferred,
+                expected_latency,
+                self._rng.random(),
+            )
             if best is None or rank < best[0]:
                 best = (rank, endpoint)
         return best[1] if best else None
--- a/src/hibiscussaddle/routes/forward.py
+++ b/src/hibiscussaddle/routes/forward.py
@@ -15,7 +15,7 @@
 from hibiscussaddle import logs
 from hibiscussaddle.platform import endpoint_wire
 from hibiscussaddle.policy import retries
-from hibiscussaddle.rate_limits import observed
+from hibiscussaddle.rate_limits import limiter as limiter_lib
 from hibiscussaddle.routes import balance
 from hibiscussaddle.routes import routing_config
 
@@ -31,6 +31,9 @@
 _RESPONSE_RESERVE_SECONDS: typing.Final = 0.004
 # No attempt is sent with less time left, as no endpoint could respond.
 _MIN_ATTEMPT_SECONDS: typing.Final = 0.005
+# Longest delay until a limited endpoint takes a request, as a fraction of the
+# route's latency target. Callers that would wait longer are refused at once.
+_PERMIT_DELAY_TARGET_FRACTION: typing.Final = 0.25
 # Retry-After of a request that no endpoint can serve now. Restarted endpoints
 # are listed within about a second.
 RETRY_AFTER_SECONDS: typing.Final = 0.3
@@ -107,6 +110,9 @@
     tried: list[str] = dataclasses.field(default_factory=list)
     # Attempts that ended before an endpoint started the request.
     refusals: int = 0
+    # Monotonic seconds at which endpoints that denied a permit take requests
+    # again, by endpoint.
+    denied_until: dict[str, float] = dataclasses.field(default_factory=dict)
     # Whether some endpoint may have run the request.
     may_have_run: bool = False
     # Responses with status 500.
@@ -165,11 +171,11 @@
         client: httpx.AsyncClient,
         view: view_lib.View,
         balancer: balance.Balancer,
-        limits: observed.ObservedLimits,
+        limiter: limiter_lib.Limiter,
     ) -> None:
         """Use a shared HTTP client."""
         self._client = client
-        self._limits = limits
+        self._limiter = limiter
         self._view = view
         self._balancer = balancer
 
@@ -204,7 +210,7 @@
 
     async def _attempt_until_done(self, state: _RequestState) -> None:
         while state.may_send:
-            endpoint = self._choose(state)
+            endpoint = await self._choose_permitted(state)
             if endpoint is None:
                 return
             tried_before = len(state.tried)
@@ -221,12 +227,44 @@
                     return
                 await anyio.sleep(_RETRY_SECONDS)
 
-    def _choose(self, state: _RequestState) -> endpoints.Endpoint | None:
-        candidates = self._candidates(state)
+    async def _choose_permitted(
+        self, state: _RequestState
+    ) -> endpoints.Endpoint | None:
+        """Return an endpoint whose rate limit allows the request."""
+        while True:
+            endpoint = self._choose(state)
+            if endpoint is None:
+                return None
+            retry_after = await self._limiter.acquire(
+                endpoint,
+                "request",
+                state.req.id,
+                min(
+                    _PERMIT_DELAY_TARGET_FRACTION * state.route.latency_target,
+                    state.seconds_left / 2,
+                ),
+            )
+            if retry_after is None:
+                return endpoint
+            state.denied_until[endpoint.id] = time.monotonic() + retry_after
+
+    def _choose(
+        self, state: _RequestState, is_hedge: bool = False
+    ) -> endpoints.Endpoint | None:
         now = time.monotonic()
-        chosen = self._balancer.choose(candidates, now, state.tried)
+        # A hedge would double the work of an endpoint in need.
+        candidates = [
+            endpoint
+            for endpoint in self._candidates(state)
+            if now >= state.denied_until.get(endpoint.id, now)
+            and not (is_hedge and self._limiter.is_limited(endpoint))
+        ]
+        deferred = {
+            ep.id for ep in candidates if self._limiter.is_deferred(ep)
+        }
+        chosen = self._balancer.choose(candidates, now, state.tried, deferred)
         # Once every endpoint was tried, one may be tried again.
-        return chosen or self._balancer.choose(candidates, now)
+        return chosen or self._balancer.choose(candidates, now, (), deferred)
 
     def _candidates(
         self, state: _RequestState
@@ -239,7 +277,7 @@
         )
 
     def _candidate_count(self, state: _RequestState) -> int:
-        return len(self._candidates(state))
+        return len(self._candidates(state)) - len(state.denied_until)
 
     async def _attempt_hedged(
         self, state: _RequestState, endpoint: endpoints.Endpoint
@@ -263,7 +301,7 @@
                 return
             if not state.may_send:
                 return
-            second = self._choose(state)
+            second = self._choose(state, is_hedge=True)
             if second is None or second.id == endpoint.id:
                 return
             if (
@@ -361,7 +399,7 @@
             return self._fail_attempt(
                 state, endpoint, error, _AttemptEnd.UNKNOWN
             )
-        self._limits.observe(endpoint, resp, state.req.id, now)
+        self._limiter.observe(endpoint, resp, state.req.id)
         if resp.headers.get(
             endpoint_wire.NOT_RUN_HEADER
         ) or resp.status_code == (httpx.codes.MISDIRECTED_REQUEST):
@@ -428,6 +466,14 @@
             code,
             f"no response from {', '.join(state.tried) or 'an endpoint'}",
         )
+    if state.denied_until:
+        return_at = min(state.denied_until.values())
+        return codes.Refusal(
+            codes.Code.RATE_LIMITED,
+            f"every endpoint of route {state.route.name!r} that accepts "
+            "requests has reached its rate limit",
+            max(_RETRY_SECONDS, return_at - time.monotonic()),
+        )
     return codes.Refusal(
         codes.Code.NO_ENDPOINT,
         f"no endpoint of route {state.route.name!r} accepts requests now",
--- a/src/hibiscussaddle/scoring/scorer.py
+++ b/src/hibiscussaddle/scoring/scorer.py
@@ -9,6 +9,7 @@
 import anyio
 import httpx
 
+from hibiscussaddle import codes
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import logs
 from hibiscussaddle.platform import endpoint_wire
@@ -111,6 +112,11 @@
             )
         finally:
             queue.release(waiting_call)
+        retry_after = _limit_delay(result)
+        if retry_after is not None:
+            # Nothing was sent, which says nothing about the service.
+            await anyio.sleep(retry_after)
+            return None
         score = _score(result)
         self._record_outcome(queue, attempts, result, score)
         if score is None:
@@ -184,6 +190,14 @@
     )
 
 
+def _limit_delay(result: forward.ForwardResult) -> float | None:
+    """Return the seconds for which rate limits hold a call back, if so."""
+    refusal = result.refusal
+    if refusal is None or refusal.code is not codes.Code.RATE_LIMITED:
+        return None
+    return refusal.retry_after
+
+
 def _score(result: forward.ForwardResult) -> model.Score | None:
     """Return the score in a successful response, None otherwise."""
     response = result.response
--- a/src/hibiscussaddle/weights/controller.py
+++ b/src/hibiscussaddle/weights/controller.py
@@ -21,6 +21,7 @@
 from hibiscussaddle.policy import lease
 from hibiscussaddle.policy import model_shards
 from hibiscussaddle.policy import rollout
+from hibiscussaddle.rate_limits import limiter as limiter_lib
 from hibiscussaddle import weight_lease
 
 _LOG = logging.getLogger(__name__)
@@ -39,6 +40,9 @@
 # read earlier.
 _LOAD_SECONDS: typing.Final = 0.95
 _REPORT_INTERVAL_SECONDS: typing.Final = 0.25
+# Longest delay of an order or a report for an engine at its rate limit. They
+# are few, and new weights are worth more than another item.
+_PERMIT_DELAY_SECONDS: typing.Final = 2.0
 # An order whose version no report shows within this time is sent again.
 _MAX_ORDER_SECONDS: typing.Final = 4.0
 # How often the controller checks for due orders without a change of the view.
@@ -78,6 +82,7 @@
         lease_client: weight_lease.WeightLease,
         instance: str,
         allowed_lag: abc.Callable[[str], int],
+        limiter: limiter_lib.Limiter,
     ) -> None:
         """Send orders in the name of the instance.
 
@@ -89,6 +94,7 @@
         self._lease = lease_client
         self._instance = instance
         self._allowed_lag = allowed_lag
+        self._limiter = limiter
         self._plans: dict[str, rollout.Rollout] = {}
         # Number of orders that each engine had accepted at its last report.
         self._accepted = observations.Observations(_AcceptedOrders)
@@ -168,8 +174,10 @@
         accepted = self._accepted.for_endpoint(endpoint).count
         if accepted is None:
             accepted = await self._fetch_accepted_count(endpoint)
+        # The lease may end during the delay, so it is checked afterwards.
+        is_permitted = await self._acquire_permit(endpoint)
         number = self._fencing_number()
-        if number is None or accepted is None:
+        if number is None or accepted is None or not is_permitted:
             plan.record_rejection(order, sent_at)
             return
         body = endpoint_wire.encode_weight_order(
@@ -190,6 +198,13 @@
         now = time.monotonic()
         plan.finish_order(order, report, sent_at, now)
 
+    async def _acquire_permit(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether the engine's rate limit allows a call."""
+        retry_after = await self._limiter.acquire(
+            endpoint, "control", "-", _PERMIT_DELAY_SECONDS
+        )
+        return retry_after is None
+
     async def _fetch_accepted_count(
         self, endpoint: endpoints.Endpoint
     ) -> int | None:
@@ -211,6 +226,7 @@
                     headers=headers,
                     timeout=ORDER_TIMEOUT_SECONDS,
                 )
+            self._limiter.observe(endpoint, resp, "-", is_run=False)
             return resp.status_code
         except (httpx.HTTPError, TimeoutError) as exc:
             logs.event(
@@ -257,6 +273,8 @@
     async def _fetch_report(
         self, endpoint: endpoints.Endpoint
     ) -> endpoint_wire.EngineReport | None:
+        if not await self._acquire_permit(endpoint):
+            return None
         headers = {endpoint_wire.EXPECTED_ENDPOINT_HEADER: endpoint.id}
         try:
             with anyio.fail_after(ORDER_TIMEOUT_SECONDS):
@@ -265,6 +283,7 @@
                     headers=headers,
                     timeout=ORDER_TIMEOUT_SECONDS,
                 )
+            self._limiter.observe(endpoint, resp, "-", is_run=False)
             resp.raise_for_status()
             return endpoint_wire.decode_report(resp.content)
         except (httpx.HTTPError, TimeoutError, ValueError) as exc:
--- a/tests/batch_harness.py
+++ b/tests/batch_harness.py
@@ -23,6 +23,7 @@
 from hibiscussaddle.scoring import scorer
 
 import batch_builders
+import limit_builders
 import loopback
 
 OWNER = model.Owner("gateway-1", 1)
@@ -99,6 +100,8 @@
         self.waiting_items = waiting_items.WaitingItems(self.engines)
         self.scorer = FakeScorer()
         self.reader = reader.BatchReader(self.storage)
+        self.limiter = limit_builders.limiter()
+        self.limiter.on_item_permit = self.waiting_items.wake
 
     def dependencies(self, items: object) -> runner.Dependencies:
         """Return the dependencies of a runner with a fake item runner."""
@@ -111,6 +114,7 @@
             self.waiting_items,
             typing.cast(scorer.Scorer, self.scorer),
             self.reader,
+            self.limiter,
         )
 
     async def accept(self, batch: model.Batch) -> storage.OwnerRecord:
--- a/tests/fake_services.py
+++ b/tests/fake_services.py
@@ -13,10 +13,10 @@
 from hibiscussaddle.adapters import connections
 from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import view as view_lib
-from hibiscussaddle.rate_limits import observed
 from hibiscussaddle.routes import balance
 from hibiscussaddle.routes import forward
 
+import limit_builders
 import loopback
 
 Handler: typing.TypeAlias = abc.Callable[
@@ -59,6 +59,6 @@
         client = connections.create_client()
         stack.push_async_callback(client.aclose)
         forwarder = forward.Forwarder(
-            client, view, balancer, observed.ObservedLimits()
+            client, view, balancer, limit_builders.limiter()
         )
         yield forwarder, view
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -20,13 +20,13 @@
 from hibiscussaddle import codes
 from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import view as view_lib
-from hibiscussaddle.rate_limits import observed
 from hibiscussaddle.routes import balance
 from hibiscussaddle.routes import forward
 from hibiscussaddle.routes import routing_config
 
 import batch_builders
 import flood_server
+import limit_builders
 
 TIMEOUT_SECONDS: typing.Final = 1.0
 # Allowance beyond one response: buffers, and a joined copy of the response.
@@ -67,7 +67,7 @@
     client = connections.create_client()
     balancer = balance.Balancer("zone-a", random.Random(1))
     forwarder = forward.Forwarder(
-        client, view, balancer, observed.ObservedLimits()
+        client, view, balancer, limit_builders.limiter()
     )
     route = batch_builders.route(
         kind=routing_config.RouteKind.NON_IDEMPOTENT, timeout=5.0
@@ -90,7 +90,7 @@
 async def _run_item(url: str) -> runs.RunEnd:
     client = connections.create_client()
     runner = runs.ItemRunner(
-        client, placement.Placement(), observed.ObservedLimits()
+        client, placement.Placement(), limit_builders.limiter()
     )
     batch = batch_builders.batch(batch_builders.item("r-1"))
     progress = runs.Progress(batch.items[0], events.Transcript())
--- a/tests/test_item_runs.py
+++ b/tests/test_item_runs.py
@@ -15,9 +15,9 @@
 from hibiscussaddle.batches import events
 from hibiscussaddle.batches import placement
 from hibiscussaddle.batches import runs
-from hibiscussaddle.rate_limits import observed
 
 import batch_builders
+import limit_builders
 import loopback
 
 Handler: typing.TypeAlias = abc.Callable[
@@ -61,7 +61,7 @@
         self.progress = runs.Progress(item, events.Transcript())
         self.received_headers: list[dict[str, str]] = []
         self._runner = runs.ItemRunner(
-            client, placement.Placement(), observed.ObservedLimits()
+            client, placement.Placement(), limit_builders.limiter()
         )
 
     async def run(self) -> runs.RunEnd:
