Tell every zone when the limit of an endpoint begins or ends

The first instance to see a limit now tells the holder, which tells the reader of each zone, and followers get it with their next poll, at most a second later, without further calls.

--- a/src/hibiscussaddle/batches/engine_choice.py
+++ b/src/hibiscussaddle/batches/engine_choice.py
@@ -40,39 +40,43 @@
         An engine that named a rate limit needs a permit, and comes after the
         others unless a run has to show whether its limit still applies.
         """
-        candidates = self.candidates(progress.item)
-        deferred = list(filter(self._limiter.is_deferred, candidates))
-        first = [ep for ep in candidates if ep not in deferred]
-        unlimited = [ep for ep in first if not self._limiter.is_limited(ep)]
-        endpoint = None
-        for choices in (first, unlimited, deferred):
-            if not choices or endpoint is not None:
-                continue
-            chosen = self._choose(choices, progress, now, allow_probe)
-            if chosen is not None and self._limiter.take_item_permit(chosen):
-                endpoint = chosen
+        free: list[endpoints.Endpoint] = []
+        limited: list[endpoints.Endpoint] = []
+        for candidate in self.candidates(progress.item):
+            is_limited = self._limiter.is_limited(candidate)
+            (limited if is_limited else free).append(candidate)
+
+        def choose(
+            choices: list[endpoints.Endpoint],
+        ) -> endpoints.Endpoint | None:
+            excluded = {progress.excluded_endpoint_id} - {""}
+            return self._engines.choose(
+                choices,
+                now,
+                self._group_engines.get(progress.item.group, ""),
+                excluded,
+                allow_probe,
+            )
+
+        def has_permit(candidate: endpoints.Endpoint) -> bool:
+            # A permit for an engine without capacity would lapse.
+            return choose(
+                [candidate]
+            ) is not None and self._limiter.prepare_item_permit(candidate)
+
+        due = [ep for ep in limited if not self._limiter.is_deferred(ep)]
+        endpoint = choose(free + list(filter(has_permit, due)))
+        if endpoint is None:
+            endpoint = choose(list(filter(has_permit, limited)))
         progress.excluded_endpoint_id = ""
+        if endpoint is None:
+            return None
+        self._limiter.use_item_permit(endpoint)
         group = progress.item.group
-        if endpoint is not None and group:
+        if group:
             self._group_engines.setdefault(group, endpoint.id)
         return endpoint
 
-    def _choose(
-        self,
-        candidates: list[endpoints.Endpoint],
-        progress: runs.Progress,
-        now: float,
-        allow_probe: bool,
-    ) -> endpoints.Endpoint | None:
-        excluded = {progress.excluded_endpoint_id} - {""}
-        return self._engines.choose(
-            candidates,
-            now,
-            self._group_engines.get(progress.item.group, ""),
-            excluded,
-            allow_probe,
-        )
-
     def move_candidates(self, item: model.Item) -> list[endpoints.Endpoint]:
         """Return the engines that an item may move to without a permit."""
         return [
--- a/src/hibiscussaddle/fleet/feed_sharing.py
+++ b/src/hibiscussaddle/fleet/feed_sharing.py
@@ -21,6 +21,7 @@
 from hibiscussaddle.fleet import feed as feed_lib
 from hibiscussaddle.fleet import presence
 from hibiscussaddle import logs
+from hibiscussaddle.rate_limits import observed
 
 _LOG = logging.getLogger(__name__)
 
@@ -54,6 +55,8 @@
     after: dict[str, int | None]
     # Longest wait for a change, in seconds.
     wait: float
+    # Newest known revision of the reader's rate limits; None requests all.
+    limits_after: int | None = None
 
 
 class ChangesResponse(msgspec.Struct, frozen=True):
@@ -62,13 +65,21 @@
     pages: dict[str, change_log.Page]
     # Seconds since the reader's last failed store call; None if none failed.
     failed_ago: float | None
+    # Rate limits of endpoints, which the response doesn't wait for.
+    limits: tuple[observed.LimitReport, ...] = ()
+    limits_revision: int = 0
 
 
 class ZoneReader:
     """Serve the changes that this instance reads from the store."""
 
-    def __init__(self, feeds: abc.Sequence[feed_lib.Feed]) -> None:
-        """Share the feeds of this instance."""
+    def __init__(
+        self,
+        feeds: abc.Sequence[feed_lib.Feed],
+        limits: observed.ObservedLimits,
+    ) -> None:
+        """Share the feeds and the known rate limits of this instance."""
+        self._limits = limits
         self._feeds = {feed.prefix: feed for feed in feeds}
         self._changed = anyio.Event()
         for feed in feeds:
@@ -134,7 +145,12 @@
         failed_ago = (
             None if last_failure_at == float("-inf") else now - last_failure_at
         )
-        return ChangesResponse(pages, failed_ago)
+        return ChangesResponse(
+            pages,
+            failed_ago,
+            self._limits.changes_after(request.limits_after, now),
+            self._limits.revision,
+        )
 
 
 class Follower:
@@ -145,8 +161,11 @@
         client: httpx.AsyncClient,
         members: presence.Members,
         feeds: abc.Sequence[feed_lib.Feed],
+        limits: observed.ObservedLimits,
     ) -> None:
         """Start without a reader; every feed calls the store itself."""
+        self._limits = limits
+        self._limits_revision: int | None = None
         self._client = client
         self._members = members
         self._feeds = feeds
@@ -220,9 +239,12 @@
         """Apply changes from a reader; return the reason of a failure."""
         # The first request doesn't wait, as its response shows whether the
         # reader is current.
-        wait = WAIT_SECONDS if self.followed_reader == reader.instance else 0.0
+        is_following = self.followed_reader == reader.instance
+        wait = WAIT_SECONDS if is_following else 0.0
         request = ChangesRequest(
-            {f.prefix: f.revision for f in self._feeds}, wait
+            {f.prefix: f.revision for f in self._feeds},
+            wait,
+            self._limits_revision if is_following else None,
         )
         limit = wait + TIMEOUT_MARGIN_SECONDS
         sent_at = time.monotonic()
@@ -249,6 +271,9 @@
         self, response: ChangesResponse, sent_at: float
     ) -> None:
         now = time.monotonic()
+        for report in response.limits:
+            self._limits.apply_report(report, now, "reader")
+        self._limits_revision = response.limits_revision
         for feed in self._feeds:
             page = response.pages.get(feed.prefix)
             if page is None or page.revision < (feed.revision or 0):
--- a/src/hibiscussaddle/fleet/presence.py
+++ b/src/hibiscussaddle/fleet/presence.py
@@ -121,17 +121,24 @@
         uses only fields that a process never changes, so that instances
         can't follow each other in a cycle.
         """
-        zone = [
-            member
+        names = {
+            member.instance
             for member in self.active_members()
             if member.zone == self.me.zone and member.peer_address
-        ]
-        names = {member.instance for member in zone}
+        }
         if not names - {self.me.instance} or self.me.instance not in names:
             return None
-        reader = max(zone, key=roles.capacity_key)
+        reader = self.zone_readers()[self.me.zone]
         return None if reader.instance == self.me.instance else reader
 
+    def zone_readers(self) -> dict[str, Member]:
+        """Return the member that reads the store for each zone."""
+        readers: dict[str, Member] = {}
+        for member in sorted(self.active_members(), key=roles.capacity_key):
+            if member.peer_address:
+                readers[member.zone] = member
+        return readers
+
     def route_owner(self, route: str) -> Member | None:
         """Return the member that runs the batches of a route."""
         routes = self.batch_routes()
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -36,6 +36,7 @@
 from hibiscussaddle.platform import endpoint_wire
 from hibiscussaddle import process_memory
 from hibiscussaddle.rate_limits import limiter as limiter_lib
+from hibiscussaddle.rate_limits import observed
 from hibiscussaddle.rate_limits import permits
 from hibiscussaddle.routes import balance
 from hibiscussaddle.routes import forward
@@ -150,7 +151,8 @@
         instance=machine,
     )
     feeds = _create_feeds(store_client, view, members, contention)
-    follower = feed_sharing.Follower(client, members, feeds)
+    limits = observed.ObservedLimits()
+    follower = feed_sharing.Follower(client, members, feeds, limits)
     follower.suspend_feeds()
     # A whole zone may lose the store, and followers make no store calls that
     # would detect it.
@@ -163,6 +165,7 @@
         presence.holds_lease,
         permits.PermitClient(client),
         random.Random(),
+        limits,
     )
     forwarder = forward.Forwarder(client, view, balancer, limiter)
     batch_reader = reader.BatchReader(
@@ -230,7 +233,7 @@
         store=store_client,
         view=view,
         feeds=feeds,
-        zone_reader=feed_sharing.ZoneReader(feeds),
+        zone_reader=feed_sharing.ZoneReader(feeds, limits),
         follower=follower,
         presence=presence,
         batch_owners=batch_owners,
--- a/src/hibiscussaddle/rate_limits/limiter.py
+++ b/src/hibiscussaddle/rate_limits/limiter.py
@@ -74,6 +74,7 @@
         holds_membership: abc.Callable[[], bool],
         client: permits.PermitClient,
         rng: random.Random,
+        limits: observed.ObservedLimits,
         clock: abc.Callable[[], float] = time.monotonic,
     ) -> None:
         """Start without any limit.
@@ -91,26 +92,26 @@
         self._client = client
         self._rng = rng
         self._clock = clock
-        self._limits = observed.ObservedLimits()
+        self._limits = limits
         self._asked = observations.Observations(_AskState)
         self._held = observations.Observations(_HeldSchedules)
         self._unreachable_until: dict[str, float] = {}
-        # Endpoints whose holder must be told of a change of the limit, and
-        # those for which an item waits.
-        self._changed: dict[str, endpoints.Endpoint] = {}
+        # Id and incarnation of endpoints whose limit began or ended, which
+        # other instances must know, and endpoints for which an item waits.
+        self._changed: set[tuple[str, int]] = set()
         self._wanted: dict[str, endpoints.Endpoint] = {}
         self._wake = anyio.Event()
 
     async def run(self) -> None:
-        """Tell holders of changes and fetch permits for items."""
+        """Pass changes on and fetch permits for items."""
         async with anyio.create_task_group() as tasks:
             while True:
                 await self._wake.wait()
                 self._wake = anyio.Event()
-                changed, self._changed = self._changed, {}
+                changed, self._changed = self._changed, set()
                 wanted, self._wanted = self._wanted, {}
-                for endpoint in changed.values():
-                    tasks.start_soon(self._report_change, endpoint)
+                for key in changed:
+                    tasks.start_soon(self._pass_change_on, *key)
                 for endpoint in wanted.values():
                     state = self._asked.for_endpoint(endpoint)
                     if not state.is_fetching:
@@ -127,7 +128,7 @@
         """Record the limit that an endpoint's response names."""
         now = self._clock()
         if self._limits.observe(endpoint, resp, request_id, now, is_run):
-            self._changed[endpoint.id] = endpoint
+            self._changed.add((endpoint.id, endpoint.incarnation))
             self._wake.set()
 
     def rate(self, endpoint: endpoints.Endpoint) -> float | None:
@@ -179,14 +180,11 @@
         )
         return decision.retry_after
 
-    def take_item_permit(self, endpoint: endpoints.Endpoint) -> bool:
-        """Return whether an item may be sent now; fetch a permit if not."""
-        if not self.is_limited(endpoint):
-            return True
+    def prepare_item_permit(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether a permit is there; fetch one for later if not."""
         now = self._clock()
         state = self._asked.for_endpoint(endpoint)
         if now < state.item_permit_until:
-            state.item_permit_until = float("-inf")
             return True
         if (
             not state.is_fetching
@@ -196,16 +194,27 @@
             self._wake.set()
         return False
 
+    def use_item_permit(self, endpoint: endpoints.Endpoint) -> None:
+        """Record that an item is sent to an endpoint."""
+        if self.is_limited(endpoint):
+            state = self._asked.for_endpoint(endpoint)
+            state.item_permit_until = float("-inf")
+
     def serve(self, message: permits.PermitRequest) -> permits.PermitResponse:
         """Decide on the request of a peer, or note the limit that it knows."""
         now = self._clock()
-        self._limits.apply(
+        is_change = self._limits.apply(
             message.endpoint_id,
             message.incarnation,
             message.rate,
             now - message.age,
             "peer",
         )
+        if is_change and self._is_holder(
+            shares.Scope.FLEET, message.endpoint_id
+        ):
+            self._changed.add((message.endpoint_id, message.incarnation))
+            self._wake.set()
         known = self._limits.limit(message.endpoint_id, message.incarnation)
         age = now - known.observed_at
         if not self._is_holder(message.scope, message.endpoint_id):
@@ -334,30 +343,59 @@
         holder = self._holder(scope, endpoint.id)
         if holder is None:
             return None
-        now = self._clock()
-        known = self._limits.limit(endpoint.id, endpoint.incarnation)
-        message = permits.PermitRequest(
-            endpoint.id,
-            endpoint.incarnation,
+        message = self._message(
+            scope, endpoint.id, endpoint.incarnation, max_delay
+        )
+        return await self._send(holder, message)
+
+    def _message(
+        self,
+        scope: shares.Scope,
+        endpoint_id: str,
+        incarnation: int,
+        max_delay: float | None,
+    ) -> permits.PermitRequest:
+        known = self._limits.limit(endpoint_id, incarnation)
+        return permits.PermitRequest(
+            endpoint_id,
+            incarnation,
             scope,
             known.rate,
-            now - known.observed_at,
+            self._clock() - known.observed_at,
             max_delay,
         )
-        if holder.instance == self._members.me.instance:
+
+    async def _send(
+        self, member: member_lib.Member, message: permits.PermitRequest
+    ) -> permits.PermitResponse | None:
+        if member.instance == self._members.me.instance:
             return self.serve(message)
-        if now < self._unreachable_until.get(holder.instance, now):
+        now = self._clock()
+        if now < self._unreachable_until.get(member.instance, now):
             return None
-        response = await self._client.ask(holder, message)
+        response = await self._client.ask(member, message)
         if response is None:
             until = self._clock() + _HOLDER_RETRY_SECONDS
-            self._unreachable_until[holder.instance] = until
+            self._unreachable_until[member.instance] = until
         else:
-            self._unreachable_until.pop(holder.instance, None)
+            self._unreachable_until.pop(member.instance, None)
         return response
 
-    async def _report_change(self, endpoint: endpoints.Endpoint) -> None:
-        await self._ask_holder(shares.Scope.FLEET, endpoint, None)
+    async def _pass_change_on(
+        self, endpoint_id: str, incarnation: int
+    ) -> None:
+        """Tell the holder that a limit began or ended, or as holder the zones.
+
+        The readers of the zones tell the other instances.
+        """
+        scope = shares.Scope.FLEET
+        holder = self._holder(scope, endpoint_id)
+        receivers = [holder] if holder is not None else []
+        if self._is_holder(scope, endpoint_id):
+            receivers = list(self._members.zone_readers().values())
+        message = self._message(scope, endpoint_id, incarnation, None)
+        for member in receivers:
+            await self._send(member, message)
 
     async def _fetch_for_item(self, endpoint: endpoints.Endpoint) -> None:
         state = self._asked.for_endpoint(endpoint)
--- a/src/hibiscussaddle/rate_limits/observed.py
+++ b/src/hibiscussaddle/rate_limits/observed.py
@@ -6,6 +6,7 @@
 import typing
 
 import httpx
+import msgspec
 
 from hibiscussaddle import endpoints
 from hibiscussaddle import logs
@@ -31,6 +32,17 @@
 _NO_LIMIT: typing.Final = ObservedLimit()
 
 
+class LimitReport(msgspec.Struct, frozen=True, array_like=True):
+    """Pass a limit on to another instance."""
+
+    endpoint_id: str
+    incarnation: int
+    # Requests per second; None if the limit ended.
+    rate: float | None
+    # Seconds since the endpoint said so.
+    age: float
+
+
 class ObservedLimits:
     """Track the rate limits of all endpoints that ever named one."""
 
@@ -40,11 +52,46 @@
         # incarnation before.
         self._limits: collections.OrderedDict[tuple[str, int], ObservedLimit]
         self._limits = collections.OrderedDict()
+        # Increased when a limit begins or ends, with its value at the newest
+        # such change of each incarnation.
+        self.revision = 0
+        self._revisions: dict[tuple[str, int], int] = {}
 
     def limit(self, endpoint_id: str, incarnation: int) -> ObservedLimit:
         """Return what an incarnation of an endpoint last said."""
         return self._limits.get((endpoint_id, incarnation), _NO_LIMIT)
 
+    def changes_after(
+        self, revision: int | None, now: float
+    ) -> tuple[LimitReport, ...]:
+        """Return the limits that began or ended after a revision.
+
+        Return all limits in force if the revision is None.
+        """
+        reports = []
+        for key, changed in self._revisions.items():
+            known = self._limits[key]
+            if (
+                changed > revision
+                if revision is not None
+                else known.rate is not None
+            ):
+                age = now - known.observed_at
+                reports.append(LimitReport(*key, known.rate, age))
+        return tuple(reports)
+
+    def apply_report(
+        self, report: LimitReport, now: float, source: str
+    ) -> bool:
+        """Record what another instance knows; return if it changed this."""
+        return self.apply(
+            report.endpoint_id,
+            report.incarnation,
+            report.rate,
+            now - report.age,
+            source,
+        )
+
     def apply(
         self,
         endpoint_id: str,
@@ -69,7 +116,10 @@
             return False
         self._limits.move_to_end(key)
         if len(self._limits) > _MAX_LIMITS:
-            self._limits.popitem(last=False)
+            self._revisions.pop(self._limits.popitem(last=False)[0], None)
+        if known.rate is None or rate is None:
+            self.revision += 1
+            self._revisions[key] = self.revision
         logs.event(
             _LOG,
             "endpoint_limit_changed",
--- a/tests/limit_builders.py
+++ b/tests/limit_builders.py
@@ -9,6 +9,7 @@
 from hibiscussaddle.fleet import member as member_lib
 from hibiscussaddle.fleet import presence
 from hibiscussaddle.rate_limits import limiter as limiter_lib
+from hibiscussaddle.rate_limits import observed
 from hibiscussaddle.rate_limits import permits
 
 
@@ -54,5 +55,6 @@
         holds_membership,
         client or permits.PermitClient(httpx.AsyncClient(trust_env=False)),
         options.pop("rng", random.Random(1)),
+        options.pop("limits", None) or observed.ObservedLimits(),
         **options,
     )
--- a/tests/test_feed_sharing.py
+++ b/tests/test_feed_sharing.py
@@ -15,6 +15,7 @@
 from hibiscussaddle.fleet import presence
 from hibiscussaddle import gateway_components
 from hibiscussaddle.platform.standins import store as fake_store
+from hibiscussaddle.rate_limits import observed
 
 import loopback
 
@@ -58,6 +59,9 @@
     def __init__(self, fake: fake_store.Store) -> None:
         """Use a fake store for both instances."""
         self.fake = fake
+        # Rate limits that the follower and the reader know.
+        self.limits = observed.ObservedLimits()
+        self.reader_limits = observed.ObservedLimits()
         self.reader: Instance
         self.follower: Instance
 
@@ -97,7 +101,9 @@
             Instance(store.create_client(http, url, 2.0, 1000.0))
             for _ in range(2)
         )
-        reader = feed_sharing.ZoneReader([zone.reader.feed])
+        reader = feed_sharing.ZoneReader(
+            [zone.reader.feed], zone.reader_limits
+        )
         route = feed_sharing.create_route(reader)
         peer = await enter(
             loopback.serve(applications.Starlette(routes=[route]))
@@ -108,7 +114,9 @@
             "reader", "zone-a", 1, peer.removeprefix("http://")
         )
         members.zone_reader = lambda: other  # type: ignore[method-assign]
-        follower = feed_sharing.Follower(http, members, [zone.follower.feed])
+        follower = feed_sharing.Follower(
+            http, members, [zone.follower.feed], zone.limits
+        )
         tasks = await enter(anyio.create_task_group())
         for loop in (
             zone.reader.feed.run,
@@ -122,6 +130,25 @@
         tasks.cancel_scope.cancel()
 
 
+def test_follower_learns_of_rate_limits() -> None:
+    """Fails when an instance learns of a limit from own requests only.
+
+    On cereza-hs cap-b an instance that took batches over sent a burst of items
+    to each engine that had named a limit of 1 a second 8 s before.
+    """
+
+    async def main() -> None:
+        async with run_zone() as (zone, _):
+            for rate in (2.0, None):
+                now = time.monotonic()
+                zone.reader_limits.apply("desk-1", 7, rate, now, "r-1")
+                with anyio.fail_after(1.5):
+                    while zone.limits.limit("desk-1", 7).rate != rate:
+                        await anyio.sleep(0.01)
+
+    anyio.run(main)
+
+
 def test_follower_gets_changes_without_store_calls() -> None:
     """Fails when every instance watches the store itself.
 
@@ -185,7 +212,9 @@
 
     async def main() -> None:
         async with run_zone() as (zone, _):
-            reader = feed_sharing.ZoneReader([zone.reader.feed])
+            reader = feed_sharing.ZoneReader(
+                [zone.reader.feed], zone.reader_limits
+            )
             newest = zone.reader.feed.change_log.revision
             request = feed_sharing.ChangesRequest({PREFIX: newest + 5}, 0.0)
             assert await reader.wait_for_changes(request) is None
@@ -198,7 +227,9 @@
 
     async def main() -> None:
         async with run_zone() as (zone, _):
-            reader = feed_sharing.ZoneReader([zone.reader.feed])
+            reader = feed_sharing.ZoneReader(
+                [zone.reader.feed], zone.reader_limits
+            )
             zone.reader.feed.last_failure_at = time.monotonic() - 0.5
             zone.reader.feed.last_success_at = time.monotonic()
             request = feed_sharing.ChangesRequest({PREFIX: None}, 0.0)
@@ -256,7 +287,9 @@
                 0.3,
             ),
         )
-        self.follower = feed_sharing.Follower(http, self.members, self.feeds)
+        self.follower = feed_sharing.Follower(
+            http, self.members, self.feeds, observed.ObservedLimits()
+        )
         self.follower.suspend_feeds()
 
 
@@ -277,7 +310,7 @@
         for prefix_feed in reader.feeds:
             prefix_feed.resume()
         route = feed_sharing.create_route(
-            feed_sharing.ZoneReader(reader.feeds)
+            feed_sharing.ZoneReader(reader.feeds, observed.ObservedLimits())
         )
         app = applications.Starlette(routes=[route] * (not is_reader_missing))
         peer = await enter(loopback.serve(app))
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -1,5 +1,6 @@
 """Guard that instances keep the rate limit of an endpoint together."""
 
+import anyio
 import pytest
 
 import limit_fleet
@@ -128,3 +129,36 @@
     fleet.run(10.0, demand=400.0)
     # At most ten a second for each instance but the holder, and the grants.
     assert fleet.asked <= 7 * 10 * 10.0 + 20
+
+
+def test_begin_and_end_of_a_limit_reach_every_zone() -> None:
+    """Fails when zones learn of a limit from their own requests only."""
+    fleet = limit_fleet.LimitFleet(9, 2.0)
+    for name in fleet.members:
+        fleet.restart(name, knows_limit=False)
+    readers = fleet.views["gateway-0"].zone_readers().values()
+    observer = next(
+        name
+        for name in fleet.members
+        if name not in {fleet.holder(), *(m.instance for m in readers)}
+    )
+
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            for limiter in fleet.limiters.values():
+                tasks.start_soon(limiter.run)
+            for rate in (2.0, None):
+                fleet.now += 1.0
+                fleet.name_limit(observer, rate)
+                with anyio.fail_after(2):
+                    while {
+                        fleet.limiters[member.instance].is_limited(
+                            limit_fleet.ENDPOINT
+                        )
+                        for member in readers
+                    } != {rate is not None}:
+                        await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+    assert len(list(readers)) == 3
