Answer or refuse requests that arrive late in a planned stop

A stopping gateway forwarded every request until it had closed its listeners, up to 7 s into a grace of 8 s.

From three seconds after SIGTERM on, when the balancer has taken the instance out, a request is accepted only if its timeout ends within the grace; others are refused at once, not run, with 1101. Requests that still run 0.6 s before the end get the response that they have so far: 502 or 504, as they may have run.

--- a/src/hibiscussaddle/gateway.py
+++ b/src/hibiscussaddle/gateway.py
@@ -19,6 +19,7 @@
 from hibiscussaddle.fleet import feed
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import logs
+from hibiscussaddle.policy import planned_stop
 from hibiscussaddle.routes import forward
 from hibiscussaddle.routes import routing_config
 
@@ -59,13 +60,15 @@
         feeds: abc.Sequence[feed.Feed],
         store_transport: store_transports.FailoverTransport,
         rng: random.Random,
+        grace_seconds: float,
     ) -> None:
         """Handle requests with the given components of one instance."""
         self.batch_reader = batch_reader
         # Called with the route, status and seconds of each response.
         self.on_response: abc.Callable[[str, int, float], None]
         self.on_response = lambda *_: None
-        self.is_stopping = False
+        # Monotonic seconds at which SIGTERM arrived; None before it.
+        self.stopped_at: float | None = None
         self.running_requests = 0
         self._view = view
         self._forwarder = forwarder
@@ -74,6 +77,12 @@
         self._feeds = feeds
         self._store_transport = store_transport
         self._rng = rng
+        self._grace_seconds = grace_seconds
+
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether this instance was asked to stop."""
+        return self.stopped_at is not None
 
     @property
     def limits(self) -> routing_config.Limits:
@@ -134,6 +143,8 @@
         self, req: forward.CallerRequest, route: routing_config.Route
     ) -> forward.Response:
         """Forward a request; return an endpoint's response or a refusal."""
+        if not self._accepts_request(min(req.timeout, route.timeout)):
+            return self._stopping_refusal()
         response = await self._forwarder.forward(req, route)
         if isinstance(response, forward.EndpointResponse):
             logs.event(
@@ -147,16 +158,27 @@
             )
         return response
 
+    def _accepts_request(self, timeout: float) -> bool:
+        if self.stopped_at is None:
+            return True
+        elapsed = time.monotonic() - self.stopped_at
+        return planned_stop.accepts_request(
+            elapsed, self._grace_seconds, timeout
+        )
+
+    def _stopping_refusal(self) -> codes.Refusal:
+        return codes.Refusal(
+            codes.Code.STOPPING,
+            "this instance is stopping",
+            _OTHER_INSTANCE_RETRY_SECONDS,
+        )
+
     async def submit(
         self, batch: model.Batch, timeout: float
     ) -> codes.Refusal | None:
         """Store a batch; return the refusal if it was not accepted."""
         if self.is_stopping:
-            return codes.Refusal(
-                codes.Code.STOPPING,
-                "this instance is stopping",
-                _OTHER_INSTANCE_RETRY_SECONDS,
-            )
+            return self._stopping_refusal()
         if len(model.encode_parts(batch)) > model.MAX_PARTS:
             return codes.Refusal(
                 codes.Code.TOO_LARGE,
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -83,6 +83,7 @@
     weight_controller: weight_controller.WeightController
     retirement: retirement.Retirement
     limiter: limiter_lib.Limiter
+    forwarder: forward.Forwarder
     gateway: gateway_lib.Gateway
     metrics: gateway_metrics.GatewayMetrics
     memory_growth: process_memory.GrowthLog
@@ -198,6 +199,7 @@
         feeds,
         transport,
         random.Random(),
+        cfg.grace_seconds,
     )
     resident = process_memory.ResidentMemory()
     gauges = gateway_metrics.create_gauges(
@@ -250,6 +252,7 @@
         ),
         retirement=retirement.Retirement(store_client, view, lease),
         limiter=limiter,
+        forwarder=forwarder,
         gateway=gateway,
         metrics=metrics,
         memory_growth=process_memory.GrowthLog(
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -28,6 +28,7 @@
 from hibiscussaddle import gateway_settings
 from hibiscussaddle import logs
 from hibiscussaddle.platform import ingress
+from hibiscussaddle.policy import planned_stop
 from hibiscussaddle.rate_limits import permits
 from hibiscussaddle import serving
 
@@ -67,8 +68,10 @@
             tasks.start_soon(loop)
         tasks.start_soon(expire_endpoints, components.view)
         await stop_requested.wait()
-        await _drain(components)
+        stopped_at = time.monotonic()
+        await _drain(components, stopped_at)
         closing.set()
+        tasks.start_soon(_end_requests_in_time, components, stopped_at)
         for server in servers:
             await server.wait()
         tasks.cancel_scope.cancel()
@@ -163,13 +166,14 @@
         view.expire(view.clock())
 
 
-async def _drain(components: gateway_components.Components) -> None:
+async def _drain(
+    components: gateway_components.Components, started: float
+) -> None:
     """Let running work finish, then hand over the remaining batches."""
     gateway = components.gateway
-    gateway.is_stopping = True
+    gateway.stopped_at = started
     components.batch_owners.stop()
     components.presence.announce_leaving()
-    started = time.monotonic()
     limit = max(0.0, components.cfg.grace_seconds - _CLOSE_RESERVE_SECONDS)
     while True:
         await anyio.sleep(_IDLE_CHECK_INTERVAL_SECONDS)
@@ -189,6 +193,22 @@
     )
 
 
+async def _end_requests_in_time(
+    components: gateway_components.Components, stopped_at: float
+) -> None:
+    """Respond to running requests before the process is killed."""
+    wait = planned_stop.seconds_until_requests_end(
+        time.monotonic() - stopped_at, components.cfg.grace_seconds
+    )
+    await anyio.sleep(wait)
+    logs.event(
+        _LOG,
+        "requests_ended",
+        running=components.gateway.running_requests,
+    )
+    components.forwarder.end_requests()
+
+
 def configure_logs(cfg: gateway_settings.GatewaySettings) -> None:
     """Write log lines to standard output, rate-limited and non-blocking."""
     handler = logs.BoundedHandler(sys.stdout.fileno())
--- a/src/hibiscussaddle/platform/standins/endpoint.py
+++ b/src/hibiscussaddle/platform/standins/endpoint.py
@@ -41,6 +41,8 @@
     event_seconds: float = 0.01
     # Requests per second that responses name as the limit; negative for none.
     rate_limit: float = -1.0
+    # Time until a plain service responds.
+    response_seconds: float = 0.0
 
 
 class FakeEndpoint:
@@ -145,6 +147,7 @@
         endpoint.started_requests.append(request_id)
         if not endpoint.cfg.model:
             body = await req.body()
+            await anyio.sleep(endpoint.cfg.response_seconds)
             if endpoint.failures_left:
                 endpoint.failures_left -= 1
                 return responses.Response(b"", 500, headers)
--- a/src/hibiscussaddle/routes/forward.py
+++ b/src/hibiscussaddle/routes/forward.py
@@ -178,6 +178,12 @@
         self._limiter = limiter
         self._view = view
         self._balancer = balancer
+        self._running: set[anyio.CancelScope] = set()
+
+    def end_requests(self) -> None:
+        """Give every running request the response that it has so far."""
+        for scope in self._running:
+            scope.cancel()
 
     async def forward(
         self, req: CallerRequest, route: routing_config.Route
@@ -197,8 +203,12 @@
         """Return the result of a request with the counts of its attempts."""
         limit = min(req.timeout - _RESPONSE_RESERVE_SECONDS, route.timeout)
         state = _RequestState(req, route, req.arrived_at + limit, hedge_budget)
-        with anyio.move_on_after(max(0.0, state.seconds_left)):
-            await self._attempt_until_done(state)
+        with anyio.move_on_after(max(0.0, state.seconds_left)) as scope:
+            self._running.add(scope)
+            try:
+                await self._attempt_until_done(state)
+            finally:
+                self._running.discard(scope)
         response = state.response or state.error_response
         return ForwardResult(
             response,
--- a/src/hibiscussaddle/standins/run.py
+++ b/src/hibiscussaddle/standins/run.py
@@ -93,6 +93,7 @@
         events=int(options.get("events", 10)),
         event_seconds=float(options.get("event_seconds", 0.01)),
         rate_limit=float(options.get("rate_limit", -1.0)),
+        response_seconds=float(options.get("response_seconds", 0.0)),
     )
     return endpoint.create_registered_app(cfg, str(options["store_url"]))
 
