Keep the bytes of faulty endpoints out of callers' responses

Callers now get the kind of the error; its text is logged as engine_stream_failed and service_call_failed.

--- a/src/hibiscussaddle/adapters/engines.py
+++ b/src/hibiscussaddle/adapters/engines.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import contextlib
+import logging
 import typing
 
 import anyio
@@ -10,6 +11,9 @@
 
 from hibiscussaddle.adapters import services
 from hibiscussaddle import endpoints
+from hibiscussaddle import logs
+
+_LOG = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_SECONDS: typing.Final = 2.0
 # Maximum silence after the first tokens before a stream counts as broken.
@@ -190,7 +194,18 @@
 
 
 def _describe(endpoint: endpoints.Endpoint, exc: Exception) -> str:
-    return f"endpoint {endpoint.id}: {exc or type(exc).__name__}"
+    """Return the reason for callers and log the details.
+
+    The text of an exception may contain the bytes that an engine sent, such as
+    the head of an error response.
+    """
+    logs.event(
+        _LOG,
+        "engine_stream_failed",
+        endpoint=endpoint.id,
+        why=str(exc) or type(exc).__name__,
+    )
+    return f"endpoint {endpoint.id}: {type(exc).__name__}"
 
 
 def _to_chunk(data: bytes) -> Chunk:
--- a/src/hibiscussaddle/adapters/services.py
+++ b/src/hibiscussaddle/adapters/services.py
@@ -6,6 +6,7 @@
 from collections import abc
 import dataclasses
 import enum
+import logging
 import typing
 
 import anyio
@@ -13,6 +14,9 @@
 import result
 
 from hibiscussaddle import endpoints
+from hibiscussaddle import logs
+
+_LOG = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_SECONDS: typing.Final = 2.0
 # A response above this size is rejected, to limit memory.
@@ -128,5 +132,14 @@
 def _failure(
     kind: FailureKind, endpoint: endpoints.Endpoint, exc: Exception
 ) -> result.Err[Failure]:
-    reason = str(exc) or type(exc).__name__
+    # The text of an exception may contain bytes that the endpoint sent, which
+    # are logged but not passed on to callers.
+    logs.event(
+        _LOG,
+        "service_call_failed",
+        endpoint=endpoint.id,
+        kind=kind.value,
+        why=str(exc) or type(exc).__name__,
+    )
+    reason = type(exc).__name__
     return result.Err(Failure(kind, f"endpoint {endpoint.id}: {reason}"))
