Ask for permits less often, and of few endpoints for one request

With all of a large service at its limit, a request asked the holder of each endpoint in turn before it was refused: 200 round trips. It now gives up after a quarter of the route's latency target (tests: 200 endpoints at 10 ms each, below 0.15 s). A denial is used until the endpoint is free again, at most a second, in place of 0.1 s.

--- a/src/hibiscussaddle/rate_limits/limiter.py
+++ b/src/hibiscussaddle/rate_limits/limiter.py
@@ -31,8 +31,10 @@
 # An endpoint whose limit was last seen this long ago gets a request although
 # others are available: only a response tells that the limit has ended.
 RECHECK_SECONDS: typing.Final = 2.0
-# A denial applies to the requests of this time, without asking again.
-_DENIAL_CACHE_SECONDS: typing.Final = 0.1
+# After a denial the holder isn't asked before the endpoint is free, but for
+# the first time at most, nor within the second one: all instances may want it.
+_MAX_DENIAL_SECONDS: typing.Final = 1.0
+_MIN_ASK_INTERVAL_SECONDS: typing.Final = 0.1
 # A holder that didn't respond isn't asked for this long.
 _HOLDER_RETRY_SECONDS: typing.Final = 1.0
 # An item's permit lapses after this time; it may not be sent much later than
@@ -46,9 +48,9 @@
 class _AskState:
     """Hold what this instance was told as it asked for permits."""
 
-    # Monotonic seconds until which the last denial is used, at which the
+    # Monotonic seconds before which the holder isn't asked again, at which the
     # endpoint is free again, and at which the denied caller should return.
-    denied_until: float = float("-inf")
+    ask_at: float = float("-inf")
     free_at: float = float("-inf")
     return_at: float = float("-inf")
     # Permit for the next item, and whether one is being fetched.
@@ -186,9 +188,8 @@
         state = self._asked.for_endpoint(endpoint)
         if now < state.item_permit_until:
             return True
-        if (
-            not state.is_fetching
-            and now >= state.free_at - _ITEM_DELAY_SECONDS
+        if not state.is_fetching and now >= max(
+            state.ask_at, state.free_at - _ITEM_DELAY_SECONDS
         ):
             self._wanted[endpoint.id] = endpoint
             self._wake.set()
@@ -283,15 +284,18 @@
     ) -> schedule.Decision | None:
         now = self._clock()
         state = self._asked.for_endpoint(endpoint)
-        if now >= state.denied_until or now + max_delay >= state.free_at:
+        if now >= state.ask_at and now + max_delay >= state.free_at:
             return None
-        # Spread the callers that are denied without asking the holder.
+        # Callers that are denied without asking return one after the other.
         interval = 1 / (self.rate(endpoint) or schedule.MIN_RATE)
-        retry_after = state.return_at - now + interval * self._rng.random()
+        state.return_at = min(
+            now + schedule.MAX_RETRY_SECONDS,
+            max(now, state.return_at) + interval,
+        )
         return schedule.Decision(
             False,
-            retry_after=min(schedule.MAX_RETRY_SECONDS, retry_after),
-            free_after=state.free_at - now,
+            retry_after=state.return_at - now,
+            free_after=max(0.0, state.free_at - now),
         )
 
     async def _ask(
@@ -323,9 +327,13 @@
         if not response.is_granted:
             now = self._clock()
             state = self._asked.for_endpoint(endpoint)
-            state.denied_until = now + _DENIAL_CACHE_SECONDS
-            state.free_at = now + response.free_after
+            free_after = min(_MAX_DENIAL_SECONDS, response.free_after)
+            state.free_at = now + free_after
             state.return_at = now + response.retry_after
+            # Members that all want the endpoint ask about twice as often as
+            # it takes a request.
+            interval = len(self._members.all) / (2 * (response.rate or 1.0))
+            state.ask_at = now + min(_MIN_ASK_INTERVAL_SECONDS, interval)
         return schedule.Decision(
             response.is_granted,
             response.delay,
--- a/src/hibiscussaddle/routes/forward.py
+++ b/src/hibiscussaddle/routes/forward.py
@@ -241,22 +241,25 @@
         self, state: _RequestState
     ) -> endpoints.Endpoint | None:
         """Return an endpoint whose rate limit allows the request."""
+        max_delay = min(
+            _PERMIT_DELAY_TARGET_FRACTION * state.route.latency_target,
+            state.seconds_left / 2,
+        )
+        give_up_at = time.monotonic() + max_delay
         while True:
             endpoint = self._choose(state)
             if endpoint is None:
                 return None
             retry_after = await self._limiter.acquire(
-                endpoint,
-                "request",
-                state.req.id,
-                min(
-                    _PERMIT_DELAY_TARGET_FRACTION * state.route.latency_target,
-                    state.seconds_left / 2,
-                ),
+                endpoint, "request", state.req.id, max_delay
             )
             if retry_after is None:
                 return endpoint
-            state.denied_until[endpoint.id] = time.monotonic() + retry_after
+            now = time.monotonic()
+            state.denied_until[endpoint.id] = now + retry_after
+            if now >= give_up_at:
+                # Each holder that is asked takes a round trip.
+                return None
 
     def _choose(
         self, state: _RequestState, is_hedge: bool = False
--- a/tests/test_limited_endpoints.py
+++ b/tests/test_limited_endpoints.py
@@ -116,6 +116,47 @@
     assert len(free.arrivals) == 11
 
 
+class SlowLimiter:
+    """Deny every permit after the time of a call to a holder."""
+
+    def __init__(self) -> None:
+        """Count the permits that were asked for."""
+        self.asked = 0
+
+    def is_limited(self, _: object) -> bool:
+        """Return that every endpoint has a limit."""
+        return True
+
+    is_deferred = is_limited
+
+    async def acquire(self, *_: object) -> float:
+        """Deny a permit."""
+        self.asked += 1
+        await anyio.sleep(0.01)
+        return 0.5
+
+
+def test_request_asks_few_of_many_limited_endpoints() -> None:
+    """Fails when a caller waits while all holders are asked in turn."""
+
+    async def main() -> tuple[forward.Response, float]:
+        async with fake_services.serve() as (forwarder, view):
+            for number in range(200):
+                url = f"http://127.0.0.1:{number + 1}"
+                view.directory.put(fake_services.endpoint(number, url))
+            forwarder._limiter = typing.cast(
+                limiter_lib.Limiter, SlowLimiter()
+            )
+            started = time.monotonic()
+            response = await forwarder.forward(_request(), ROUTE)
+            return response, time.monotonic() - started
+
+    response, seconds = anyio.run(main)
+    assert isinstance(response, codes.Refusal)
+    assert response.code is codes.Code.RATE_LIMITED
+    assert seconds < 0.15
+
+
 def test_limited_endpoint_serves_what_the_others_refuse() -> None:
     """Fails when a permit is left unused although nobody else is free."""
     limited = LimitedService("30")
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -131,6 +131,14 @@
     assert fleet.asked <= 7 * 10 * 10.0 + 20
 
 
+@pytest.mark.parametrize("rate", [1.0, 4.0, 40.0])
+def test_one_busy_instance_uses_the_whole_limit(rate: float) -> None:
+    """Fails when an instance asks too rarely while the others are idle."""
+    fleet = limit_fleet.LimitFleet(8, rate)
+    busy = next(name for name in fleet.members if name != fleet.holder())
+    assert fleet.run(20.0, 10 * rate, {busy}) >= 0.75 * rate * 20.0
+
+
 def test_begin_and_end_of_a_limit_reach_every_zone() -> None:
     """Fails when zones learn of a limit from their own requests only."""
     fleet = limit_fleet.LimitFleet(9, 2.0)
