--- a/src/hibiscussaddle/policy/shares.py
+++ b/src/hibiscussaddle/policy/shares.py
@@ -44,15 +44,16 @@
     remaining = max(0.0, capacity)
     while unmet_names and remaining > _EPSILON_SLOTS:
         total = sum(weights[name] for name in unmet_names)
-        level = remaining / total
+        # A tiny total must not make the quotient overflow, so that the weights
+        # are divided first.
+        shares = {
+            name: remaining * (weights[name] / total) for name in unmet_names
+        }
         met_names = [
-            name
-            for name in unmet_names
-            if demands[name] <= weights[name] * level
+            name for name in unmet_names if demands[name] <= shares[name]
         ]
         if not met_names:
-            for name in unmet_names:
-                allocated[name] = weights[name] * level
+            allocated.update(shares)
             break
         for name in met_names:
             allocated[name] = demands[name]
--- a/tests/test_limited_endpoints.py
+++ b/tests/test_limited_endpoints.py
@@ -5,9 +5,12 @@
 
 import anyio
 import pytest
+from starlette import applications
 from starlette import requests
 from starlette import responses
+from starlette import routing
 
+from hibiscussaddle.adapters import connections
 from hibiscussaddle.batches import engine_choice
 from hibiscussaddle.batches import events
 from hibiscussaddle.batches import placement
@@ -18,10 +21,13 @@
 from hibiscussaddle.routes import forward
 from hibiscussaddle.routes import routing_config
 from hibiscussaddle.scoring import scorer as scorer_lib
+from hibiscussaddle import weight_lease
+from hibiscussaddle.weights import controller
 
 import batch_builders
 import fake_services
 import limit_builders
+import loopback
 import test_scorer
 
 
@@ -265,3 +271,43 @@
     chosen = _choices(limiter, 0.3, "engine-1", "engine-2")
     assert set(chosen) == {"engine-2"}
     assert len(chosen) > 20
+
+
+def test_weight_orders_and_reports_need_a_permit() -> None:
+    """Fails when control calls reach an engine beyond its limit."""
+    calls: list[str] = []
+
+    async def respond(req: requests.Request) -> responses.Response:
+        calls.append(req.url.path)
+        return responses.JSONResponse(
+            {"busy": False, "sequence": 0, "models": [], "born": 1}
+        )
+
+    async def main() -> None:
+        limiter = limit_builders.limiter()
+        routes = [
+            routing.Route("/-/report", respond),
+            routing.Route("/-/order", respond, methods=["POST"]),
+        ]
+        async with loopback.serve(
+            applications.Starlette(routes=routes)
+        ) as url:
+            engine = batch_builders.engine("engine-1", address=url)
+            limiter.observe(engine, limit_builders.response(200, "0"), "r-1")
+            client = connections.create_client()
+            subject = controller.WeightController(
+                client,
+                view_lib.create_view(),
+                typing.cast(weight_lease.WeightLease, None),
+                "gateway-1",
+                lambda _: 0,
+                limiter,
+            )
+            # The first call is the one request that a limit of 0 allows.
+            assert await subject._fetch_report(engine) is not None
+            assert await subject._fetch_report(engine) is None
+            assert not await subject._acquire_permit(engine)
+            await client.aclose()
+
+    anyio.run(main)
+    assert calls == ["/-/report"]
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -56,6 +56,13 @@
     assert total <= capacity + 1e-6
 
 
+@pytest.mark.parametrize("guarantee", [5e-324, 1e-310, 1e-300])
+def test_tiny_guarantee_does_not_exceed_the_capacity(guarantee: float) -> None:
+    """Fails when the division by a tiny sum of weights overflows."""
+    guarantees = {"c0": 0.0, "c3": guarantee}
+    assert shares.allocate(1.0, guarantees, {"c3": 2.0}) == {"c3": 1.0}
+
+
 @hypothesis.given(st.floats(0, 400), _SLOTS, _GUARANTEES)
 def test_water_fill_is_max_min_fair(
     capacity: float, demands: dict[str, float], weights: dict[str, float]
