Write a fencing number only while the lease's key is still there

A contender whose key the store had deleted early wrote a fence above that of the present holder: engines that check fences then reject the orders of the holder until its lease ends, and a holder without the lease sends orders with the highest number. The write of the fence is conditional on the key's revision now; if it fails, the key is checked.

--- a/src/hibiscussaddle/policy/lease.py
+++ b/src/hibiscussaddle/policy/lease.py
@@ -81,6 +81,8 @@
     holder: str
     lease: int = 0
     expected_revision: int = 0
+    # Revision that the lease's key must have for a write of the fence.
+    key_revision: int = 0
     number: int = 0
     released: bool = False
     settled: bool = False
@@ -170,6 +172,7 @@
             self.holder,
             self._lease,
             expected.get(self._next_kind, 0),
+            self._key_revision,
             self._fencing_number,
             settled=self._settled,
         )
@@ -214,6 +217,7 @@
             self.holder,
             self._lease,
             self._fence_revision,
+            self._key_revision,
             self._fencing_number,
             released=True,
             settled=self._settled,
@@ -315,6 +319,9 @@
     def _on_put_fence(self, reply: Reply, sent_at: float, now: float) -> None:
         if reply.outcome is Outcome.OK:
             self._become_holder(reply.revision, now)
+        elif reply.outcome is Outcome.LOST:
+            # Another contender wrote the fence, or holds the key by now.
+            self._next_kind = CallKind.CHECK_KEY
         else:
             self._next_kind = CallKind.READ_FENCE
 
--- a/src/hibiscussaddle/weight_lease.py
+++ b/src/hibiscussaddle/weight_lease.py
@@ -134,10 +134,14 @@
             fence = lease.Fence(
                 call.number, call.holder, call.released, call.settled
             )
-            put = await self._client.put(
-                self._fence_key,
-                msgspec.to_builtins(fence),
-                call.expected_revision,
+            # A contender whose key was deleted early must not raise the number
+            # above that of the present holder.
+            put = await self._client.commit(
+                {
+                    self._fence_key: call.expected_revision,
+                    self._key: call.key_revision,
+                },
+                [store.Put(self._fence_key, msgspec.json.encode(fence))],
             )
         if isinstance(put, result.Err):
             return _failure_reply(put.err_value)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -86,6 +86,8 @@
             return lease.Reply(outcome.OK, revision=self.revision)
         if call.expected_revision != self.fence_revision:
             return lease.Reply(outcome.LOST)
+        if call.key_revision != revision:
+            return lease.Reply(outcome.LOST)
         self.revision += 1
         self.fence_revision = self.revision
         self.fence = lease.Fence(
@@ -317,6 +319,23 @@
     assert successor is not None and successor > number
 
 
+def test_contender_that_lost_its_key_does_not_raise_the_number() -> None:
+    """Fails when engines reject the orders of the present holder.
+
+    The store deleted the key of the first contender early. It didn't know, and
+    wrote a fencing number above that of the second one.
+    """
+    machine = LeaseMachine()
+    machine.rule_answer(0, 3)
+    machine.rule_lapse_early()
+    machine.rule_run_one(1, 2.0)
+    machine.rule_run_one(0, 2.0)
+    first, second = machine.contenders[:2]
+    assert first.machine.fencing_number(machine.clock(first), True) is None
+    number = second.machine.fencing_number(machine.clock(second), True)
+    assert number == machine.store.fence.number
+
+
 def test_successor_of_a_released_lease_does_not_wait() -> None:
     """Fails when a planned stop delays weight orders like a crash does."""
     machine = LeaseMachine()
