--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -35,6 +35,7 @@
 from hibiscussaddle.platform import config_wire
 from hibiscussaddle.platform import endpoint_wire
 from hibiscussaddle import process_memory
+from hibiscussaddle.rate_limits import holder as permit_holder
 from hibiscussaddle.rate_limits import limiter as limiter_lib
 from hibiscussaddle.rate_limits import observed
 from hibiscussaddle.rate_limits import permits
@@ -162,10 +163,10 @@
     engines = placement.Placement()
     balancer = balance.Balancer(cfg.zone, random.Random())
     limiter = limiter_lib.Limiter(
-        members,
-        presence.holds_lease,
+        permit_holder.PermitHolder(
+            members, presence.holds_lease, limits, random.Random()
+        ),
         permits.PermitClient(client),
-        random.Random(),
         limits,
     )
     forwarder = forward.Forwarder(client, view, balancer, limiter)
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -118,7 +118,7 @@
             peer_reads.create_route(components.gateway.batch_reader),
             store_transports.create_relay_route(components.store_transport),
             feed_sharing.create_route(components.zone_reader),
-            permits.create_route(components.limiter.serve),
+            permits.create_route(components.limiter.holder.serve),
             gateway_report.create_route(components),
         ],
         middleware=[
--- a/src/hibiscussaddle/rate_limits/limiter.py
+++ b/src/hibiscussaddle/rate_limits/limiter.py
@@ -1,15 +1,14 @@
 """Keep the rate limits of endpoints together with the other instances.
 
-Every request to an endpoint that named a limit needs a permit. The endpoint's
-holder grants them at the limit; see shares.py for who that is when holders
-don't answer.
+Every request to an endpoint that named a limit needs a permit, for which the
+endpoint's holder is asked; see shares.py for who that is when holders don't
+answer.
 """
 
 import collections
 from collections import abc
 import dataclasses
 import logging
-import random
 import time
 import typing
 
@@ -19,8 +18,8 @@
 from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import member as member_lib
 from hibiscussaddle.fleet import observations
-from hibiscussaddle.fleet import presence as presence_lib
 from hibiscussaddle import logs
+from hibiscussaddle.rate_limits import holder as holder_lib
 from hibiscussaddle.rate_limits import observed
 from hibiscussaddle.rate_limits import permits
 from hibiscussaddle.rate_limits import schedule
@@ -58,51 +57,35 @@
     is_fetching: bool = False
 
 
-@dataclasses.dataclass
-class _HeldSchedules:
-    """Hold the schedules of an endpoint for which this instance is asked."""
-
-    by_scope: dict[shares.Scope, schedule.Schedule] = dataclasses.field(
-        default_factory=dict
-    )
-
-
 class Limiter:
     """Grant and ask for permits to send requests to endpoints."""
 
     def __init__(
         self,
-        members: presence_lib.Members,
-        holds_membership: abc.Callable[[], bool],
+        holder: holder_lib.PermitHolder,
         client: permits.PermitClient,
-        rng: random.Random,
         limits: observed.ObservedLimits,
         clock: abc.Callable[[], float] = time.monotonic,
     ) -> None:
-        """Start without any limit.
-
-        The callable returns whether peers still count this instance as a
-        member; it holds for the fleet only then.
-        """
+        """Start without any limit; the holder is that of this instance."""
         # Permits by purpose and outcome since the start.
         self.outcomes: collections.Counter[tuple[str, str]]
         self.outcomes = collections.Counter()
         # Called when an item may get an endpoint that it didn't get before.
         self.on_item_permit: abc.Callable[[], None] = lambda: None
-        self._members = members
-        self._holds_membership = holds_membership
+        self.holder = holder
+        self._members = holder.members
         self._client = client
-        self._rng = rng
         self._clock = clock
         self._limits = limits
         self._asked = observations.Observations(_AskState)
-        self._held = observations.Observations(_HeldSchedules)
         self._unreachable_until: dict[str, float] = {}
         # Id and incarnation of endpoints whose limit began or ended, which
         # other instances must know, and endpoints for which an item waits.
         self._changed: set[tuple[str, int]] = set()
         self._wanted: dict[str, endpoints.Endpoint] = {}
         self._wake = anyio.Event()
+        holder.on_change = self._record_change
 
     async def run(self) -> None:
         """Pass changes on and fetch permits for items."""
@@ -130,8 +113,11 @@
         """Record the limit that an endpoint's response names."""
         now = self._clock()
         if self._limits.observe(endpoint, resp, request_id, now, is_run):
-            self._changed.add((endpoint.id, endpoint.incarnation))
-            self._wake.set()
+            self._record_change(endpoint.id, endpoint.incarnation)
+
+    def _record_change(self, endpoint_id: str, incarnation: int) -> None:
+        self._changed.add((endpoint_id, incarnation))
+        self._wake.set()
 
     def rate(self, endpoint: endpoints.Endpoint) -> float | None:
         """Return the limit in force, in requests per second, None if none."""
@@ -201,84 +187,6 @@
             state = self._asked.for_endpoint(endpoint)
             state.item_permit_until = float("-inf")
 
-    def serve(self, message: permits.PermitRequest) -> permits.PermitResponse:
-        """Decide on the request of a peer, or note the limit that it knows."""
-        now = self._clock()
-        is_change = self._limits.apply(
-            message.endpoint_id,
-            message.incarnation,
-            message.rate,
-            now - message.age,
-            "peer",
-        )
-        if is_change and self._is_holder(
-            shares.Scope.FLEET, message.endpoint_id
-        ):
-            self._changed.add((message.endpoint_id, message.incarnation))
-            self._wake.set()
-        known = self._limits.limit(message.endpoint_id, message.incarnation)
-        age = now - known.observed_at
-        if not self._is_holder(message.scope, message.endpoint_id):
-            return permits.PermitResponse(False, rate=known.rate, age=age)
-        decision = schedule.Decision(True)
-        rate = schedule.effective_rate(known.rate)
-        if rate is not None and message.max_delay is not None:
-            decision = self._decide(message, rate, message.max_delay, now)
-        return permits.PermitResponse(
-            True,
-            decision.is_granted,
-            decision.delay,
-            decision.retry_after,
-            decision.free_after,
-            known.rate,
-            age,
-        )
-
-    def _decide(
-        self,
-        message: permits.PermitRequest,
-        rate: float,
-        max_delay: float,
-        now: float,
-    ) -> schedule.Decision:
-        share = shares.fraction(
-            message.scope, self._members.me, self._members.all.values()
-        )
-        if share <= 0:
-            wait = schedule.MAX_RETRY_SECONDS
-            return schedule.Decision(False, 0.0, wait, wait)
-        schedules = self._held.for_key(
-            f"{message.endpoint_id}/{message.incarnation}", 0
-        ).by_scope
-        current = schedules.get(message.scope)
-        if current is None:
-            # The shares of a fleet that loses its holders start at once.
-            is_share = message.scope is not shares.Scope.FLEET
-            phase = self._rng.random() if is_share else 0.0
-            current = schedule.Schedule(rate * share, now, phase)
-            schedules[message.scope] = current
-        else:
-            current.set_rate(rate * share, now)
-        return current.decide(now, max_delay)
-
-    def _is_holder(self, scope: shares.Scope, endpoint_id: str) -> bool:
-        if scope is shares.Scope.FLEET and not self._holds_membership():
-            return False
-        member = self._holder(scope, endpoint_id)
-        return (
-            member is not None and member.instance == self._members.me.instance
-        )
-
-    def _holder(
-        self, scope: shares.Scope, endpoint_id: str
-    ) -> member_lib.Member | None:
-        return shares.holder(
-            scope,
-            endpoint_id,
-            self._members.me,
-            self._members.all.values(),
-        )
-
     def _cached_denial(
         self, endpoint: endpoints.Endpoint, max_delay: float
     ) -> schedule.Decision | None:
@@ -348,7 +256,7 @@
         max_delay: float | None,
     ) -> permits.PermitResponse | None:
         """Return the response of a scope's holder, None without one."""
-        holder = self._holder(scope, endpoint.id)
+        holder = self.holder.holder_of(scope, endpoint.id)
         if holder is None:
             return None
         message = self._message(
@@ -377,7 +285,7 @@
         self, member: member_lib.Member, message: permits.PermitRequest
     ) -> permits.PermitResponse | None:
         if member.instance == self._members.me.instance:
-            return self.serve(message)
+            return self.holder.serve(message)
         now = self._clock()
         if now < self._unreachable_until.get(member.instance, now):
             return None
@@ -397,9 +305,9 @@
         The readers of the zones tell the other instances.
         """
         scope = shares.Scope.FLEET
-        holder = self._holder(scope, endpoint_id)
+        holder = self.holder.holder_of(scope, endpoint_id)
         receivers = [holder] if holder is not None else []
-        if self._is_holder(scope, endpoint_id):
+        if self.holder.is_holder(scope, endpoint_id):
             receivers = list(self._members.zone_readers().values())
         message = self._message(scope, endpoint_id, incarnation, None)
         for member in receivers:
--- a/tests/limit_builders.py
+++ b/tests/limit_builders.py
@@ -2,12 +2,14 @@
 
 from collections import abc
 import random
+import time
 import typing
 
 import httpx
 
 from hibiscussaddle.fleet import member as member_lib
 from hibiscussaddle.fleet import presence
+from hibiscussaddle.rate_limits import holder as permit_holder
 from hibiscussaddle.rate_limits import limiter as limiter_lib
 from hibiscussaddle.rate_limits import observed
 from hibiscussaddle.rate_limits import permits
@@ -50,11 +52,19 @@
     """Return the limiter of an instance, alone unless members are given."""
     holds_membership: abc.Callable[[], bool]
     holds_membership = options.pop("holds_membership", lambda: True)
-    return limiter_lib.Limiter(
+    clock = options.pop("clock", time.monotonic)
+    limits = observed.ObservedLimits()
+    holder = permit_holder.PermitHolder(
         known or members(member("gateway-1")),
         holds_membership,
-        client or permits.PermitClient(httpx.AsyncClient(trust_env=False)),
+        limits,
         options.pop("rng", random.Random(1)),
-        options.pop("limits", None) or observed.ObservedLimits(),
+        clock,
+    )
+    return limiter_lib.Limiter(
+        holder,
+        client or permits.PermitClient(httpx.AsyncClient(trust_env=False)),
+        limits,
+        clock,
         **options,
     )
--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -9,6 +9,7 @@
 from hibiscussaddle.fleet import presence
 from hibiscussaddle.rate_limits import limiter as limiter_lib
 from hibiscussaddle.rate_limits import permits
+from hibiscussaddle.rate_limits import shares
 
 import batch_builders
 import limit_builders
@@ -31,7 +32,7 @@
         self._fleet.asked += 1
         if self._fleet.is_cut(self._sender, member.instance):
             return None
-        return self._fleet.limiters[member.instance].serve(message)
+        return self._fleet.limiters[member.instance].holder.serve(message)
 
 
 class LimitFleet:
@@ -105,7 +106,7 @@
         return next(
             name
             for name, limiter in self.limiters.items()
-            if limiter._is_holder(limiter_lib.shares.Scope.FLEET, ENDPOINT.id)
+            if limiter.holder.is_holder(shares.Scope.FLEET, ENDPOINT.id)
         )
 
     async def request(self, name: str) -> bool:
