--- a/src/hibiscussaddle/gateway.py
+++ b/src/hibiscussaddle/gateway.py
@@ -21,6 +21,7 @@
 from hibiscussaddle import logs
 from hibiscussaddle.policy import planned_stop
 from hibiscussaddle.routes import forward
+from hibiscussaddle.routes import request_state
 from hibiscussaddle.routes import routing_config
 
 _LOG = logging.getLogger(__name__)
@@ -140,13 +141,13 @@
         return result.Ok(route)
 
     async def forward(
-        self, req: forward.CallerRequest, route: routing_config.Route
-    ) -> forward.Response:
+        self, req: request_state.CallerRequest, route: routing_config.Route
+    ) -> request_state.Response:
         """Forward a request; return an endpoint's response or a refusal."""
         if not self._accepts_request(min(req.timeout, route.timeout)):
             return self._stopping_refusal()
         response = await self._forwarder.forward(req, route)
-        if isinstance(response, forward.EndpointResponse):
+        if isinstance(response, request_state.EndpointResponse):
             logs.event(
                 _LOG,
                 "request_answered",
--- a/src/hibiscussaddle/platform/ingress.py
+++ b/src/hibiscussaddle/platform/ingress.py
@@ -19,7 +19,7 @@
 from hibiscussaddle import logs
 from hibiscussaddle.platform import batch_wire
 from hibiscussaddle.platform import endpoint_wire
-from hibiscussaddle.routes import forward
+from hibiscussaddle.routes import request_state
 from hibiscussaddle.routes import routing_config
 
 _LOG = logging.getLogger(__name__)
@@ -169,7 +169,7 @@
     gateway: gateway_lib.Gateway, route: routing_config.Route, call: _Call
 ) -> _Response:
     target = f"{call.path}?{call.query}" if call.query else call.path
-    req = forward.CallerRequest(
+    req = request_state.CallerRequest(
         id=call.header(endpoint_wire.REQUEST_ID_HEADER),
         method=call.method,
         target=target,
--- a/src/hibiscussaddle/routes/forward.py
+++ b/src/hibiscussaddle/routes/forward.py
@@ -9,7 +9,6 @@
 import anyio
 import httpx
 
-from hibiscussaddle import codes
 from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import logs
@@ -17,6 +16,7 @@
 from hibiscussaddle.policy import retries
 from hibiscussaddle.rate_limits import limiter as limiter_lib
 from hibiscussaddle.routes import balance
+from hibiscussaddle.routes import request_state
 from hibiscussaddle.routes import routing_config
 
 _LOG = logging.getLogger(__name__)
@@ -29,14 +29,9 @@
 _RETRY_SECONDS: typing.Final = 0.03
 # Time within the caller's timeout reserved for returning the response.
 _RESPONSE_RESERVE_SECONDS: typing.Final = 0.004
-# No attempt is sent with less time left, as no endpoint could respond.
-_MIN_ATTEMPT_SECONDS: typing.Final = 0.005
 # Longest delay until a limited endpoint takes a request, as a fraction of the
 # route's latency target. Callers that would wait longer are refused at once.
 _PERMIT_DELAY_TARGET_FRACTION: typing.Final = 0.25
-# Retry-After of a request that no endpoint can serve now. Restarted endpoints
-# are listed within about a second.
-RETRY_AFTER_SECONDS: typing.Final = 0.3
 
 # Callers take these statuses to mean "not run". Endpoints state that in a
 # separate header; without it the request may have run.
@@ -59,33 +54,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class CallerRequest:
-    """Hold one request of a caller with its complete body."""
-
-    id: str
-    method: str
-    # Absolute path with the query, as the caller sent it.
-    target: str
-    host: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    # Seconds from the arrival until the caller stops waiting.
-    timeout: float
-    # Monotonic seconds of the arrival.
-    arrived_at: float
-
-
-@dataclasses.dataclass(frozen=True)
-class EndpointResponse:
-    """Hold the complete response of an endpoint."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    endpoint_id: str
-
-
 class _AttemptEnd(enum.Enum):
     RESPONDED = "answered"
     NOT_RUN = "not_run"
@@ -95,72 +63,7 @@
 @dataclasses.dataclass(frozen=True)
 class _AttemptOutcome:
     end: _AttemptEnd
-    response: EndpointResponse | None = None
-
-
-@dataclasses.dataclass
-class _RequestState:
-    """Hold the state of one request across its attempts."""
-
-    req: CallerRequest
-    route: routing_config.Route
-    deadline: float
-    # Limits hedges; with None every slow attempt is hedged.
-    hedge_budget: retries.Budget | None = None
-    tried: list[str] = dataclasses.field(default_factory=list)
-    # Attempts that ended before an endpoint started the request.
-    refusals: int = 0
-    # Monotonic seconds at which endpoints that denied a permit take requests
-    # again, by endpoint.
-    denied_until: dict[str, float] = dataclasses.field(default_factory=dict)
-    # Whether some endpoint may have run the request.
-    may_have_run: bool = False
-    # Responses with status 500.
-    failures: int = 0
-    response: EndpointResponse | None = None
-    # Newest response with status 500 or above, returned when there is no
-    # better one.
-    error_response: EndpointResponse | None = None
-
-    @property
-    def seconds_left(self) -> float:
-        """Return the seconds until the deadline."""
-        return self.deadline - time.monotonic()
-
-    @property
-    def may_send(self) -> bool:
-        """Return whether another attempt may be sent."""
-        if (
-            self.response is not None
-            or self.seconds_left < _MIN_ATTEMPT_SECONDS
-        ):
-            return False
-        if len(self.tried) >= self.route.max_attempts:
-            return False
-        return self.is_repeatable or not self.may_have_run
-
-    @property
-    def is_repeatable(self) -> bool:
-        """Return whether the request may run more than once."""
-        return self.route.kind is routing_config.RouteKind.IDEMPOTENT
-
-
-Response: typing.TypeAlias = EndpointResponse | codes.Refusal
-
-
-@dataclasses.dataclass(frozen=True)
-class ForwardResult:
-    """Hold the result of a request across all its attempts."""
-
-    # Best response of an endpoint, which may be a failure.
-    response: EndpointResponse | None
-    # Reason when there is none.
-    refusal: codes.Refusal | None
-    # Endpoints that may have run the request.
-    tried: tuple[str, ...]
-    # Responses with status 500, and attempts that did not start the request.
-    failures: int
-    refusals: int
+    response: request_state.EndpointResponse | None = None
 
 
 class Forwarder:
@@ -186,8 +89,8 @@
             scope.cancel()
 
     async def forward(
-        self, req: CallerRequest, route: routing_config.Route
-    ) -> Response:
+        self, req: request_state.CallerRequest, route: routing_config.Route
+    ) -> request_state.Response:
         """Return the response of an endpoint, or a refusal."""
         result = await self.forward_detailed(req, route)
         response = result.response or result.refusal
@@ -196,13 +99,15 @@
 
     async def forward_detailed(
         self,
-        req: CallerRequest,
+        req: request_state.CallerRequest,
         route: routing_config.Route,
         hedge_budget: retries.Budget | None = None,
-    ) -> ForwardResult:
+    ) -> request_state.ForwardResult:
         """Return the result of a request with the counts of its attempts."""
         limit = min(req.timeout - _RESPONSE_RESERVE_SECONDS, route.timeout)
-        state = _RequestState(req, route, req.arrived_at + limit, hedge_budget)
+        state = request_state.RequestState(
+            req, route, req.arrived_at + limit, hedge_budget
+        )
         with anyio.move_on_after(max(0.0, state.seconds_left)) as scope:
             self._running.add(scope)
             try:
@@ -210,15 +115,17 @@
             finally:
                 self._running.discard(scope)
         response = state.response or state.error_response
-        return ForwardResult(
+        return request_state.ForwardResult(
             response,
-            None if response else _refusal(state),
+            None if response else request_state.refusal(state),
             tuple(state.tried),
             state.failures,
             state.refusals,
         )
 
-    async def _attempt_until_done(self, state: _RequestState) -> None:
+    async def _attempt_until_done(
+        self, state: request_state.RequestState
+    ) -> None:
         while state.may_send:
             endpoint = await self._choose_permitted(state)
             if endpoint is None:
@@ -238,7 +145,7 @@
                 await anyio.sleep(_RETRY_SECONDS)
 
     async def _choose_permitted(
-        self, state: _RequestState
+        self, state: request_state.RequestState
     ) -> endpoints.Endpoint | None:
         """Return an endpoint whose rate limit allows the request."""
         max_delay = min(
@@ -262,7 +169,7 @@
                 return None
 
     def _choose(
-        self, state: _RequestState, is_hedge: bool = False
+        self, state: request_state.RequestState, is_hedge: bool = False
     ) -> endpoints.Endpoint | None:
         now = time.monotonic()
         # A hedge would double the work of an endpoint in need.
@@ -280,7 +187,7 @@
         return chosen or self._balancer.choose(candidates, now, (), deferred)
 
     def _candidates(
-        self, state: _RequestState
+        self, state: request_state.RequestState
     ) -> tuple[endpoints.Endpoint, ...]:
         service = state.route.service_for(state.req.id)
         return self._view.directory.filter_routable(
@@ -289,11 +196,11 @@
             if endpoint.service == service
         )
 
-    def _candidate_count(self, state: _RequestState) -> int:
+    def _candidate_count(self, state: request_state.RequestState) -> int:
         return len(self._candidates(state)) - len(state.denied_until)
 
     async def _attempt_hedged(
-        self, state: _RequestState, endpoint: endpoints.Endpoint
+        self, state: request_state.RequestState, endpoint: endpoints.Endpoint
     ) -> None:
         """Send the request, and hedge it when the first endpoint is slow."""
         async with anyio.create_task_group() as tasks:
@@ -336,7 +243,7 @@
                 tasks.cancel_scope.cancel()
 
     async def _attempt(
-        self, state: _RequestState, endpoint: endpoints.Endpoint
+        self, state: request_state.RequestState, endpoint: endpoints.Endpoint
     ) -> None:
         """Send the request to one endpoint and record the outcome."""
         stats = self._balancer.stats(endpoint)
@@ -362,7 +269,7 @@
             state.failures += 1
 
     async def _send(
-        self, state: _RequestState, endpoint: endpoints.Endpoint
+        self, state: request_state.RequestState, endpoint: endpoints.Endpoint
     ) -> _AttemptOutcome:
         req = state.req
         started = time.monotonic()
@@ -399,7 +306,7 @@
 
     def _classify_response(
         self,
-        state: _RequestState,
+        state: request_state.RequestState,
         endpoint: endpoints.Endpoint,
         resp: httpx.Response,
         body: bytes,
@@ -440,7 +347,7 @@
 
     def _fail_attempt(
         self,
-        state: _RequestState,
+        state: request_state.RequestState,
         endpoint: endpoints.Endpoint,
         exc: Exception,
         end: _AttemptEnd,
@@ -460,35 +367,12 @@
 
 def _to_endpoint_response(
     endpoint: endpoints.Endpoint, resp: httpx.Response, body: bytes
-) -> EndpointResponse:
+) -> request_state.EndpointResponse:
     headers = tuple(
         (name, value)
         for name, value in resp.headers.multi_items()
         if name not in _NOT_FORWARDED
     )
-    return EndpointResponse(resp.status_code, headers, body, endpoint.id)
-
-
-def _refusal(state: _RequestState) -> codes.Refusal:
-    if state.may_have_run or state.tried:
-        # An attempt that the deadline cancelled may have run, too.
-        code = codes.Code.BACK_END_TIMEOUT
-        if state.seconds_left > 0:
-            code = codes.Code.OUTCOME_UNKNOWN
-        return codes.Refusal(
-            code,
-            f"no response from {', '.join(state.tried) or 'an endpoint'}",
-        )
-    if state.denied_until:
-        return_at = min(state.denied_until.values())
-        return codes.Refusal(
-            codes.Code.RATE_LIMITED,
-            f"every endpoint of route {state.route.name!r} that accepts "
-            "requests has reached its rate limit",
-            max(_RETRY_SECONDS, return_at - time.monotonic()),
-        )
-    return codes.Refusal(
-        codes.Code.NO_ENDPOINT,
-        f"no endpoint of route {state.route.name!r} accepts requests now",
-        RETRY_AFTER_SECONDS,
+    return request_state.EndpointResponse(
+        resp.status_code, headers, body, endpoint.id
     )
--- a/src/hibiscussaddle/scoring/scorer.py
+++ b/src/hibiscussaddle/scoring/scorer.py
@@ -15,6 +15,7 @@
 from hibiscussaddle.platform import endpoint_wire
 from hibiscussaddle.policy import retries
 from hibiscussaddle.routes import forward
+from hibiscussaddle.routes import request_state
 from hibiscussaddle.routes import routing_config
 from hibiscussaddle.scoring import admission
 from hibiscussaddle.scoring import attempts as attempts_lib
@@ -127,7 +128,7 @@
         self,
         queue: admission.AdmissionQueue,
         attempts: attempts_lib.Attempts,
-        result: forward.ForwardResult,
+        result: request_state.ForwardResult,
         score: model.Score | None,
     ) -> None:
         """Record the outcome of an attempt and adapt the window to it."""
@@ -170,12 +171,12 @@
 
 def _request(
     job: model.Job, route: routing_config.Route
-) -> forward.CallerRequest:
+) -> request_state.CallerRequest:
     call = job.call
     timeout = attempts_lib.call_timeout(
         job.seconds_left(), route.latency_target, route.timeout
     )
-    return forward.CallerRequest(
+    return request_state.CallerRequest(
         id=call.id,
         method="POST",
         target=call.path,
@@ -190,7 +191,7 @@
     )
 
 
-def _limit_delay(result: forward.ForwardResult) -> float | None:
+def _limit_delay(result: request_state.ForwardResult) -> float | None:
     """Return the seconds for which rate limits hold a call back, if so."""
     refusal = result.refusal
     if refusal is None or refusal.code is not codes.Code.RATE_LIMITED:
@@ -198,7 +199,7 @@
     return refusal.retry_after
 
 
-def _score(result: forward.ForwardResult) -> model.Score | None:
+def _score(result: request_state.ForwardResult) -> model.Score | None:
     """Return the score in a successful response, None otherwise."""
     response = result.response
     if response is None or not httpx.codes.is_success(response.status):
@@ -213,7 +214,7 @@
     job: model.Job,
     route: routing_config.Route,
     attempts: attempts_lib.Attempts,
-    result: forward.ForwardResult,
+    result: request_state.ForwardResult,
     started: float,
 ) -> None:
     response = result.response
--- a/tests/limit_builders.py
+++ b/tests/limit_builders.py
@@ -7,6 +7,7 @@
 
 import httpx
 
+from hibiscussaddle.adapters import connections
 from hibiscussaddle.fleet import member as member_lib
 from hibiscussaddle.fleet import presence
 from hibiscussaddle.rate_limits import holder as permit_holder
@@ -63,7 +64,7 @@
     )
     return limiter_lib.Limiter(
         holder,
-        client or permits.PermitClient(httpx.AsyncClient(trust_env=False)),
+        client or permits.PermitClient(connections.create_client()),
         limits,
         clock,
         **options,
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -159,6 +159,12 @@
             *more,
         )
 
+    def listed_endpoints(self, number: int) -> set[str]:
+        """Return the endpoints that a gateway knows from the store."""
+        port = self.port(f"gw-peers-{number}")
+        report = self.client.get(f"http://127.0.0.1:{port}/v1/report").json()
+        return {entry["endpoint"] for entry in report["endpoints"]}
+
     def put_key(self, key: str, value: object) -> None:
         """Write a key to the store, as the operator or a trainer does."""
         data = base64.b64encode(json.dumps(value).encode()).decode()
--- a/tests/test_batch_histories.py
+++ b/tests/test_batch_histories.py
@@ -15,7 +15,7 @@
 from hibiscussaddle import codes
 from hibiscussaddle import gateway
 from hibiscussaddle.policy import lease
-from hibiscussaddle.routes import forward
+from hibiscussaddle.routes import request_state
 from hibiscussaddle.scoring import model as scoring_model
 from hibiscussaddle.scoring import scorer
 from histories import batch_run
@@ -115,7 +115,7 @@
     """Accept the proof of a failed call as a score."""
 
     def parse_any(
-        forwarded: forward.ForwardResult,
+        forwarded: request_state.ForwardResult,
     ) -> scoring_model.Score | None:
         if forwarded.response is None:
             return None
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -18,6 +18,7 @@
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle.routes import balance
 from hibiscussaddle.routes import forward
+from hibiscussaddle.routes import request_state
 from hibiscussaddle.routes import routing_config
 
 import batch_builders
@@ -58,7 +59,7 @@
 ) -> None:
     """Fails when a caller gets a 200 for a response that broke off."""
 
-    async def main() -> forward.Response:
+    async def main() -> request_state.Response:
         async with raw_server.serve(TRUNCATED[part], resets=resets) as url:
             view = view_lib.create_view()
             view.directory.put(fake_services.endpoint(0, url))
@@ -74,7 +75,7 @@
                 splits=(routing_config.Split("desk", 1.0),),
                 timeout=1.0,
             )
-            request = forward.CallerRequest(
+            request = request_state.CallerRequest(
                 "r-1",
                 "POST",
                 "/orders/7",
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -22,6 +22,7 @@
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle.routes import balance
 from hibiscussaddle.routes import forward
+from hibiscussaddle.routes import request_state
 from hibiscussaddle.routes import routing_config
 
 import batch_builders
@@ -61,7 +62,7 @@
     return batch_builders.engine("engine-1", address=url)
 
 
-async def _forward(url: str) -> forward.Response:
+async def _forward(url: str) -> request_state.Response:
     view = view_lib.create_view()
     view.directory.put(_endpoint(url))
     client = connections.create_client()
@@ -72,7 +73,7 @@
     route = batch_builders.route(
         kind=routing_config.RouteKind.NON_IDEMPOTENT, timeout=5.0
     )
-    req = forward.CallerRequest(
+    req = request_state.CallerRequest(
         "r-1",
         "POST",
         "/rollouts/1",
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -11,6 +11,7 @@
 
 from hibiscussaddle import codes
 from hibiscussaddle.routes import forward
+from hibiscussaddle.routes import request_state
 from hibiscussaddle.routes import routing_config
 
 import batch_builders
@@ -89,8 +90,8 @@
         yield forwarder, fakes
 
 
-def _request(target: str = "/orders/7") -> forward.CallerRequest:
-    return forward.CallerRequest(
+def _request(target: str = "/orders/7") -> request_state.CallerRequest:
+    return request_state.CallerRequest(
         id="r-1",
         method="POST",
         target=target,
@@ -120,8 +121,8 @@
     route: routing_config.Route,
     *behaviors: Behavior,
     target: str = "/orders/7",
-) -> tuple[forward.Response, list[FakeEndpoint]]:
-    async def main() -> tuple[forward.Response, list[FakeEndpoint]]:
+) -> tuple[request_state.Response, list[FakeEndpoint]]:
+    async def main() -> tuple[request_state.Response, list[FakeEndpoint]]:
         async with serve(*behaviors) as (forwarder, fakes):
             response = await forwarder.forward(_request(target), route)
             return response, fakes
@@ -143,7 +144,7 @@
     """Fails when one slow endpoint delays an idempotent request."""
     started = time.monotonic()
     response, fakes = _forward(_route(), _respond_slowly, _respond)
-    assert isinstance(response, forward.EndpointResponse)
+    assert isinstance(response, request_state.EndpointResponse)
     assert response.endpoint_id == "desk-1"
     assert time.monotonic() - started < 0.8
     assert [len(fake.targets) for fake in fakes] == [1, 1]
@@ -162,7 +163,7 @@
 def test_refused_request_is_sent_to_the_next_endpoint() -> None:
     """Fails when a refusal before the run counts as an attempt."""
     response, _ = _forward(_route(NON_IDEMPOTENT), _refuse, _respond)
-    assert isinstance(response, forward.EndpointResponse)
+    assert isinstance(response, request_state.EndpointResponse)
 
 
 def test_request_that_all_endpoints_refuse_is_refused_early() -> None:
@@ -185,7 +186,7 @@
 def test_response_to_another_request_is_not_returned() -> None:
     """Fails when a caller gets the late response to another request."""
     response, _ = _forward(_route(), _respond_to_another_request, _respond)
-    assert isinstance(response, forward.EndpointResponse)
+    assert isinstance(response, request_state.EndpointResponse)
     assert response.body == b"answer"
 
 
@@ -209,7 +210,7 @@
     response, fakes = _forward(
         _route(NON_IDEMPOTENT), respond_as_another, _respond
     )
-    assert isinstance(response, forward.EndpointResponse)
+    assert isinstance(response, request_state.EndpointResponse)
     assert response.endpoint_id == "desk-1"
     assert expected == ["desk-0"]
     assert len(fakes[1].targets) == 1
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -72,18 +72,12 @@
             # The engine may register after the plain service.
             fleet.wait_until(
                 lambda n=number: (
-                    _listed_endpoints(fleet, n) == {"engine-1", "desk-1"}
+                    fleet.listed_endpoints(n) == {"engine-1", "desk-1"}
                 )
             )
         yield fleet
 
 
-def _listed_endpoints(fleet: processes.Fleet, number: int) -> set[str]:
-    port = fleet.port(f"gw-peers-{number}")
-    report = fleet.client.get(f"http://127.0.0.1:{port}/v1/report").json()
-    return {entry["endpoint"] for entry in report["endpoints"]}
-
-
 def _url(fleet: processes.Fleet, number: int) -> str:
     return f"http://127.0.0.1:{fleet.port(f'gateway-{number}')}"
 
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -62,6 +62,7 @@
         fleet.start_hosted("desk-1", "desk", response_seconds=30.0)
         fleet.start_gateway(1, f"--grace_seconds={GRACE_SECONDS}")
         fleet.wait_until(lambda: _is_ready(fleet))
+        fleet.wait_until(lambda: fleet.listed_endpoints(1) == {"desk-1"})
         yield fleet
 
 
--- a/tests/test_limited_endpoints.py
+++ b/tests/test_limited_endpoints.py
@@ -18,7 +18,7 @@
 from hibiscussaddle import codes
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle.rate_limits import limiter as limiter_lib
-from hibiscussaddle.routes import forward
+from hibiscussaddle.routes import request_state
 from hibiscussaddle.routes import routing_config
 from hibiscussaddle.scoring import scorer as scorer_lib
 from hibiscussaddle import weight_lease
@@ -62,8 +62,8 @@
 )
 
 
-def _request() -> forward.CallerRequest:
-    return forward.CallerRequest(
+def _request() -> request_state.CallerRequest:
+    return request_state.CallerRequest(
         id="r-1",
         method="POST",
         target="/orders/7",
@@ -77,10 +77,10 @@
 
 def _send(
     *services: LimitedService, count: int
-) -> list[tuple[forward.Response, float]]:
+) -> list[tuple[request_state.Response, float]]:
     """Return the responses and seconds of requests in a row."""
 
-    async def main() -> list[tuple[forward.Response, float]]:
+    async def main() -> list[tuple[request_state.Response, float]]:
         handlers = [service.respond for service in services]
         results = []
         async with fake_services.serve(*handlers) as (forwarder, _):
@@ -115,7 +115,7 @@
     limited, free = LimitedService("5"), LimitedService()
     results = _send(limited, free, count=12)
     assert all(
-        isinstance(response, forward.EndpointResponse)
+        isinstance(response, request_state.EndpointResponse)
         for response, _ in results
     )
     assert len(limited.arrivals) == 1
@@ -145,7 +145,7 @@
 def test_request_asks_few_of_many_limited_endpoints() -> None:
     """Fails when a caller waits while all holders are asked in turn."""
 
-    async def main() -> tuple[forward.Response, float]:
+    async def main() -> tuple[request_state.Response, float]:
         async with fake_services.serve() as (forwarder, view):
             for number in range(200):
                 url = f"http://127.0.0.1:{number + 1}"
@@ -168,7 +168,7 @@
     limited = LimitedService("30")
     results = _send(limited, count=12)
     assert all(
-        isinstance(response, forward.EndpointResponse)
+        isinstance(response, request_state.EndpointResponse)
         for response, _ in results
     )
 
@@ -186,7 +186,7 @@
                 endpoint, limit_builders.response(200, "100"), "r-0"
             )
             response = await forwarder.forward(_request(), ROUTE)
-            assert isinstance(response, forward.EndpointResponse)
+            assert isinstance(response, request_state.EndpointResponse)
             assert response.endpoint_id == "desk-0"
 
     anyio.run(main)
