--- a/tests/test_batch_owners.py
+++ b/tests/test_batch_owners.py
@@ -326,8 +326,9 @@
             revision = (await batches.accept(batch, me, 1.0)).unwrap()
             record = storage.OwnerRecord(batch.id, me, revision)
             assert owned.accept_handoff(batch, record)
-            await anyio.wait_all_tasks_blocked()
-            assert items.started_after
+            with anyio.fail_after(2):
+                while not items.started_after:
+                    await anyio.sleep(0.01)
             peer = model.Owner(OTHER.instance, OTHER.incarnation)
             (await batches.take_over(record, peer)).unwrap()
             _remove_member(owned, OTHER)
