Reject deeply nested data like other malformed data

Cause: msgspec raises RecursionError, which is no ValueError, for data that is nested too deeply. The decoders promise a ValueError and their callers catch nothing else, so the exception ended the task group of the process. Change: decoding.py decodes all data from outside and raises a DecodeError for nesting, so existing handlers apply to entries, configuration, reports, batches, members, peers' messages, store responses and the first interface's bodies. Untyped numbers that overflow a float count as malformed, too.

--- a/src/hibiscussaddle/adapters/engines.py
+++ b/src/hibiscussaddle/adapters/engines.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from hibiscussaddle.adapters import services
+from hibiscussaddle import decoding
 from hibiscussaddle import endpoints
 from hibiscussaddle import logs
 
@@ -67,9 +68,6 @@
     id: str = ""
 
 
-_EVENT_DECODER: typing.Final = msgspec.json.Decoder(_Event)
-
-
 class EngineClient:
     """Call model engines."""
 
@@ -209,7 +207,7 @@
 
 
 def _to_chunk(data: bytes) -> Chunk:
-    event = _EVENT_DECODER.decode(data)
+    event = decoding.decode_json(data, _Event)
     return Chunk(
         event.choices[0].delta.content if event.choices else "",
         event.first_token,
--- a/src/hibiscussaddle/adapters/peers.py
+++ b/src/hibiscussaddle/adapters/peers.py
@@ -14,6 +14,7 @@
 
 from hibiscussaddle.adapters import peer_sockets
 from hibiscussaddle import auth
+from hibiscussaddle import decoding
 from hibiscussaddle import logs
 
 if typing.TYPE_CHECKING:
@@ -180,9 +181,6 @@
     to: str = ""
 
 
-_ENVELOPE_DECODER = msgspec.msgpack.Decoder(_Envelope)
-
-
 def _error(kind: PeerErrorKind, detail: str = "") -> result.Err[PeerError]:
     return result.Err(PeerError(kind, detail))
 
@@ -407,7 +405,7 @@
         if not auth.is_valid_signature(self._secret, body, signature):
             return None
         try:
-            return _ENVELOPE_DECODER.decode(body)
+            return decoding.decode_msgpack(body, _Envelope)
         except msgspec.MsgspecError:
             return None
 
@@ -417,6 +415,6 @@
     if cls is None:
         return None
     try:
-        return msgspec.msgpack.decode(envelope.body, type=cls)
+        return decoding.decode_msgpack(envelope.body, cls)
     except msgspec.MsgspecError:
         return None
--- a/src/hibiscussaddle/adapters/scorers.py
+++ b/src/hibiscussaddle/adapters/scorers.py
@@ -8,6 +8,7 @@
 import httpx
 import result
 
+from hibiscussaddle import decoding
 from hibiscussaddle import steps
 
 TIMEOUT_SECONDS: typing.Final = 30.0
@@ -38,8 +39,17 @@
                 self._url, json=body, timeout=TIMEOUT_SECONDS
             )
             resp.raise_for_status()
-            rewards = [float(reward) for reward in resp.json()["rewards"]]
-        except (httpx.HTTPError, ValueError, KeyError, TypeError) as exc:
+            rewards = [
+                float(reward)
+                for reward in decoding.decode_json(resp.content)["rewards"]
+            ]
+        except (
+            httpx.HTTPError,
+            ValueError,
+            KeyError,
+            TypeError,
+            OverflowError,
+        ) as exc:
             return result.Err(f"{type(exc).__name__}: {exc}")
         if len(rewards) != len(samples):
             return result.Err(
--- a/src/hibiscussaddle/adapters/store.py
+++ b/src/hibiscussaddle/adapters/store.py
@@ -16,6 +16,7 @@
 import result
 
 from hibiscussaddle.adapters import store_transports
+from hibiscussaddle import decoding
 from hibiscussaddle import logs
 from hibiscussaddle.platform import store_wire
 
@@ -55,7 +56,7 @@
         if self.data is None:
             return None
         try:
-            return msgspec.json.decode(self.data)
+            return decoding.decode_json(self.data)
         except ValueError as exc:
             logs.event(
                 _LOG,
--- a/src/hibiscussaddle/adapters/store_transports.py
+++ b/src/hibiscussaddle/adapters/store_transports.py
@@ -17,6 +17,7 @@
 from starlette import responses
 from starlette import routing
 
+from hibiscussaddle import decoding
 from hibiscussaddle import logs
 from hibiscussaddle.platform import store_wire
 
@@ -273,9 +274,7 @@
 
     async def relay(req: requests.Request) -> responses.Response:
         try:
-            relayed = msgspec.msgpack.decode(
-                await req.body(), type=RelayedCall
-            )
+            relayed = decoding.decode_msgpack(await req.body(), RelayedCall)
         except ValueError as exc:
             logs.event(_LOG, "relay_malformed", logging.WARNING, why=exc)
             return responses.Response(status_code=400)
--- a/src/hibiscussaddle/adapters/weight_store.py
+++ b/src/hibiscussaddle/adapters/weight_store.py
@@ -11,6 +11,7 @@
 import anyio
 import httpx
 
+from hibiscussaddle import decoding
 from hibiscussaddle import endpoints
 from hibiscussaddle.policy import rollout
 
@@ -53,7 +54,7 @@
                 f"{self._url}/v1/models/{model}", timeout=TIMEOUT_SECONDS
             )
             resp.raise_for_status()
-            return int(resp.json()["version"])
+            return int(decoding.decode_json(resp.content)["version"])
         except (httpx.HTTPError, ValueError, KeyError, TypeError):
             return None
 
@@ -91,7 +92,7 @@
     if resp.status_code == httpx.codes.SERVICE_UNAVAILABLE:
         return OrderResponse(OrderOutcome.NOT_RUN)
     try:
-        body = resp.json()
+        body = decoding.decode_json(resp.content)
         version = body["version"]
         report = rollout.Report(
             endpoint_id,
--- a/src/hibiscussaddle/batches/handoff.py
+++ b/src/hibiscussaddle/batches/handoff.py
@@ -17,6 +17,7 @@
 
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import storage
+from hibiscussaddle import decoding
 from hibiscussaddle.fleet import presence as presence_lib
 from hibiscussaddle import logs
 
@@ -147,9 +148,7 @@
 
     async def receive(req: requests.Request) -> responses.Response:
         try:
-            message = msgspec.msgpack.decode(
-                await req.body(), type=HandoffMessage
-            )
+            message = decoding.decode_msgpack(await req.body(), HandoffMessage)
         except ValueError as exc:
             logs.event(_LOG, "handoff_malformed", logging.WARNING, why=exc)
             return responses.Response(status_code=400)
@@ -162,7 +161,7 @@
 
     async def end(req: requests.Request) -> responses.Response:
         try:
-            message = msgspec.msgpack.decode(await req.body(), type=EndMessage)
+            message = decoding.decode_msgpack(await req.body(), EndMessage)
         except ValueError as exc:
             logs.event(_LOG, "handoff_malformed", logging.WARNING, why=exc)
             return responses.Response(status_code=400)
--- a/src/hibiscussaddle/batches/model.py
+++ b/src/hibiscussaddle/batches/model.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from hibiscussaddle import decoding
 from hibiscussaddle.scoring import model as scoring_model
 
 # Encoded batches are split into values below the store's limit of a megabyte.
@@ -175,7 +176,7 @@
 
 def decode_parts(parts: list[bytes]) -> Batch:
     """Return the batch of its parts; ValueError if it is malformed."""
-    return msgspec.msgpack.decode(b"".join(parts), type=Batch)
+    return decoding.decode_msgpack(b"".join(parts), Batch)
 
 
 def encode_results(results: list[Result]) -> bytes:
@@ -190,9 +191,9 @@
 
 def decode_checkpoints(data: bytes) -> list[TextCheckpoint]:
     """Return a batch's text checkpoints; ValueError if malformed."""
-    return msgspec.msgpack.decode(data, type=list[TextCheckpoint])
+    return decoding.decode_msgpack(data, list[TextCheckpoint])
 
 
 def decode_results(data: bytes) -> list[Result]:
     """Return the results of a log entry; ValueError if malformed."""
-    return msgspec.msgpack.decode(data, type=list[Result])
+    return decoding.decode_msgpack(data, list[Result])
--- a/src/hibiscussaddle/batches/peer_reads.py
+++ b/src/hibiscussaddle/batches/peer_reads.py
@@ -17,6 +17,7 @@
 from starlette import routing
 
 from hibiscussaddle.batches import reader as reader_lib
+from hibiscussaddle import decoding
 from hibiscussaddle.fleet import presence as presence_lib
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import logs
@@ -111,8 +112,8 @@
             if resp.status_code == httpx.codes.NOT_FOUND:
                 return None
             resp.raise_for_status()
-            return msgspec.msgpack.decode(
-                resp.content, type=reader_lib.PeerResponse
+            return decoding.decode_msgpack(
+                resp.content, reader_lib.PeerResponse
             )
         except (httpx.HTTPError, TimeoutError, ValueError) as exc:
             self._backoff_until[member.instance] = (
@@ -133,7 +134,7 @@
 
     async def read(req: requests.Request) -> responses.Response:
         try:
-            query = msgspec.msgpack.decode(await req.body(), type=Query)
+            query = decoding.decode_msgpack(await req.body(), Query)
         except ValueError as exc:
             logs.event(_LOG, "query_malformed", logging.WARNING, why=exc)
             return responses.Response(status_code=400)
--- a/src/hibiscussaddle/batches/storage.py
+++ b/src/hibiscussaddle/batches/storage.py
@@ -8,6 +8,7 @@
 
 from hibiscussaddle.adapters import store
 from hibiscussaddle.batches import model
+from hibiscussaddle import decoding
 
 _Error: typing.TypeAlias = store.StoreError
 _T = typing.TypeVar("_T")
@@ -59,7 +60,7 @@
         response = await self._client.get(model.head_key(batch_id))
         return _decode(
             response.map(lambda entry: entry.data or b""),
-            lambda data: msgspec.json.decode(data, type=model.Head),
+            lambda data: decoding.decode_json(data, model.Head),
         )
 
     async def batch(self, batch_id: str) -> result.Result[model.Batch, _Error]:
@@ -206,7 +207,7 @@
 
 
 def _decode_owner(entry: store.StoreEntry) -> OwnerRecord:
-    owner = msgspec.json.decode(entry.data or b"", type=model.Owner)
+    owner = decoding.decode_json(entry.data or b"", model.Owner)
     batch_id = entry.key.removeprefix(model.OWNER_PREFIX)
     return OwnerRecord(batch_id, owner, entry.revision)
 
--- a/src/hibiscussaddle/commands/contract.py
+++ b/src/hibiscussaddle/commands/contract.py
@@ -2,13 +2,13 @@
 
 import datetime
 import getpass
-import json
 import secrets
 import sys
 import typing
 
 from hibiscussaddle import codes as result_codes
 from hibiscussaddle.commands import console
+from hibiscussaddle import decoding
 
 
 class ContractCommands:
@@ -44,7 +44,7 @@
         """
         try:
             with open(file, encoding="utf-8") as source:
-                document = json.load(source)
+                document = decoding.decode_json(source.read())
             customer = document["customer"]
         except (OSError, ValueError, KeyError, TypeError) as exc:
             console.fail(
--- a/src/hibiscussaddle/contract_changes.py
+++ b/src/hibiscussaddle/contract_changes.py
@@ -14,6 +14,7 @@
 from hibiscussaddle import codes
 from hibiscussaddle import contract_spread
 from hibiscussaddle import contracts
+from hibiscussaddle import decoding
 from hibiscussaddle import logs
 from hibiscussaddle.policy import contract_document as documents
 from hibiscussaddle import runtime as runtime_lib
@@ -72,7 +73,7 @@
 def parse(raw: bytes, customer: str) -> result.Result[Change, codes.Refusal]:
     """Return the validated change in a request body."""
     try:
-        body = json.loads(raw)
+        body = decoding.decode_json(raw)
         document = body["contract"]
         expected = int(body["expected_revision"])
     except (ValueError, KeyError, TypeError):
@@ -252,7 +253,7 @@
 ) -> Response:
     """Return the response to a change id that is already in the trail."""
     after = documents.encode(entry)["after"]
-    if after != json.loads(json.dumps(change.contract.to_dict())):
+    if after != decoding.decode_json(json.dumps(change.contract.to_dict())):
         return result.Err(
             codes.Refusal(
                 codes.Code.BAD_REQUEST,
--- a/src/hibiscussaddle/contract_refusals.py
+++ b/src/hibiscussaddle/contract_refusals.py
@@ -1,6 +1,5 @@
 """Record malformed changes of contracts in the audit trail."""
 
-import json
 import logging
 import secrets
 import time
@@ -11,6 +10,7 @@
 
 from hibiscussaddle import codes
 from hibiscussaddle import contract_changes
+from hibiscussaddle import decoding
 from hibiscussaddle import logs
 from hibiscussaddle.policy import contract_document as documents
 from hibiscussaddle import runtime as runtime_lib
@@ -48,7 +48,7 @@
     document: documents.Document, raw: bytes, refusal: codes.Refusal
 ) -> documents.AuditEntry:
     try:
-        body = dict(json.loads(raw))
+        body = dict(decoding.decode_json(raw))
     except (ValueError, TypeError):
         body = {}
     expected = body.get("expected_revision")
--- a/src/hibiscussaddle/controllers/endpoints.py
+++ b/src/hibiscussaddle/controllers/endpoints.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from hibiscussaddle import controllers
+from hibiscussaddle import decoding
 from hibiscussaddle import endpoints
 from hibiscussaddle import leave_marks
 from hibiscussaddle import logs
@@ -155,7 +156,7 @@
     try:
         resp = await runtime.client.get(url, timeout=TIMEOUT_SECONDS)
         resp.raise_for_status()
-        items = list(resp.json()["instances"])
+        items = list(decoding.decode_json(resp.content)["instances"])
         parsed = [endpoints.parse_endpoint(item) for item in items]
     except (httpx.HTTPError, ValueError, KeyError, TypeError) as exc:
         logs.event(_LOG, "platform_unread", level=logging.DEBUG, why=repr(exc))
@@ -192,7 +193,7 @@
     # Encoded and decoded for comparison with received facts: to_builtins
     # alone keeps tuples.
     values: dict[str, typing.Any] = {
-        ep.id: msgspec.msgpack.decode(msgspec.msgpack.encode(ep))
+        ep.id: decoding.decode_msgpack(msgspec.msgpack.encode(ep))
         for ep in found
     }
     for known in runtime.facts.of_kind(KIND):
--- a/src/hibiscussaddle/controllers/load.py
+++ b/src/hibiscussaddle/controllers/load.py
@@ -6,6 +6,7 @@
 import httpx
 
 from hibiscussaddle import controllers
+from hibiscussaddle import decoding
 from hibiscussaddle import dispatcher as dispatcher_lib
 from hibiscussaddle import endpoints
 from hibiscussaddle.policy import routing
@@ -64,7 +65,7 @@
     try:
         resp = await runtime.client.get(url, timeout=TIMEOUT_SECONDS)
         resp.raise_for_status()
-        body = resp.json()
+        body = decoding.decode_json(resp.content)
         report = routing.LoadReport(
             taken_at=runtime.clock() - float(body["age_seconds"]),
             running=int(body["running"]),
@@ -73,7 +74,13 @@
             version=body["version"],
             incarnation=int(body["incarnation"]),
         )
-    except (httpx.HTTPError, ValueError, KeyError, TypeError):
+    except (
+        httpx.HTTPError,
+        ValueError,
+        KeyError,
+        TypeError,
+        OverflowError,
+    ):
         return
     runtime.dispatcher.load_tracker.apply_report(endpoint.id, report)
 
@@ -88,12 +95,18 @@
     try:
         resp = await runtime.client.get(url, timeout=TIMEOUT_SECONDS)
         resp.raise_for_status()
-        body = resp.json()
+        body = decoding.decode_json(resp.content)
         events = [
             (int(item["number"]), str(item["prefix"]))
             for item in body["events"]
         ]
         incarnation = int(body["incarnation"])
-    except (httpx.HTTPError, ValueError, KeyError, TypeError):
+    except (
+        httpx.HTTPError,
+        ValueError,
+        KeyError,
+        TypeError,
+        OverflowError,
+    ):
         return
     prefixes.apply_events(endpoint.id, incarnation, events)
--- a/src/hibiscussaddle/controllers/steps.py
+++ b/src/hibiscussaddle/controllers/steps.py
@@ -14,6 +14,7 @@
 from hibiscussaddle.adapters import scorers
 from hibiscussaddle import contracts
 from hibiscussaddle import controllers
+from hibiscussaddle import decoding
 from hibiscussaddle import endpoints
 from hibiscussaddle import engine_choice
 from hibiscussaddle import logs
@@ -274,7 +275,7 @@
                 timeout=_VERSION_POLL_TIMEOUT_SECONDS,
             )
             resp.raise_for_status()
-            body = resp.json()
+            body = decoding.decode_json(resp.content)
             incarnation, version = int(body["incarnation"]), body["version"]
         except (httpx.HTTPError, ValueError, KeyError, TypeError):
             return
--- a/src/hibiscussaddle/fleet/feed_sharing.py
+++ b/src/hibiscussaddle/fleet/feed_sharing.py
@@ -17,6 +17,7 @@
 from starlette import responses
 from starlette import routing
 
+from hibiscussaddle import decoding
 from hibiscussaddle.fleet import change_log
 from hibiscussaddle.fleet import feed as feed_lib
 from hibiscussaddle.fleet import presence
@@ -256,8 +257,8 @@
                     timeout=limit,
                 )
             http_response.raise_for_status()
-            response = msgspec.msgpack.decode(
-                http_response.content, type=ChangesResponse
+            response = decoding.decode_msgpack(
+                http_response.content, ChangesResponse
             )
         except (httpx.HTTPError, TimeoutError, ValueError) as exc:
             return str(exc) or type(exc).__name__
@@ -293,9 +294,7 @@
 
     async def serve_changes(req: requests.Request) -> responses.Response:
         try:
-            request = msgspec.msgpack.decode(
-                await req.body(), type=ChangesRequest
-            )
+            request = decoding.decode_msgpack(await req.body(), ChangesRequest)
         except ValueError as exc:
             logs.event(_LOG, "query_malformed", logging.WARNING, why=exc)
             return responses.Response(status_code=400)
--- a/src/hibiscussaddle/fleet/presence.py
+++ b/src/hibiscussaddle/fleet/presence.py
@@ -13,6 +13,7 @@
 import result
 
 from hibiscussaddle.adapters import store
+from hibiscussaddle import decoding
 from hibiscussaddle.fleet import member as member_lib
 from hibiscussaddle.fleet import roles
 from hibiscussaddle import logs
@@ -169,7 +170,7 @@
                 self._remove(entry.key.removeprefix(PREFIX))
                 continue
             try:
-                member = msgspec.json.decode(entry.data, type=Member)
+                member = decoding.decode_json(entry.data, Member)
             except ValueError as exc:
                 store.log_decode_error(exc, entry.data)
                 continue
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -298,7 +298,7 @@
             ENDPOINT_WAIT_SECONDS,
             ENDPOINT_PAUSE_SECONDS,
             view.record_outage,
-            change_log.ChangeLog(_endpoint_content),
+            change_log.ChangeLog(endpoint_content),
         ),
         feed.Feed(
             client,
@@ -311,7 +311,7 @@
     )
 
 
-def _endpoint_content(entry: store.StoreEntry) -> object:
+def endpoint_content(entry: store.StoreEntry) -> object:
     """Return the content of an endpoint's entry without its heartbeat."""
     try:
         return endpoint_wire.decode_endpoint(entry.key, entry.data or b"")
--- a/src/hibiscussaddle/handlers/model_call.py
+++ b/src/hibiscussaddle/handlers/model_call.py
@@ -10,6 +10,7 @@
 
 from hibiscussaddle.adapters import engines
 from hibiscussaddle import codes
+from hibiscussaddle import decoding
 from hibiscussaddle import exchange
 from hibiscussaddle import generation as generation_lib
 from hibiscussaddle import handlers
@@ -46,7 +47,7 @@
     req: exchange.Request,
 ) -> result.Result[tuple[dict[str, typing.Any], bool], codes.Refusal]:
     try:
-        body = msgspec.json.decode(req.body)
+        body = decoding.decode_json(req.body)
     except msgspec.DecodeError as exc:
         return exchange.refuse(
             codes.Code.BAD_REQUEST, f"body is not JSON: {exc}"
--- a/src/hibiscussaddle/operations/mark_responses.py
+++ b/src/hibiscussaddle/operations/mark_responses.py
@@ -9,6 +9,7 @@
 
 from hibiscussaddle import broadcast
 from hibiscussaddle import codes
+from hibiscussaddle import decoding
 from hibiscussaddle.policy import marks
 from hibiscussaddle import runtime as runtime_lib
 
@@ -29,7 +30,7 @@
     if not raw:
         return result.Ok(MarkRequest())
     try:
-        return result.Ok(msgspec.json.decode(raw, type=MarkRequest))
+        return result.Ok(decoding.decode_json(raw, MarkRequest))
     except msgspec.MsgspecError as exc:
         return result.Err(codes.Refusal(codes.Code.BAD_REQUEST, str(exc)))
 
--- a/src/hibiscussaddle/operator_client.py
+++ b/src/hibiscussaddle/operator_client.py
@@ -6,6 +6,7 @@
 import result
 
 from hibiscussaddle import codes
+from hibiscussaddle import decoding
 
 TIMEOUT_SECONDS: typing.Final = 30.0
 
@@ -36,13 +37,13 @@
         )
         return result.Err(codes.Refusal(codes.Code.UNREACHABLE, message))
     if resp.is_success:
-        return result.Ok(resp.json())
+        return result.Ok(decoding.decode_json(resp.content))
     return result.Err(_to_refusal(resp))
 
 
 def _to_refusal(resp: httpx.Response) -> codes.Refusal:
     try:
-        fields = resp.json()
+        fields = decoding.decode_json(resp.content)
         code = codes.BY_NUMBER[int(fields["code"])]
         return codes.Refusal(code, str(fields["message"]))
     except (ValueError, KeyError, TypeError):
--- a/src/hibiscussaddle/platform/batch_wire.py
+++ b/src/hibiscussaddle/platform/batch_wire.py
@@ -8,6 +8,7 @@
 
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import reader
+from hibiscussaddle import decoding
 from hibiscussaddle.platform import endpoint_wire
 from hibiscussaddle.scoring import model as scoring_model
 
@@ -76,7 +77,7 @@
     batch_id: str, route: str, host: str, body: bytes, now: float
 ) -> model.Batch:
     """Return the batch of a submission; raise ValueError if malformed."""
-    found = msgspec.json.decode(body, type=_Submission)
+    found = decoding.decode_json(body, _Submission)
     items = tuple(_to_item(item) for item in found.items)
     if not items or len({item.id for item in items}) != len(items):
         raise ValueError(
--- a/src/hibiscussaddle/platform/config_wire.py
+++ b/src/hibiscussaddle/platform/config_wire.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from hibiscussaddle import decoding
 from hibiscussaddle.routes import routing_config
 
 CONFIG_KEY: typing.Final = "op/config"
@@ -65,7 +66,7 @@
 
 def decode_config(data: bytes) -> routing_config.RoutingConfig:
     """Return the configuration; raise ValueError if malformed."""
-    found = msgspec.json.decode(data, type=_Config)
+    found = decoding.decode_json(data, _Config)
     limits = routing_config.Limits(
         found.limits.max_header_bytes,
         found.limits.max_body_bytes,
@@ -83,7 +84,7 @@
     """
     if not key.startswith(_VERSION_PREFIX):
         return None
-    found = msgspec.json.decode(data, type=_Version)
+    found = decoding.decode_json(data, _Version)
     return found.model, found.version
 
 
--- a/src/hibiscussaddle/platform/endpoint_wire.py
+++ b/src/hibiscussaddle/platform/endpoint_wire.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from hibiscussaddle import decoding
 from hibiscussaddle import endpoints
 
 # A "server" of the protocol is an endpoint.
@@ -79,7 +80,7 @@
 
 def decode_endpoint(key: str, data: bytes) -> endpoints.Endpoint:
     """Return the endpoint of an entry; raise ValueError if malformed."""
-    entry = msgspec.json.decode(data, type=_Entry)
+    entry = decoding.decode_json(data, _Entry)
     state = _STATES.get(entry.state)
     if state is None:
         raise ValueError(
@@ -153,7 +154,7 @@
 
 def decode_report(data: bytes) -> EngineReport:
     """Return an engine's report; raise ValueError if malformed."""
-    found = msgspec.json.decode(data, type=_Report)
+    found = decoding.decode_json(data, _Report)
     return EngineReport(
         found.born, found.busy, found.sequence, _weight_versions(found.models)
     )
--- a/src/hibiscussaddle/platform/standins/store.py
+++ b/src/hibiscussaddle/platform/standins/store.py
@@ -14,6 +14,7 @@
 from starlette import responses
 from starlette import routing
 
+from hibiscussaddle import decoding
 from hibiscussaddle.standins import faults as faults_lib
 
 MAX_VALUE_BYTES: typing.Final = 1 << 20
@@ -38,7 +39,7 @@
     @property
     def value(self) -> typing.Any:
         """Return the decoded JSON value."""
-        return None if self.data is None else msgspec.json.decode(self.data)
+        return None if self.data is None else decoding.decode_json(self.data)
 
 
 @dataclasses.dataclass
--- a/src/hibiscussaddle/platform/store_wire.py
+++ b/src/hibiscussaddle/platform/store_wire.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from hibiscussaddle import decoding
+
 # Upper limit of a watch's timeout in the store's protocol.
 _MAX_WATCH_MS: typing.Final = 30_000
 
@@ -157,37 +159,37 @@
 
 def decode_item(body: bytes) -> Item:
     """Return the item in the response to get()."""
-    return _to_item(msgspec.json.decode(body, type=_Item))
+    return _to_item(decoding.decode_json(body, _Item))
 
 
 def decode_page(body: bytes) -> Page:
     """Return the page in the response to scan()."""
-    found = msgspec.json.decode(body, type=_Range)
+    found = decoding.decode_json(body, _Range)
     items = tuple(_to_item(item) for item in found.items)
     return Page(items, found.current_rev, found.has_more)
 
 
 def decode_events(body: bytes) -> Page:
     """Return the changes in the response to watch()."""
-    found = msgspec.json.decode(body, type=_Events)
+    found = decoding.decode_json(body, _Events)
     items = tuple(_to_item(item) for item in found.events)
     return Page(items, found.current_rev)
 
 
 def decode_conflict(body: bytes) -> tuple[Item, ...]:
     """Return the current items in the response to a rejected commit()."""
-    found = msgspec.json.decode(body, type=_Conflict)
+    found = decoding.decode_json(body, _Conflict)
     return tuple(_to_item(item) for item in found.items)
 
 
 def decode_revision(body: bytes) -> int:
     """Return the new revision in the response to commit()."""
-    return msgspec.json.decode(body, type=_Revision).revision
+    return decoding.decode_json(body, _Revision).revision
 
 
 def decode_lease(body: bytes) -> int:
     """Return the lease ID in the response to grant()."""
-    return msgspec.json.decode(body, type=_Lease).lease
+    return decoding.decode_json(body, _Lease).lease
 
 
 def _to_item(item: _Item) -> Item:
--- a/src/hibiscussaddle/policy/tickets.py
+++ b/src/hibiscussaddle/policy/tickets.py
@@ -14,6 +14,7 @@
 import result
 
 from hibiscussaddle import auth
+from hibiscussaddle import decoding
 
 # A ticket can start a call for this long after it was issued.
 START_WINDOW_SECONDS: typing.Final = 600.0
@@ -330,6 +331,6 @@
     if not auth.secrets_match(signature.hex(), expected.hex()):
         return result.Err("ticket signature does not match")
     try:
-        return result.Ok(msgspec.msgpack.decode(body, type=Ticket))
+        return result.Ok(decoding.decode_msgpack(body, Ticket))
     except msgspec.MsgspecError:
         return result.Err("ticket was issued by another release")
--- a/src/hibiscussaddle/rate_limits/permits.py
+++ b/src/hibiscussaddle/rate_limits/permits.py
@@ -11,6 +11,7 @@
 from starlette import responses
 from starlette import routing
 
+from hibiscussaddle import decoding
 from hibiscussaddle.fleet import member as member_lib
 from hibiscussaddle import logs
 from hibiscussaddle.rate_limits import shares
@@ -70,7 +71,7 @@
                     timeout=_TIMEOUT_SECONDS,
                 )
             resp.raise_for_status()
-            return msgspec.msgpack.decode(resp.content, type=PermitResponse)
+            return decoding.decode_msgpack(resp.content, PermitResponse)
         except (httpx.HTTPError, TimeoutError, ValueError) as exc:
             logs.event(
                 _LOG,
@@ -90,9 +91,7 @@
 
     async def serve_permit(req: requests.Request) -> responses.Response:
         try:
-            message = msgspec.msgpack.decode(
-                await req.body(), type=PermitRequest
-            )
+            message = decoding.decode_msgpack(await req.body(), PermitRequest)
         except ValueError as exc:
             logs.event(_LOG, "permit_malformed", logging.WARNING, why=exc)
             return responses.Response(status_code=400)
--- a/src/hibiscussaddle/steps.py
+++ b/src/hibiscussaddle/steps.py
@@ -8,6 +8,7 @@
 import result
 
 from hibiscussaddle import codes
+from hibiscussaddle import decoding
 from hibiscussaddle.policy import versions as versions_lib
 
 MAX_SLOTS: typing.Final = 65_536
@@ -93,7 +94,7 @@
 ) -> result.Result[_Body, codes.Refusal]:
     """Return the decoded body of a request from a trainer."""
     try:
-        return result.Ok(msgspec.json.decode(raw, type=body_type))
+        return result.Ok(decoding.decode_json(raw, body_type))
     except msgspec.MsgspecError as exc:
         return result.Err(codes.Refusal(codes.Code.BAD_REQUEST, str(exc)))
 
