Accept only entries that requests can be sent to

Cause: decode_endpoint() checked only that the port consists of digits. Sending raised OverflowError, InvalidURL or, for IDs outside ASCII, UnicodeEncodeError; the callers of the client handle httpx.HTTPError only. Change: entries need an IP address with a port in 1..65535, an ID that fits a header and numbers of at most 63 bits; members' keys and settings are checked by the same function. The client raises InvalidRequestError, a ConnectError, for every request that can't be built, so that it fails by itself on all paths (requests, items, orders, reports, peers, the store).

--- a/src/hibiscussaddle/adapters/connections.py
+++ b/src/hibiscussaddle/adapters/connections.py
@@ -11,6 +11,8 @@
 
 import httpx
 
+from hibiscussaddle import addresses
+
 MAX_IDLE_PER_ORIGIN: typing.Final = 256
 # Linger on, for 0 s: closing a connection resets it, so that the kernel does
 # not deliver its unsent bytes after a network partition heals.
@@ -42,6 +44,14 @@
     """Signal that a response exceeds the size limit."""
 
 
+class InvalidRequestError(httpx.ConnectError):
+    """Signal that the address or a header of a request can't be sent.
+
+    Nothing was sent. Callers handle it like an endpoint that they can't
+    connect to.
+    """
+
+
 class OriginTransport(httpx.AsyncBaseTransport):
     """Send each request over an idle connection to its origin.
 
@@ -177,14 +187,31 @@
                 await self._pool.release(self._origin, transport)
 
 
+class Client(httpx.AsyncClient):
+    """Raise only HTTP errors, also for requests that can't be built."""
+
+    def build_request(
+        self, method: str, url: httpx.URL | str, **options: typing.Any
+    ) -> httpx.Request:
+        """Return a request; raise InvalidRequestError if it is invalid."""
+        try:
+            request = super().build_request(method, url, **options)
+            # The same conversion and check take place while connecting, where
+            # their errors reach the caller in exception groups.
+            request.url.host.encode("idna")
+            if request.url.port is not None:
+                addresses.check_port(request.url.port)
+            return request
+        except (httpx.InvalidURL, ValueError) as exc:
+            raise InvalidRequestError(f"{url}: {exc}") from exc
+
+
 def create_client(pool: OriginTransport | None = None) -> httpx.AsyncClient:
     """Return an HTTP client without default headers, on a new pool if None.
 
     Endpoints receive the caller's headers; an Accept-Encoding header added
     by the client would change the bytes of their responses.
     """
-    client = httpx.AsyncClient(
-        transport=pool or OriginTransport(), trust_env=False
-    )
+    client = Client(transport=pool or OriginTransport(), trust_env=False)
     client.headers.clear()
     return client
--- a/src/hibiscussaddle/fleet/presence.py
+++ b/src/hibiscussaddle/fleet/presence.py
@@ -13,6 +13,7 @@
 import result
 
 from hibiscussaddle.adapters import store
+from hibiscussaddle import addresses
 from hibiscussaddle import decoding
 from hibiscussaddle.fleet import member as member_lib
 from hibiscussaddle.fleet import roles
@@ -171,6 +172,8 @@
                 continue
             try:
                 member = decoding.decode_json(entry.data, Member)
+                if member.peer_address:
+                    addresses.parse(member.peer_address)
             except ValueError as exc:
                 store.log_decode_error(exc, entry.data)
                 continue
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -18,6 +18,7 @@
 from starlette import routing
 
 from hibiscussaddle.adapters import store_transports
+from hibiscussaddle import addresses
 from hibiscussaddle.batches import handoff
 from hibiscussaddle.batches import peer_reads
 from hibiscussaddle import body_timeout
@@ -101,8 +102,8 @@
     ):
         if not address:
             continue
-        host, _, port = address.rpartition(":")
-        server = serving.Server(app, host, int(port), closing.wait)
+        host, port = addresses.parse(address)
+        server = serving.Server(app, host, port, closing.wait)
         servers.append(server)
         tasks.start_soon(server.serve)
     return servers
--- a/src/hibiscussaddle/gateway_settings.py
+++ b/src/hibiscussaddle/gateway_settings.py
@@ -6,6 +6,7 @@
 
 import result
 
+from hibiscussaddle import addresses
 from hibiscussaddle import codes
 from hibiscussaddle import settings
 
@@ -76,9 +77,16 @@
         "store_address",
     ):
         value = getattr(cfg, name)
-        host, _, port = value.rpartition(":")
-        if value and not (host and port.isdigit()):
-            return settings.invalid_setting(name, value, "host:port")
+        if not value:
+            continue
+        try:
+            addresses.parse(value)
+        except ValueError:
+            return settings.invalid_setting(
+                name,
+                value,
+                f"host:port with a port in 1..{addresses.MAX_PORT}",
+            )
     if cfg.log_level not in settings.LOG_LEVELS:
         return settings.invalid_setting(
             "log_level", cfg.log_level, ", ".join(settings.LOG_LEVELS)
--- a/src/hibiscussaddle/platform/endpoint_wire.py
+++ b/src/hibiscussaddle/platform/endpoint_wire.py
@@ -3,10 +3,12 @@
 from collections import abc
 import dataclasses
 import math
+import re
 import typing
 
 import msgspec
 
+from hibiscussaddle import addresses
 from hibiscussaddle import decoding
 from hibiscussaddle import endpoints
 
@@ -41,20 +43,33 @@
 }
 
 
+# The ID of an endpoint is sent as a header: visible ASCII characters.
+_HEADER_VALUE: typing.Final = re.compile(r"[!-~]+")
+# Numbers are sent to peers, whose messages hold 64 bits, and are converted to
+# floats.
+_Count: typing.TypeAlias = typing.Annotated[
+    int, msgspec.Meta(ge=0, le=(1 << 63) - 1)
+]
+# Limits the work per endpoint that depends on its slots.
+_Slots: typing.TypeAlias = typing.Annotated[
+    int, msgspec.Meta(ge=1, le=1 << 20)
+]
+
+
 class _Model(msgspec.Struct):
     name: str
-    version: int
+    version: _Count
 
 
 class _Entry(msgspec.Struct, rename="camel"):
     service: str
     address: str
     zone: str
-    slots: int
+    slots: _Slots
     state: str
     models: list[_Model] = []
     # Start time in Unix milliseconds; it identifies the incarnation.
-    born: int = 0
+    born: _Count = 0
 
 
 class _Report(msgspec.Struct, rename="camel"):
@@ -62,9 +77,9 @@
     busy: bool
     # Number of orders accepted since the start. In an entry of the store, the
     # same name counts heartbeats.
-    sequence: int
+    sequence: _Count
     models: list[_Model] = []
-    born: int = 0
+    born: _Count = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -86,14 +101,13 @@
         raise ValueError(
             f"unknown state {entry.state!r}; allowed: {', '.join(_STATES)}"
         )
-    host, _, port = entry.address.rpartition(":")
-    if not host or not port.isdigit() or entry.slots < 1:
-        raise ValueError(
-            f"invalid address {entry.address!r} or slots {entry.slots}"
-        )
+    addresses.check_ip(entry.address)
+    endpoint_id = key.removeprefix(ENDPOINT_PREFIX)
+    if not _HEADER_VALUE.fullmatch(endpoint_id):
+        raise ValueError(f"endpoint ID {endpoint_id!r} fits no header")
     kinds = endpoints.EndpointKind
     return endpoints.Endpoint(
-        id=key.removeprefix(ENDPOINT_PREFIX),
+        id=endpoint_id,
         kind=kinds.ENGINE if entry.models else kinds.SERVICE,
         zone=entry.zone,
         address=f"http://{entry.address}",
--- a/src/hibiscussaddle/settings.py
+++ b/src/hibiscussaddle/settings.py
@@ -8,6 +8,7 @@
 
 import result
 
+from hibiscussaddle import addresses
 from hibiscussaddle import codes
 
 ENV_PREFIX: typing.Final = "HIBISCUSSADDLE_"
@@ -139,8 +140,9 @@
     except ValueError:
         return invalid_setting("host", cfg.host, "an IP address")
     for peer in cfg.peers:
-        host, _, port = peer.rpartition(":")
-        if not host or not port.isdigit():
+        try:
+            addresses.parse(peer)
+        except ValueError:
             return invalid_setting(
                 "peers", peer, "host:port, separated by commas"
             )
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -5,10 +5,17 @@
 import re
 import typing
 
+import anyio
+import httpx
+import msgspec
 import pytest
 
+from hibiscussaddle.adapters import connections
 from hibiscussaddle.adapters import store
+from hibiscussaddle.batches import events
 from hibiscussaddle.batches import model
+from hibiscussaddle.batches import placement
+from hibiscussaddle.batches import runs
 from hibiscussaddle import decoding
 from hibiscussaddle.fleet import change_log
 from hibiscussaddle.fleet import presence
@@ -18,6 +25,9 @@
 from hibiscussaddle.platform import config_wire
 from hibiscussaddle.platform import endpoint_wire
 from hibiscussaddle.platform import store_wire
+
+import batch_builders
+import limit_builders
 import platform_builders
 
 SOURCES: typing.Final = pathlib.Path(decoding.__file__).parent
@@ -111,3 +121,128 @@
         if _DIRECT_DECODING.search(line)
     ]
     assert not found
+
+
+# Each is text, and no address that a request can be sent to.
+INVALID_ADDRESSES: typing.Final = (
+    "127.0.0.1:80808",
+    "127.0.0.1:0",
+    "127.0.0.1:" + "9" * 5_000,
+    "127.0.0.256:8080",
+    "127.0.0.1:8080:9",
+    "127.0.0.1:+80",
+    "127.0.0.1:\u0663",
+    "user@127.0.0.1:1",
+    "127.0.0.1/x:80",
+    "a..b:80",
+    f"{'a' * 64}:80",
+    "[::1:80",
+    ":80",
+    "127.0.0.1:",
+    "",
+)
+HUGE: typing.Final = 10**400
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        *({"address": address} for address in INVALID_ADDRESSES),
+        {"slots": HUGE},
+        {"slots": 1 << 21},
+        {"slots": -1},
+        {"born": HUGE},
+        {"born": 1 << 64},
+        {"models": [{"name": "base", "version": HUGE}]},
+    ],
+)
+def test_entry_that_names_no_server_is_not_used(
+    changes: dict[str, typing.Any],
+) -> None:
+    """Fails when an entry is listed whose use raises an unexpected error.
+
+    A port above 65535 raised OverflowError, which ended each owner of a batch
+    and each holder of the weight lease.
+    """
+    view = view_lib.create_view()
+    view.apply_endpoint_listing(
+        [
+            platform_builders.endpoint_entry("i-odd", **changes),
+            platform_builders.endpoint_entry("i-1"),
+        ]
+    )
+    assert [ep.id for ep in view.directory.all()] == ["i-1"]
+
+
+@pytest.mark.parametrize(
+    "endpoint_id", ["", "gr\u00fc\u00df", "a b", "a\r\nb"]
+)
+def test_entry_whose_id_fits_no_header_is_not_used(endpoint_id: str) -> None:
+    """Fails when the ID of an entry breaks the requests to its endpoint."""
+    view = view_lib.create_view()
+    view.apply_endpoint_listing(
+        [platform_builders.endpoint_entry(endpoint_id)]
+    )
+    assert not view.directory.all()
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["127.0.0.1:80808", "127.0.0.1:0", "127.0.0.1:+80", ":80", "127.0.0.1"],
+)
+def test_member_without_a_valid_address_is_ignored(address: str) -> None:
+    """Fails when an address in a member's key breaks the calls to peers.
+
+    Settings allow names as hosts, so a member may have one.
+    """
+    members = presence.Members(presence.Member("me", "zone-a", 1, "h:1"))
+    odd = presence.Member("odd", "zone-a", 1, address)
+    entry = store.StoreEntry(
+        presence.PREFIX + "odd", msgspec.json.encode(odd), 7
+    )
+    members.apply_listing([entry])
+    assert not members.all
+
+
+@pytest.mark.parametrize("address", INVALID_ADDRESSES)
+def test_client_raises_only_http_errors(address: str) -> None:
+    """Fails when a request to an odd address ends the task that sends it."""
+
+    async def main() -> None:
+        client = connections.create_client()
+        with anyio.fail_after(5):
+            with pytest.raises(httpx.HTTPError):
+                await client.get(f"http://{address}", timeout=1.0)
+        await client.aclose()
+
+    anyio.run(main)
+
+
+def test_client_raises_only_http_errors_for_odd_headers() -> None:
+    """Fails when a header outside ASCII ends the task that sends it."""
+
+    async def main() -> None:
+        client = connections.create_client()
+        with pytest.raises(httpx.HTTPError):
+            await client.get("http://127.0.0.1:9", headers={"x": "\u20ac"})
+        await client.aclose()
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize("address", INVALID_ADDRESSES)
+def test_item_on_an_odd_address_fails_by_itself(address: str) -> None:
+    """Fails when one endpoint's address ends the owner of a batch."""
+
+    async def main() -> runs.RunEnd:
+        client = connections.create_client()
+        runner = runs.ItemRunner(
+            client, placement.Placement(), limit_builders.limiter()
+        )
+        batch = batch_builders.batch(batch_builders.item("r-1"))
+        progress = runs.Progress(batch.items[0], events.Transcript())
+        endpoint = batch_builders.engine("i-1", address=f"http://{address}")
+        with anyio.fail_after(5):
+            return await runner.run(progress, batch, endpoint)
+
+    assert anyio.run(main) is runs.RunEnd.BROKEN
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -33,6 +33,7 @@
         ("caller_port", "abc"),
         ("host", "localhost"),
         ("peers", "10.0.0.1"),
+        ("peers", "10.0.0.1:70000"),
         ("peer_secret", "short"),
         ("log_level", "loud"),
         ("store_url", "ftp://store"),
