Never take a repeated response for that to a retry

Cause: a retry reused the connection on which the refusal or failure had come. A copy that the server sends late has the ID of the request and passed for the response to the retry. Copies in the buffer of h11 and connections after a response with another ID were used again, too. Ruled out: joined or cut bodies, responses of other requests and lost stamps: none in 8,100 requests of two trials. Change: for 10 s no connection carries an ID again; it is closed after a response with another ID or with bytes behind it; calls without an ID have connections of their own and weight orders a new one each.

--- a/src/hibiscussaddle/adapters/connections.py
+++ b/src/hibiscussaddle/adapters/connections.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections import abc
+import dataclasses
 import socket
 import ssl
 import struct
@@ -37,7 +38,17 @@
 # its requests. Values in the store have up to a megabyte, batches a few.
 MAX_RESPONSE_BYTES: typing.Final = 8 << 20
 
-_Origin: typing.TypeAlias = tuple[str, str, int | None]
+# A faulty endpoint may repeat a response late, where the next one is expected.
+# For this long a connection isn't used again for a request ID that it carried,
+# since the repeated response would pass for the one to the retry.
+REPEAT_WINDOW_SECONDS: typing.Final = 10.0
+# Extension of a request without an ID: it gets a new connection, which is
+# closed after the response.
+SINGLE_USE: typing.Final = "single_use"
+
+# Scheme, host, port, and whether requests have an ID. A repeated response to a
+# request without one can't be told apart, so it must reach no other request.
+_Origin: typing.TypeAlias = tuple[str, str, int | None, bool]
 
 
 class ResponseTooLargeError(httpx.ReadError):
@@ -52,6 +63,48 @@
     """
 
 
+@dataclasses.dataclass(eq=False)
+class _Connection:
+    """Hold one connection and the request IDs that it carried."""
+
+    transport: httpx.AsyncHTTPTransport
+    # Monotonic seconds of the response to each request ID, oldest first.
+    carried_ids: dict[str, float] = dataclasses.field(default_factory=dict)
+    released_at: float = 0.0
+
+    def record(self, request_id: str, now: float) -> None:
+        """Remember an ID, and forget those outside the window."""
+        if not request_id:
+            return
+        self.carried_ids.pop(request_id, None)
+        self.carried_ids[request_id] = now
+        for known, at in list(self.carried_ids.items()):
+            if now - at < REPEAT_WINDOW_SECONDS:
+                break
+            del self.carried_ids[known]
+
+    def may_carry(self, request_id: str, now: float) -> bool:
+        """Return whether no late response to the ID can still arrive."""
+        at = self.carried_ids.get(request_id)
+        return at is None or now - at >= REPEAT_WINDOW_SECONDS
+
+    def is_clean(self) -> bool:
+        """Return whether the connection is open and no bytes wait on it.
+
+        httpcore takes bytes after a response for the beginning of the next
+        one, and its interface doesn't show them.
+        """
+        pool = self.transport._pool
+        states = [
+            getattr(getattr(conn, "_connection", None), "_h11_state", None)
+            for conn in getattr(pool, "connections", ())
+        ]
+        return bool(states) and all(
+            state is not None and not state.trailing_data[0]
+            for state in states
+        )
+
+
 class OriginTransport(httpx.AsyncBaseTransport):
     """Send each request over an idle connection to its origin.
 
@@ -62,13 +115,19 @@
     """
 
     def __init__(
-        self, clock: abc.Callable[[], float] = time.monotonic
+        self,
+        clock: abc.Callable[[], float] = time.monotonic,
+        id_header: str = "",
     ) -> None:
-        """Create an empty pool."""
+        """Create an empty pool.
+
+        A response echoes the header that identifies its request. Without a
+        name no response is checked.
+        """
         self._clock = clock
-        self._idle: dict[
-            _Origin, collections.deque[tuple[float, httpx.AsyncHTTPTransport]]
-        ] = collections.defaultdict(collections.deque)
+        self._id_header = id_header
+        self._idle: dict[_Origin, collections.deque[_Connection]]
+        self._idle = collections.defaultdict(collections.deque)
         # httpx needs an SSL context for plain connections too. This one has
         # no trusted certificates, since loading them takes 40 ms.
         self._plain_context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
@@ -85,19 +144,43 @@
     ) -> httpx.Response:
         """Send a request; closing the response releases its connection."""
         url = request.url
-        origin = (url.scheme, url.host, url.port)
-        idle = self._idle[origin]
-        transport = (
-            idle.pop()[1] if idle else self._create_transport(url.scheme)
-        )
+        request_id = request.headers.get(self._id_header, "")
+        origin = (url.scheme, url.host, url.port, bool(request_id))
+        is_single_use = bool(request.extensions.get(SINGLE_USE))
+        conn = None
+        if not is_single_use:
+            conn = self._take_idle(origin, request_id)
+        if conn is None:
+            conn = _Connection(self._create_transport(url.scheme))
         try:
-            resp = await transport.handle_async_request(request)
+            resp = await conn.transport.handle_async_request(request)
         except BaseException:
-            await transport.aclose()
+            await conn.transport.aclose()
             raise
-        resp.stream = _ResponseStream(resp, self, origin, transport)
+        conn.record(request_id, self._clock())
+        # After the response to another request, the one to this request is
+        # still to come.
+        is_expected = (
+            not request_id or resp.headers.get(self._id_header) == request_id
+        )
+        resp.stream = _ResponseStream(
+            resp, self, origin, conn, is_expected and not is_single_use
+        )
         return resp
 
+    def _take_idle(
+        self, origin: _Origin, request_id: str
+    ) -> _Connection | None:
+        """Return the newest idle connection that may carry the request."""
+        idle = self._idle[origin]
+        now = self._clock()
+        for index in reversed(range(len(idle))):
+            conn = idle[index]
+            if conn.may_carry(request_id, now):
+                del idle[index]
+                return conn
+        return None
+
     def _ssl_context(self, scheme: str) -> ssl.SSLContext:
         if scheme != "https":
             return self._plain_context
@@ -118,23 +201,28 @@
         )
 
     async def release(
-        self, origin: _Origin, transport: httpx.AsyncHTTPTransport
+        self, origin: _Origin, conn: _Connection, is_reusable: bool
     ) -> None:
-        """Return a connection to the pool, or close it if the pool is full."""
+        """Return a connection to the pool, or close it."""
         now = self._clock()
         idle = self._idle[origin]
-        if len(idle) >= MAX_IDLE_PER_ORIGIN:
-            await transport.aclose()
+        if (
+            not is_reusable
+            or len(idle) >= MAX_IDLE_PER_ORIGIN
+            or not conn.is_clean()
+        ):
+            await conn.transport.aclose()
         else:
-            idle.append((now, transport))
+            conn.released_at = now
+            idle.append(conn)
         if now - self._pruned_at >= _PRUNE_INTERVAL_SECONDS:
             self._pruned_at = now
             await self._prune(now - IDLE_TIMEOUT_SECONDS)
 
     async def _prune(self, before: float) -> None:
         for origin, idle in list(self._idle.items()):
-            while idle and idle[0][0] < before:
-                await idle.popleft()[1].aclose()
+            while idle and idle[0].released_at < before:
+                await idle.popleft().transport.aclose()
             if not idle:
                 self._idle.pop(origin, None)
 
@@ -151,21 +239,23 @@
         resp: httpx.Response,
         pool: OriginTransport,
         origin: _Origin,
-        transport: httpx.AsyncHTTPTransport,
+        conn: _Connection,
+        is_reusable: bool,
     ) -> None:
         assert isinstance(resp.stream, httpx.AsyncByteStream)
         self._inner = resp.stream
         self._resp = weakref.ref(resp)
         self._pool = pool
         self._origin = origin
-        self._transport: httpx.AsyncHTTPTransport | None = transport
+        self._conn: _Connection | None = conn
+        self._is_reusable = is_reusable
 
     async def __aiter__(self) -> abc.AsyncIterator[bytes]:
         size = 0
         async for data in self._inner:
             size += len(data)
             if size > MAX_RESPONSE_BYTES:
-                host, port = self._origin[1:]
+                _, host, port, _ = self._origin
                 raise ResponseTooLargeError(
                     f"response from {host}:{port} exceeds "
                     f"{MAX_RESPONSE_BYTES} bytes"
@@ -173,7 +263,7 @@
             yield data
 
     async def aclose(self) -> None:
-        transport, self._transport = self._transport, None
+        conn, self._conn = self._conn, None
         resp = self._resp()
         if resp is not None:
             # The client wraps the stream in one that refers to the response.
@@ -183,8 +273,8 @@
         try:
             await self._inner.aclose()
         finally:
-            if transport is not None:
-                await self._pool.release(self._origin, transport)
+            if conn is not None:
+                await self._pool.release(self._origin, conn, self._is_reusable)
 
 
 class Client(httpx.AsyncClient):
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -113,7 +113,9 @@
 
 def create_components(cfg: gateway_settings.GatewaySettings) -> Components:
     """Create and connect the components of an instance."""
-    pool = connections.OriginTransport()
+    pool = connections.OriginTransport(
+        id_header=endpoint_wire.REQUEST_ID_HEADER
+    )
     client = connections.create_client(pool)
     incarnation = time.time_ns() // 1_000_000
     me = presence_lib.Member(
--- a/src/hibiscussaddle/weights/controller.py
+++ b/src/hibiscussaddle/weights/controller.py
@@ -13,6 +13,7 @@
 from anyio import abc as anyio_abc
 import httpx
 
+from hibiscussaddle.adapters import connections
 from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import observations
 from hibiscussaddle.fleet import view as view_lib
@@ -225,6 +226,9 @@
                     json=body,
                     headers=headers,
                     timeout=ORDER_TIMEOUT_SECONDS,
+                    # Orders have no ID by which a repeated response to an
+                    # earlier call could be recognised.
+                    extensions={connections.SINGLE_USE: True},
                 )
             self._limiter.observe(endpoint, resp, "-", is_run=False)
             return resp.status_code
