--- a/src/hibiscussaddle/serving.py
+++ b/src/hibiscussaddle/serving.py
@@ -1,6 +1,9 @@
 """Serve ASGI apps with hypercorn."""
 
 from collections import abc
+import errno
+import logging
+import time
 import typing
 
 import anyio
@@ -11,6 +14,10 @@
 from hypercorn import events as hypercorn_events
 from hypercorn.protocol import h2
 
+from hibiscussaddle import logs
+
+_LOG = logging.getLogger(__name__)
+
 # Streams may run long after a stop was requested; the caller of serve() ends
 # them by cancelling it.
 _GRACEFUL_TIMEOUT_SECONDS: typing.Final = 3600.0
@@ -18,6 +25,10 @@
 # Time for idle connections to close after serve() is cancelled, before the
 # remaining ones are aborted.
 _CANCEL_GRACE_SECONDS: typing.Final = 0.2
+# A port may be taken for a while by an outgoing connection of another process,
+# or by the process that this one replaces.
+_BIND_TIMEOUT_SECONDS: typing.Final = 10.0
+_BIND_RETRY_SECONDS: typing.Final = 0.05
 # hypercorn's default equals the header size that callers may use and leaves no
 # headroom.
 _MAX_HEADER_BYTES: typing.Final = 64 << 10
@@ -56,6 +67,16 @@
 hypercorn_run.TCPServer = _Connection  # type: ignore[attr-defined,misc]
 
 
+class _Config(hypercorn_config.Config):
+    """Return the sockets that are open already."""
+
+    open_sockets: hypercorn_config.Sockets | None = None
+
+    def create_sockets(self) -> hypercorn_config.Sockets:
+        """Return the open sockets, or open them."""
+        return self.open_sockets or super().create_sockets()
+
+
 class Server:
     """Serve one ASGI app until stop() returns."""
 
@@ -71,7 +92,7 @@
         self._stop = stop
         self._shutdown_requested = anyio.Event()
         self._closed = anyio.Event()
-        self._cfg = hypercorn_config.Config()
+        self._cfg = _Config()
         self._cfg.bind = [f"{host}:{port}"]
         self._cfg.loglevel = "WARNING"
         self._cfg.graceful_timeout = _GRACEFUL_TIMEOUT_SECONDS
@@ -96,6 +117,11 @@
     # hypercorn raises InvalidStateError when it is cancelled, so it is ended
     # by its shutdown trigger only.
     async def _run(self) -> None:
+        try:
+            await self._bind()
+        except BaseException:
+            self._closed.set()
+            raise
         with anyio.CancelScope(shield=True):
             try:
                 await hypercorn_asyncio.serve(
@@ -106,6 +132,30 @@
             finally:
                 self._closed.set()
 
+    async def _bind(self) -> None:
+        """Open the socket; retry for some seconds while its port is taken."""
+        give_up_at = time.monotonic() + _BIND_TIMEOUT_SECONDS
+        is_logged = False
+        while self._cfg.open_sockets is None:
+            try:
+                self._cfg.open_sockets = self._cfg.create_sockets()
+            except OSError as exc:
+                if (
+                    exc.errno != errno.EADDRINUSE
+                    or time.monotonic() >= give_up_at
+                ):
+                    raise
+                if not is_logged:
+                    is_logged = True
+                    logs.event(
+                        _LOG,
+                        "port_in_use",
+                        logging.WARNING,
+                        address=",".join(self._cfg.bind),
+                        why=exc,
+                    )
+                await anyio.sleep(_BIND_RETRY_SECONDS)
+
     async def _await_stop(self) -> None:
         await self._stop()
         self._shutdown_requested.set()
