Send nothing more to endpoints that announce their shutdown

Change: the limiter, through which every response of an endpoint passes, reports such responses to the view, which sets a leave mark for this start of the endpoint in the directory. A later start is used again; a stale listing doesn't lift the mark and a late response doesn't mark a newer start.

--- a/src/hibiscussaddle/fleet/view.py
+++ b/src/hibiscussaddle/fleet/view.py
@@ -16,6 +16,7 @@
 from hibiscussaddle import logs
 from hibiscussaddle.platform import config_wire
 from hibiscussaddle.platform import endpoint_wire
+from hibiscussaddle.policy import marks
 from hibiscussaddle.routes import routing_config
 
 _LOG = logging.getLogger(__name__)
@@ -23,6 +24,10 @@
 # Live endpoints whose entries expired in a store outage register again within
 # about two seconds of its recovery.
 _REREGISTER_SECONDS: typing.Final = 2.2
+# Marks of endpoints that are no longer listed. They are kept beyond the
+# removal, since a listing may be older than a response. Four times the number
+# of endpoints of the target fleet.
+_MAX_LEAVING_MARKS: typing.Final = 4096
 
 
 @dataclasses.dataclass
@@ -146,12 +151,41 @@
                 versions=endpoint.weight_versions,
             )
 
+    def record_leaving(self, endpoint: endpoints.Endpoint) -> None:
+        """Give an endpoint whose response says that it leaves no new work.
+
+        The mark holds for this and earlier incarnations, whatever the store
+        lists; a later incarnation is used again.
+        """
+        mark = marks.Mark(
+            endpoint.id,
+            endpoint.incarnation,
+            counter=0,
+            left=True,
+            source=marks.Source.ENDPOINT,
+        )
+        if not self.directory.put_mark(mark):
+            return
+        logs.event(
+            _LOG,
+            "endpoint_leaving",
+            endpoint=endpoint.id,
+            service=endpoint.service,
+            incarnation=endpoint.incarnation,
+        )
+        known = self.directory.marks.all()
+        if len(known) > _MAX_LEAVING_MARKS:
+            for old in known:
+                if self.directory.get(old.target) is None:
+                    self.directory.marks.discard(old.target)
+        self._notify()
+
     def _handle_missing_entry(self, endpoint_id: str) -> None:
         endpoint = self.directory.get(endpoint_id)
         if endpoint is None:
             return
         deadline = self.recovered_at + _REREGISTER_SECONDS
-        leaving = endpoint.state is endpoints.EndpointState.LEAVING
+        leaving = self.directory.is_draining(endpoint)
         if leaving or self.clock() >= deadline:
             self._remove(endpoint_id, "entry_removed")
         else:
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -186,6 +186,7 @@
         batch_reader,
         limiter,
     )
+    limiter.on_leaving = view.record_leaving
     limiter.on_item_permit = dependencies.waiting_items.wake
     batch_owners = owners.OwnedBatches(
         dependencies, members, handoff.HandoffClient(client)
--- a/src/hibiscussaddle/gateway_report.py
+++ b/src/hibiscussaddle/gateway_report.py
@@ -96,7 +96,10 @@
         ),
         endpoints=tuple(
             _describe_endpoint(
-                endpoint, components.engines, components.limiter
+                endpoint,
+                components.engines,
+                components.limiter,
+                view.directory.is_draining(endpoint),
             )
             for endpoint in view.directory.all()
         ),
@@ -121,8 +124,14 @@
     endpoint: endpoints.Endpoint,
     engines: placement.Placement,
     limiter: limiter_lib.Limiter,
+    is_draining: bool,
 ) -> EndpointReport:
     engine_state = engines.state(endpoint)
+    unused_reason = "leaving"
+    if not is_draining:
+        unused_reason = _unused_reason(
+            endpoint, engine_state, time.monotonic()
+        )
     return EndpointReport(
         endpoint=endpoint.id,
         service=endpoint.service,
@@ -131,7 +140,7 @@
         versions=dict(endpoint.weight_versions),
         running=engine_state.running,
         event_interval=engine_state.median_interval,
-        unused_reason=_unused_reason(endpoint, engine_state, time.monotonic()),
+        unused_reason=unused_reason,
         rate_limit=limiter.rate(endpoint),
     )
 
@@ -141,8 +150,6 @@
     engine_state: placement.EngineState,
     now: float,
 ) -> str:
-    if endpoint.state is endpoints.EndpointState.LEAVING:
-        return "leaving"
     if now < engine_state.blocked_until:
         return "failed" if engine_state.failures else "refused"
     if engine_state.is_suspect:
--- a/src/hibiscussaddle/platform/endpoint_wire.py
+++ b/src/hibiscussaddle/platform/endpoint_wire.py
@@ -30,6 +30,8 @@
 # Requests a second that the endpoint takes from all instances together, for as
 # long as its responses say so.
 RATE_LIMIT_HEADER: typing.Final = "server-limit"
+# "1" in every response of an endpoint that shuts down.
+LEAVING_HEADER: typing.Final = "server-leaving"
 # A single integer despite the plural; a response header, and a field of the
 # events in a stream.
 WEIGHT_VERSION_HEADER: typing.Final = "x-weight-versions"
@@ -138,6 +140,11 @@
     return min(rates, default=None)
 
 
+def decode_leaving(values: abc.Iterable[str]) -> bool:
+    """Return whether header values say that the endpoint shuts down."""
+    return any(value.strip() == "1" for value in ",".join(values).split(","))
+
+
 def encode_weight_order(
     model: str,
     version: int,
--- a/src/hibiscussaddle/platform/standins/endpoint.py
+++ b/src/hibiscussaddle/platform/standins/endpoint.py
@@ -41,6 +41,8 @@
     event_seconds: float = 0.01
     # Requests per second that responses name as the limit; negative for none.
     rate_limit: float = -1.0
+    # Whether every response says that the endpoint leaves.
+    is_leaving: bool = False
     # Time until a plain service responds.
     response_seconds: float = 0.0
 
@@ -116,8 +118,14 @@
 ) -> applications.Starlette:
     """Return the HTTP interface of an endpoint."""
 
+    leaving_headers = (
+        {"server-leaving": "1"} if endpoint.cfg.is_leaving else {}
+    )
+
     async def report(_: requests.Request) -> responses.Response:
-        return responses.JSONResponse(endpoint.report())
+        return responses.JSONResponse(
+            endpoint.report(), headers=leaving_headers
+        )
 
     async def order(req: requests.Request) -> responses.Response:
         body = await req.json()
@@ -140,6 +148,7 @@
         headers = {"x-request-id": request_id}
         if endpoint.cfg.rate_limit >= 0:
             headers["server-limit"] = str(endpoint.cfg.rate_limit)
+        headers.update(leaving_headers)
         if endpoint.is_loading:
             headers["x-not-run"] = "1"
             return responses.Response(status_code=503, headers=headers)
--- a/src/hibiscussaddle/policy/marks.py
+++ b/src/hibiscussaddle/policy/marks.py
@@ -11,6 +11,8 @@
     PLATFORM = "platform"
     # The instance itself, during its planned stop.
     INSTANCE = "instance"
+    # The endpoint itself, in its responses.
+    ENDPOINT = "endpoint"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -58,6 +60,10 @@
         self._marks[mark.target] = mark
         return True
 
+    def discard(self, target: str) -> None:
+        """Forget the mark of a target."""
+        self._marks.pop(target, None)
+
     def get(self, target: str) -> Mark | None:
         """Return the newest mark of a target."""
         return self._marks.get(target)
--- a/src/hibiscussaddle/rate_limits/limiter.py
+++ b/src/hibiscussaddle/rate_limits/limiter.py
@@ -19,6 +19,7 @@
 from hibiscussaddle.fleet import member as member_lib
 from hibiscussaddle.fleet import observations
 from hibiscussaddle import logs
+from hibiscussaddle.platform import endpoint_wire
 from hibiscussaddle.rate_limits import holder as holder_lib
 from hibiscussaddle.rate_limits import observed
 from hibiscussaddle.rate_limits import permits
@@ -73,6 +74,9 @@
         self.outcomes = collections.Counter()
         # Called when an item may get an endpoint that it didn't get before.
         self.on_item_permit: abc.Callable[[], None] = lambda: None
+        # Called with each endpoint whose response says that it leaves.
+        self.on_leaving: abc.Callable[[endpoints.Endpoint], None]
+        self.on_leaving = lambda _: None
         self.holder = holder
         self._members = holder.members
         self._client = client
@@ -110,8 +114,16 @@
         request_id: str,
         is_run: bool = True,
     ) -> None:
-        """Record the limit that an endpoint's response names."""
+        """Record what an endpoint's response says of the endpoint.
+
+        It may name a rate limit, or say that the endpoint leaves.
+        """
         now = self._clock()
+        # Another endpoint at the same address may have responded.
+        if resp.status_code != httpx.codes.MISDIRECTED_REQUEST:
+            values = resp.headers.get_list(endpoint_wire.LEAVING_HEADER)
+            if endpoint_wire.decode_leaving(values):
+                self.on_leaving(endpoint)
         if self._limits.observe(endpoint, resp, request_id, now, is_run):
             self._record_change(endpoint.id, endpoint.incarnation)
 
