Keep no cookies in the shared HTTP client

Cause: the client that all requests share keeps a cookie jar. Change: the client of gateways and entry instances stores no cookies. Evidence: the new test fails without the change. Result: it passes; both Set-Cookie headers still reach their own caller.

--- a/src/hibiscussaddle/adapters/connections.py
+++ b/src/hibiscussaddle/adapters/connections.py
@@ -3,6 +3,7 @@
 import collections
 from collections import abc
 import dataclasses
+from http import cookiejar
 import socket
 import ssl
 import struct
@@ -308,7 +309,18 @@
 
 
 class Client(httpx.AsyncClient):
-    """Raise only HTTP errors, also for requests that can't be built."""
+    """Send requests that don't depend on one another.
+
+    It keeps no cookies, which would pass from one caller to another, and
+    raises only HTTP errors, also for requests that can't be built.
+    """
+
+    def __init__(self, **options: typing.Any) -> None:
+        """Set the options of the base class."""
+        super().__init__(**options)
+        self.cookies.jar.set_policy(
+            cookiejar.DefaultCookiePolicy(allowed_domains=())
+        )
 
     def build_request(
         self, method: str, url: httpx.URL | str, **options: typing.Any
--- a/src/hibiscussaddle/entry.py
+++ b/src/hibiscussaddle/entry.py
@@ -8,7 +8,6 @@
 import typing
 
 import anyio
-import httpx
 
 from hibiscussaddle.adapters import connections
 from hibiscussaddle.adapters import peer_sockets
@@ -44,7 +43,7 @@
     """Return the components of an instance; needs a running event loop."""
     plugins.import_components()
     incarnation = time.time_ns() // 1_000_000
-    client = httpx.AsyncClient(
+    client = connections.Client(
         transport=connections.OriginTransport(), trust_env=False
     )
     address = f"{cfg.host}:{cfg.peer_port}"
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -146,3 +146,34 @@
 
     anyio.run(main)
     assert closed.is_set()
+
+
+def test_cookies_of_one_caller_are_not_sent_for_another() -> None:
+    """Fails when the shared client keeps the cookies of responses.
+
+    The client sent the session of one caller with the next caller's request.
+    """
+    received: list[str | None] = []
+    returned: list[list[str]] = []
+
+    async def app(
+        scope: requests.Scope, receive: requests.Receive, send: requests.Send
+    ) -> None:
+        req = requests.Request(scope, receive)
+        received.append(req.headers.get("cookie"))
+        resp = responses.Response(b"")
+        resp.set_cookie("session", "r0", max_age=60)
+        resp.set_cookie("language", "en")
+        await resp(scope, receive, send)
+
+    async def main() -> None:
+        async with loopback.serve(app) as url:
+            client = connections.create_client()
+            for headers in ({}, {}, {"cookie": "session=own"}):
+                resp = await client.get(url, headers=headers)
+                returned.append(resp.headers.get_list("set-cookie"))
+            await client.aclose()
+
+    anyio.run(main)
+    assert received == [None, None, "session=own"]
+    assert all(len(cookies) == 2 for cookies in returned)
