Refuse requests under which two endpoints ended

Cause: an idempotent request is tried at the next endpoint whatever happened to the one before, and instances know nothing of each other's attempts. Change: requests are known by a hash of their content. The evidence spreads to the readers of the zones and from them to their followers.

--- a/src/hibiscussaddle/codes.py
+++ b/src/hibiscussaddle/codes.py
@@ -223,6 +223,15 @@
         "The back end did not respond before the deadline.",
         "Send idempotent work again; repeat other calls by ticket only.",
     )
+    ENDS_ENDPOINTS = CodeInfo(
+        1404,
+        "ends_endpoints",
+        "unknown",
+        502,
+        18,
+        "Endpoints ended while they worked on this request.",
+        "Don't send it again; see docs/OPERATIONS.md for its caller.",
+    )
     CONTRACT_INVALID = CodeInfo(
         1501,
         "contract_invalid",
--- a/src/hibiscussaddle/fleet/feed_sharing.py
+++ b/src/hibiscussaddle/fleet/feed_sharing.py
@@ -23,6 +23,8 @@
 from hibiscussaddle.fleet import presence
 from hibiscussaddle import logs
 from hibiscussaddle.rate_limits import observed
+from hibiscussaddle.routes import suspect_spread
+from hibiscussaddle.routes import suspects as suspects_lib
 
 _LOG = logging.getLogger(__name__)
 
@@ -58,6 +60,8 @@
     wait: float
     # Newest known revision of the reader's rate limits; None requests all.
     limits_after: int | None = None
+    # Newest known revision of the reader's suspects; None requests all.
+    suspects_after: int | None = None
 
 
 class ChangesResponse(msgspec.Struct, frozen=True):
@@ -69,6 +73,9 @@
     # Rate limits of endpoints, which the response doesn't wait for.
     limits: tuple[observed.LimitReport, ...] = ()
     limits_revision: int = 0
+    # Requests under which endpoints ended, which end the wait.
+    suspects: tuple[suspects_lib.Evidence, ...] = ()
+    suspects_revision: int = 0
 
 
 class ZoneReader:
@@ -78,9 +85,12 @@
         self,
         feeds: abc.Sequence[feed_lib.Feed],
         limits: observed.ObservedLimits,
+        suspects: suspects_lib.Suspects,
     ) -> None:
-        """Share the feeds and the known rate limits of this instance."""
+        """Share what this instance knows."""
         self._limits = limits
+        self._suspects = suspects
+        suspects.on_change = self._notify
         self._feeds = {feed.prefix: feed for feed in feeds}
         self._changed = anyio.Event()
         for feed in feeds:
@@ -88,8 +98,11 @@
 
     def _on_feed_poll(self, changed: bool) -> None:
         if changed or not self.is_current(time.monotonic()):
-            changed_event, self._changed = self._changed, anyio.Event()
-            changed_event.set()
+            self._notify()
+
+    def _notify(self) -> None:
+        changed_event, self._changed = self._changed, anyio.Event()
+        changed_event.set()
 
     def is_current(self, now: float) -> bool:
         """Return whether this instance knows the newest state."""
@@ -120,6 +133,9 @@
         return self._create_response(request, time.monotonic())
 
     def _has_changes(self, request: ChangesRequest) -> bool:
+        known = request.suspects_after
+        if known is not None and self._suspects.revision > known:
+            return not self._is_behind(request)
         return not self._is_behind(request) and any(
             after is None
             or self._feeds[prefix].change_log.changes_after(after).entries
@@ -151,6 +167,8 @@
             failed_ago,
             self._limits.changes_after(request.limits_after, now),
             self._limits.revision,
+            self._suspects.changes_after(request.suspects_after, now),
+            self._suspects.revision,
         )
 
 
@@ -163,10 +181,13 @@
         members: presence.Members,
         feeds: abc.Sequence[feed_lib.Feed],
         limits: observed.ObservedLimits,
+        suspects: suspects_lib.Suspects,
     ) -> None:
         """Start without a reader; every feed calls the store itself."""
         self._limits = limits
         self._limits_revision: int | None = None
+        self._suspects = suspects
+        self._suspects_revision: int | None = None
         self._client = client
         self._members = members
         self._feeds = feeds
@@ -246,6 +267,7 @@
             {f.prefix: f.revision for f in self._feeds},
             wait,
             self._limits_revision if is_following else None,
+            self._suspects_revision if is_following else None,
         )
         limit = wait + TIMEOUT_MARGIN_SECONDS
         sent_at = time.monotonic()
@@ -275,6 +297,8 @@
         for report in response.limits:
             self._limits.apply_report(report, now, "reader")
         self._limits_revision = response.limits_revision
+        suspect_spread.apply_all(self._suspects, response.suspects)
+        self._suspects_revision = response.suspects_revision
         for feed in self._feeds:
             page = response.pages.get(feed.prefix)
             if page is None or page.revision < (feed.revision or 0):
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -41,6 +41,8 @@
 from hibiscussaddle.rate_limits import permits
 from hibiscussaddle.routes import balance
 from hibiscussaddle.routes import forward
+from hibiscussaddle.routes import suspect_spread
+from hibiscussaddle.routes import suspects
 from hibiscussaddle.scoring import scorer as scorer_lib
 from hibiscussaddle import weight_lease
 from hibiscussaddle.weights import controller as weight_controller
@@ -84,6 +86,8 @@
     weight_controller: weight_controller.WeightController
     retirement: retirement.Retirement
     limiter: limiter_lib.Limiter
+    suspects: suspects.Suspects
+    suspect_spreader: suspect_spread.SuspectSpreader
     forwarder: forward.Forwarder
     gateway: gateway_lib.Gateway
     metrics: gateway_metrics.GatewayMetrics
@@ -107,6 +111,7 @@
             self.weight_controller.run,
             self.retirement.run,
             self.limiter.run,
+            self.suspect_spreader.run,
             self.memory_growth.run,
         )
 
@@ -156,7 +161,11 @@
     )
     feeds = _create_feeds(store_client, view, members, contention)
     limits = observed.ObservedLimits()
-    follower = feed_sharing.Follower(client, members, feeds, limits)
+    known_suspects = suspects.Suspects()
+    spreader = suspect_spread.SuspectSpreader(client, members, known_suspects)
+    follower = feed_sharing.Follower(
+        client, members, feeds, limits, known_suspects
+    )
     follower.suspend_feeds()
     # A whole zone may lose the store, and followers make no store calls that
     # would detect it.
@@ -171,7 +180,9 @@
         permits.PermitClient(client),
         limits,
     )
-    forwarder = forward.Forwarder(client, view, balancer, limiter)
+    forwarder = forward.Forwarder(
+        client, view, balancer, limiter, known_suspects
+    )
     batch_reader = reader.BatchReader(
         batches, peer_reads.PeerReadClient(client, members, view)
     )
@@ -227,6 +238,7 @@
         ),
         idle_connections=lambda: pool.idle_count,
         held_responses=lambda: pool.held_bytes,
+        marked_requests=known_suspects.marked_count,
         tasks=lambda: len(anyio.get_running_tasks()),
     )
     metrics = gateway_metrics.GatewayMetrics(
@@ -240,7 +252,7 @@
         store=store_client,
         view=view,
         feeds=feeds,
-        zone_reader=feed_sharing.ZoneReader(feeds, limits),
+        zone_reader=feed_sharing.ZoneReader(feeds, limits, known_suspects),
         follower=follower,
         presence=presence,
         batch_owners=batch_owners,
@@ -257,6 +269,8 @@
         ),
         retirement=retirement.Retirement(store_client, view, lease),
         limiter=limiter,
+        suspects=known_suspects,
+        suspect_spreader=spreader,
         forwarder=forwarder,
         gateway=gateway,
         metrics=metrics,
--- a/src/hibiscussaddle/gateway_metrics.py
+++ b/src/hibiscussaddle/gateway_metrics.py
@@ -123,6 +123,7 @@
     running_texts: abc.Callable[[], float],
     idle_connections: abc.Callable[[], float],
     held_responses: abc.Callable[[], float],
+    marked_requests: abc.Callable[[], float],
     tasks: abc.Callable[[], float],
 ) -> Gauges:
     """Return the gauges of an instance by metric name."""
@@ -140,6 +141,7 @@
         "running_text_bytes": running_texts,
         "idle_connections": idle_connections,
         "held_response_bytes": held_responses,
+        "marked_requests": marked_requests,
         "tasks": tasks,
     }
 
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -31,6 +31,7 @@
 from hibiscussaddle.platform import ingress
 from hibiscussaddle.policy import planned_stop
 from hibiscussaddle.rate_limits import permits
+from hibiscussaddle.routes import suspect_spread
 from hibiscussaddle import serving
 
 _LOG = logging.getLogger(__name__)
@@ -119,6 +120,7 @@
             peer_reads.create_route(components.gateway.batch_reader),
             store_transports.create_relay_route(components.store_transport),
             feed_sharing.create_route(components.zone_reader),
+            suspect_spread.create_route(components.suspects),
             permits.create_route(components.limiter.holder.serve),
             gateway_report.create_route(components),
         ],
--- a/src/hibiscussaddle/routes/forward.py
+++ b/src/hibiscussaddle/routes/forward.py
@@ -9,6 +9,7 @@
 import anyio
 import httpx
 
+from hibiscussaddle.adapters import end_checks
 from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import logs
@@ -18,6 +19,7 @@
 from hibiscussaddle.routes import balance
 from hibiscussaddle.routes import request_state
 from hibiscussaddle.routes import routing_config
+from hibiscussaddle.routes import suspects
 
 _LOG = logging.getLogger(__name__)
 
@@ -54,6 +56,14 @@
 )
 
 
+# Raised when a connection breaks under a request, other than by a timeout.
+_BROKEN_CONNECTION_ERRORS: typing.Final = (
+    httpx.ReadError,
+    httpx.WriteError,
+    httpx.RemoteProtocolError,
+)
+
+
 class _AttemptEnd(enum.Enum):
     RESPONDED = "answered"
     NOT_RUN = "not_run"
@@ -75,8 +85,16 @@
         view: view_lib.View,
         balancer: balance.Balancer,
         limiter: limiter_lib.Limiter,
+        known_suspects: suspects.Suspects | None = None,
     ) -> None:
-        """Use a shared HTTP client."""
+        """Use a shared HTTP client; without suspects start with none."""
+        # An empty table counts as false.
+        if known_suspects is None:
+            known_suspects = suspects.Suspects()
+        self._suspects = known_suspects
+        self._end_checker = end_checks.EndChecker()
+        # Endpoints that suspects of this instance have reached.
+        self._suspect_endpoints: set[str] = set()
         self._client = client
         self._limiter = limiter
         self._view = view
@@ -127,11 +145,21 @@
         self, state: request_state.RequestState
     ) -> None:
         while state.may_send:
+            verdict = self._verdict(state)
+            if verdict is suspects.Verdict.MARKED:
+                self._record_marked_refusal(state)
+                return
+            is_suspect = verdict is suspects.Verdict.SUSPECT
+            if is_suspect and self._must_wait_for_suspects(state):
+                await anyio.sleep(_RETRY_SECONDS)
+                continue
             endpoint = await self._choose_permitted(state)
             if endpoint is None:
                 return
             tried_before = len(state.tried)
-            if state.is_repeatable:
+            if is_suspect:
+                await self._attempt_alone(state, endpoint)
+            elif state.is_repeatable:
                 await self._attempt_hedged(state, endpoint)
             else:
                 await self._attempt(state, endpoint)
@@ -144,6 +172,45 @@
                     return
                 await anyio.sleep(_RETRY_SECONDS)
 
+    def _verdict(self, state: request_state.RequestState) -> suspects.Verdict:
+        # Usually there is none, and a long body takes a while to hash.
+        if not self._suspects:
+            return suspects.Verdict.FREE
+        return self._suspects.verdict(state.fingerprint, time.monotonic())
+
+    def _record_marked_refusal(
+        self, state: request_state.RequestState
+    ) -> None:
+        state.is_marked = True
+        logs.event(
+            _LOG,
+            "marked_request_refused",
+            logging.WARNING,
+            request=state.req.id,
+            route=state.route.name,
+            fingerprint=state.fingerprint.hex(),
+        )
+
+    def _must_wait_for_suspects(
+        self, state: request_state.RequestState
+    ) -> bool:
+        """Return whether other suspects are at every possible endpoint."""
+        possible = {endpoint.id for endpoint in self._candidates(state)}
+        return bool(possible) and possible <= self._suspect_endpoints
+
+    async def _attempt_alone(
+        self, state: request_state.RequestState, endpoint: endpoints.Endpoint
+    ) -> None:
+        """Send a suspect, so that no other one reaches its endpoint.
+
+        If the endpoint ends, it is known which suspect was there.
+        """
+        self._suspect_endpoints.add(endpoint.id)
+        try:
+            await self._attempt(state, endpoint)
+        finally:
+            self._suspect_endpoints.discard(endpoint.id)
+
     async def _choose_permitted(
         self, state: request_state.RequestState
     ) -> endpoints.Endpoint | None:
@@ -172,11 +239,13 @@
         self, state: request_state.RequestState, is_hedge: bool = False
     ) -> endpoints.Endpoint | None:
         now = time.monotonic()
+        is_free = self._verdict(state) is suspects.Verdict.FREE
         # A hedge would double the work of an endpoint in need.
         candidates = [
             endpoint
             for endpoint in self._candidates(state)
             if now >= state.denied_until.get(endpoint.id, now)
+            and (is_free or endpoint.id not in self._suspect_endpoints)
             and not (is_hedge and self._limiter.is_limited(endpoint))
         ]
         deferred = {
@@ -221,6 +290,8 @@
                 return
             if not state.may_send:
                 return
+            if self._verdict(state) is not suspects.Verdict.FREE:
+                return
             second = self._choose(state, is_hedge=True)
             if second is None or second.id == endpoint.id:
                 return
@@ -298,12 +369,34 @@
             return self._fail_attempt(
                 state, endpoint, exc, _AttemptEnd.NOT_RUN
             )
-        except (httpx.HTTPError, httpx.InvalidURL) as exc:
+        except httpx.HTTPError as exc:
+            if isinstance(exc, _BROKEN_CONNECTION_ERRORS):
+                await self._check_end(state, endpoint)
             return self._fail_attempt(
                 state, endpoint, exc, _AttemptEnd.UNKNOWN
             )
         return self._classify_response(state, endpoint, resp, body, started)
 
+    async def _check_end(
+        self, state: request_state.RequestState, endpoint: endpoints.Endpoint
+    ) -> None:
+        """Record whether the endpoint ended under the request."""
+        if not await self._end_checker.has_ended(endpoint):
+            return
+        lifetime = (endpoint.id, endpoint.incarnation)
+        is_marked = self._suspects.record_end(
+            state.fingerprint, lifetime, time.monotonic()
+        )
+        logs.event(
+            _LOG,
+            "request_marked" if is_marked else "endpoint_ended",
+            logging.WARNING,
+            request=state.req.id,
+            route=state.route.name,
+            endpoint=endpoint.id,
+            fingerprint=state.fingerprint.hex(),
+        )
+
     def _classify_response(
         self,
         state: request_state.RequestState,
@@ -325,6 +418,8 @@
         ) or resp.status_code == (httpx.codes.MISDIRECTED_REQUEST):
             self._balancer.record_refusal(endpoint, now)
             return _AttemptOutcome(_AttemptEnd.NOT_RUN)
+        if self._suspects:
+            self._suspects.record_response(state.fingerprint)
         if resp.status_code in _NOT_RUN_STATUSES:
             error = ValueError(
                 f"status {resp.status_code} without a not-run header"
--- a/src/hibiscussaddle/routes/request_state.py
+++ b/src/hibiscussaddle/routes/request_state.py
@@ -1,12 +1,14 @@
 """The state of one forwarded request across its attempts."""
 
 import dataclasses
+import functools
 import time
 import typing
 
 from hibiscussaddle import codes
 from hibiscussaddle.policy import retries
 from hibiscussaddle.routes import routing_config
+from hibiscussaddle.routes import suspects
 
 # No attempt is sent with less time left, as no endpoint could respond.
 _MIN_ATTEMPT_SECONDS: typing.Final = 0.005
@@ -61,6 +63,8 @@
     denied_until: dict[str, float] = dataclasses.field(default_factory=dict)
     # Whether some endpoint may have run the request.
     may_have_run: bool = False
+    # Whether the request is refused since endpoints ended under it.
+    is_marked: bool = False
     # Responses with status 500.
     failures: int = 0
     response: EndpointResponse | None = None
@@ -85,6 +89,12 @@
             return False
         return self.is_repeatable or not self.may_have_run
 
+    @functools.cached_property
+    def fingerprint(self) -> suspects.Fingerprint:
+        """Return what identifies the request across attempts."""
+        req = self.req
+        return suspects.fingerprint(req.method, req.host, req.target, req.body)
+
     @property
     def is_repeatable(self) -> bool:
         """Return whether the request may run more than once."""
@@ -111,6 +121,11 @@
 
 def refusal(state: RequestState) -> codes.Refusal:
     """Return the reason why a request has no response."""
+    if state.is_marked:
+        return codes.Refusal(
+            codes.Code.ENDS_ENDPOINTS,
+            "the endpoints that worked on this request have ended",
+        )
     if state.may_have_run or state.tried:
         # An attempt that the deadline cancelled may have run, too.
         code = codes.Code.BACK_END_TIMEOUT
--- a/tests/test_feed_sharing.py
+++ b/tests/test_feed_sharing.py
@@ -16,6 +16,8 @@
 from hibiscussaddle import gateway_components
 from hibiscussaddle.platform.standins import store as fake_store
 from hibiscussaddle.rate_limits import observed
+from hibiscussaddle.routes import suspect_spread
+from hibiscussaddle.routes import suspects
 
 import loopback
 
@@ -62,6 +64,11 @@
         # Rate limits that the follower and the reader know.
         self.limits = observed.ObservedLimits()
         self.reader_limits = observed.ObservedLimits()
+        # Requests under which endpoints ended, likewise.
+        self.suspects = suspects.Suspects()
+        self.reader_suspects = suspects.Suspects()
+        # Those of a third instance, which sends them to the reader.
+        self.sender = suspects.Suspects()
         self.reader: Instance
         self.follower: Instance
 
@@ -102,11 +109,14 @@
             for _ in range(2)
         )
         reader = feed_sharing.ZoneReader(
-            [zone.reader.feed], zone.reader_limits
+            [zone.reader.feed], zone.reader_limits, zone.reader_suspects
         )
-        route = feed_sharing.create_route(reader)
+        routes = [
+            feed_sharing.create_route(reader),
+            suspect_spread.create_route(zone.reader_suspects),
+        ]
         peer = await enter(
-            loopback.serve(applications.Starlette(routes=[route]))
+            loopback.serve(applications.Starlette(routes=routes))
         )
         me = presence.Member("follower", "zone-a", 1, "here:1")
         members = presence.Members(me)
@@ -115,13 +125,18 @@
         )
         members.zone_reader = lambda: other  # type: ignore[method-assign]
         follower = feed_sharing.Follower(
-            http, members, [zone.follower.feed], zone.limits
+            http, members, [zone.follower.feed], zone.limits, zone.suspects
         )
+        members.zone_readers = lambda: {  # type: ignore[method-assign]
+            "zone-a": other
+        }
+        spreader = suspect_spread.SuspectSpreader(http, members, zone.sender)
         tasks = await enter(anyio.create_task_group())
         for loop in (
             zone.reader.feed.run,
             zone.follower.feed.run,
             follower.run,
+            spreader.run,
         ):
             tasks.start_soon(loop)
         await zone.wait_for_value("first", b"1", 2)
@@ -149,6 +164,26 @@
     anyio.run(main)
 
 
+def test_follower_learns_of_suspects_at_once() -> None:
+    """Fails when a caller's next attempt is faster than the mark.
+
+    Callers repeat a request at another instance within some hundred
+    milliseconds.
+    """
+
+    async def main() -> None:
+        async with run_zone() as (zone, _):
+            for number in range(2):
+                now = time.monotonic()
+                zone.sender.record_end(b"deadly", ("e-1", number), now)
+                wanted = list(suspects.Verdict)[number + 1]
+                with anyio.fail_after(0.3):
+                    while zone.suspects.verdict(b"deadly", now) is not wanted:
+                        await anyio.sleep(0.005)
+
+    anyio.run(main)
+
+
 def test_follower_gets_changes_without_store_calls() -> None:
     """Fails when every instance watches the store itself.
 
@@ -213,7 +248,7 @@
     async def main() -> None:
         async with run_zone() as (zone, _):
             reader = feed_sharing.ZoneReader(
-                [zone.reader.feed], zone.reader_limits
+                [zone.reader.feed], zone.reader_limits, zone.reader_suspects
             )
             newest = zone.reader.feed.change_log.revision
             request = feed_sharing.ChangesRequest({PREFIX: newest + 5}, 0.0)
@@ -228,7 +263,7 @@
     async def main() -> None:
         async with run_zone() as (zone, _):
             reader = feed_sharing.ZoneReader(
-                [zone.reader.feed], zone.reader_limits
+                [zone.reader.feed], zone.reader_limits, zone.reader_suspects
             )
             zone.reader.feed.last_failure_at = time.monotonic() - 0.5
             zone.reader.feed.last_success_at = time.monotonic()
@@ -288,7 +323,11 @@
             ),
         )
         self.follower = feed_sharing.Follower(
-            http, self.members, self.feeds, observed.ObservedLimits()
+            http,
+            self.members,
+            self.feeds,
+            observed.ObservedLimits(),
+            suspects.Suspects(),
         )
         self.follower.suspend_feeds()
 
@@ -310,7 +349,9 @@
         for prefix_feed in reader.feeds:
             prefix_feed.resume()
         route = feed_sharing.create_route(
-            feed_sharing.ZoneReader(reader.feeds, observed.ObservedLimits())
+            feed_sharing.ZoneReader(
+                reader.feeds, observed.ObservedLimits(), suspects.Suspects()
+            )
         )
         app = applications.Starlette(routes=[route] * (not is_reader_missing))
         peer = await enter(loopback.serve(app))
