Follow the pool in the tests of its gauges

The pool counted a connection as idle although httpcore had closed it, since its response was not read. It is not kept any more, so the test reads the response and checks in addition that an abandoned one leaves no idle connection. The memory_grown line has the new field held_response_kb.

--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -223,6 +223,7 @@
         "cached_text_kb",
         "running_text_kb",
         "idle_connections",
+        "held_response_kb",
         "tasks",
         "batches_owned",
         "requests_running",
@@ -333,11 +334,16 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(listener.serve, respond)
                 url = f"http://127.0.0.1:{port}"
-                async with client.stream("GET", url):
+                async with client.stream("GET", url) as resp:
                     assert pool.idle_count == 0
                     await client.get(url)
                     assert pool.idle_count == 1
+                    await resp.aread()
                 assert pool.idle_count == 2
+                # The connection of an abandoned response is closed.
+                async with client.stream("GET", url):
+                    assert pool.idle_count == 1
+                assert pool.idle_count == 1
                 await client.aclose()
                 assert pool.idle_count == 0
                 tasks.cancel_scope.cancel()
