Let an owner answer reads only once the store confirms a handed-over record

Cause: a handover that lay in the socket of the frozen process started a runner, and its owner record counted as confirmed on arrival, however old it was. Change: a record from a peer's message is not current. Its runner starts items, but answers no read until the store confirms the record, which is read at once. Messages about an end, permits, relayed calls and evidence were looked at: none makes an old state pass for a new one.

--- a/src/hibiscussaddle/batches/handoff.py
+++ b/src/hibiscussaddle/batches/handoff.py
@@ -42,7 +42,9 @@
 
     def record(self) -> storage.OwnerRecord:
         """Return the owner record."""
-        return storage.OwnerRecord(self.batch_id, self.owner, self.revision)
+        return storage.OwnerRecord(
+            self.batch_id, self.owner, self.revision, is_current=False
+        )
 
 
 class EndMessage(msgspec.Struct, frozen=True):
--- a/src/hibiscussaddle/batches/ownership.py
+++ b/src/hibiscussaddle/batches/ownership.py
@@ -31,19 +31,23 @@
         record: storage.OwnerRecord,
         is_complete: abc.Callable[[], bool],
     ) -> None:
-        """Start confirmed: the record was just written or read.
+        """Start confirmed if the record was just written or read.
 
-        A missing record is no loss once is_complete returns True, since the
-        owner itself removes the record of a complete batch.
+        Without that, runs may start, but no read is served until the store
+        confirms the record. A missing record is no loss once is_complete
+        returns True, since the owner itself removes the record of a complete
+        batch.
         """
         self._storage = batch_storage
         self._record = record
         self._is_complete = is_complete
         # Seconds since boot.
         self._confirmed_at = clocks.boot_seconds()
+        self._is_proved = record.is_current
 
     def confirm(self, boot_seconds: float) -> None:
         """Record that ownership was proved at a time since boot."""
+        self._is_proved = True
         self._confirmed_at = max(self._confirmed_at, boot_seconds)
 
     def is_confirmed(self) -> bool:
@@ -52,7 +56,10 @@
 
     def is_authoritative(self) -> bool:
         """Return whether the last confirmation still allows serving reads."""
-        return self._confirmation_age() < _READ_VALIDITY_SECONDS
+        return (
+            self._is_proved
+            and self._confirmation_age() < _READ_VALIDITY_SECONDS
+        )
 
     def _confirmation_age(self) -> float:
         return clocks.boot_seconds() - self._confirmed_at
@@ -65,7 +72,7 @@
         """
         while True:
             due_seconds = _READ_INTERVAL_SECONDS - self._confirmation_age()
-            if due_seconds > 0:
+            if self._is_proved and due_seconds > 0:
                 await anyio.sleep(due_seconds)
                 continue
             started = clocks.boot_seconds()
--- a/src/hibiscussaddle/batches/storage.py
+++ b/src/hibiscussaddle/batches/storage.py
@@ -21,6 +21,9 @@
     batch_id: str
     owner: model.Owner
     revision: int
+    # False for a record from a peer's message, which may have waited while
+    # this instance was frozen: another owner may have replaced it.
+    is_current: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
