--- a/src/hibiscussaddle/batches/events.py
+++ b/src/hibiscussaddle/batches/events.py
@@ -31,9 +31,14 @@
     def __init__(self) -> None:
         """Start at the beginning of a stream."""
         self._buffer = b""
+        # A CR at the end of a read, whose LF may begin the next one.
+        self._held = b""
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that these bytes complete."""
+        data = self._held + data
+        self._held = b"\r" if data.endswith(b"\r") else b""
+        data = data.removesuffix(b"\r")
         self._buffer += data.replace(b"\r\n", b"\n")
         *blocks, self._buffer = self._buffer.split(b"\n\n")
         if len(self._buffer) > _MAX_EVENT_BYTES:
@@ -45,7 +50,7 @@
     @property
     def is_between_events(self) -> bool:
         """Return whether no incomplete event is buffered."""
-        return not self._buffer.strip()
+        return not (self._buffer + self._held).strip()
 
 
 def _parse(block: bytes) -> Event:
--- a/tests/test_batch_events.py
+++ b/tests/test_batch_events.py
@@ -53,3 +53,17 @@
         events.EventParser().feed(data)
     except events.MalformedStreamError:
         pass
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+def test_reads_may_end_anywhere(line_end: bytes) -> None:
+    """Fails when a CR and its LF arrive in two reads and the CR stays."""
+    stream = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n".replace(b"\n", line_end)
+    for split in range(len(stream) + 1):
+        parser = events.EventParser()
+        found = parser.feed(stream[:split]) + parser.feed(stream[split:])
+        assert [(event.id, event.data) for event in found] == [
+            (1, "a"),
+            (2, "b"),
+        ]
+        assert parser.is_between_events
