Count one cut watch as no outage of the store

Cause: each failed call counted as an outage, after which entries that vanish are kept for 2.2 s. Change: an outage is a call that the store refused or that couldn't be made, or a second failure in a row. Followers are told of these only, so the test of that message sets the time of the outage in place of that of the failure. Evidence: the new test fails without the change. Result: it passes.

--- a/src/hibiscussaddle/fleet/feed.py
+++ b/src/hibiscussaddle/fleet/feed.py
@@ -47,6 +47,9 @@
         self.last_success_at: float | None = None
         # Monotonic time of the latest failure, in seconds.
         self.last_failure_at = float("-inf")
+        # Monotonic time of the latest failure of the store, in seconds. One
+        # watch that breaks off is none.
+        self.last_outage_at = float("-inf")
         # Changes that followers of this instance read.
         self.change_log = changes or change_log.ChangeLog()
         # Called after each poll with whether anything changed.
@@ -172,8 +175,13 @@
                 prefix=self.prefix,
                 why=failure.value,
             )
+        is_repeated = self.is_failing()
         self.last_failure_at = time.monotonic()
-        self._on_failure()
+        # The store may cut a waiting watch or drop its history. Entries that
+        # vanish then have not expired in an outage and are gone.
+        if is_repeated or failure is store.StoreFailure.UNAVAILABLE:
+            self.last_outage_at = self.last_failure_at
+            self._on_failure()
         if failure is store.StoreFailure.HISTORY_GONE:
             self._revision = None
         self.on_poll(False)
--- a/src/hibiscussaddle/fleet/feed_sharing.py
+++ b/src/hibiscussaddle/fleet/feed_sharing.py
@@ -68,7 +68,7 @@
     """Carry changes to a follower."""
 
     pages: dict[str, change_log.Page]
-    # Seconds since the reader's last failed store call; None if none failed.
+    # Seconds since the store last failed for the reader; None if it never did.
     failed_ago: float | None
     # Rate limits of endpoints, which the response doesn't wait for.
     limits: tuple[observed.LimitReport, ...] = ()
@@ -156,11 +156,11 @@
             prefix: self._feeds[prefix].change_log.changes_after(after)
             for prefix, after in request.after.items()
         }
-        last_failure_at = max(
-            feed.last_failure_at for feed in self._feeds.values()
+        last_outage_at = max(
+            feed.last_outage_at for feed in self._feeds.values()
         )
         failed_ago = (
-            None if last_failure_at == float("-inf") else now - last_failure_at
+            None if last_outage_at == float("-inf") else now - last_outage_at
         )
         return ChangesResponse(
             pages,
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -112,3 +112,46 @@
         + feed.FIRST_RETRY_SECONDS
     )
     assert known_after_seconds + 0.15 < 2.0
+
+
+def test_one_cut_watch_is_no_outage() -> None:
+    """Fails when a removed endpoint is kept since one watch broke off.
+
+    A server that was removed 0.1 s after the store had cut the watches got
+    requests for up to 2.6 s; the bound is 2 s.
+    """
+    outages: list[str] = []
+    client = FakeClient()
+    prefix_feed = feed.Feed(
+        client,
+        "servers/",
+        lambda _: None,
+        lambda _: None,
+        3.0,
+        on_failure=lambda: outages.append("outage"),
+    )
+
+    async def main() -> None:
+        for failure in (
+            store.StoreFailure.UNKNOWN,
+            store.StoreFailure.HISTORY_GONE,
+        ):
+            await prefix_feed.poll_once()
+            client.failure = failure
+            await prefix_feed.poll_once()
+            client.failure = None
+            await prefix_feed.poll_once()
+        assert not outages
+        assert prefix_feed.last_outage_at == float("-inf")
+        # A second failure, or a refusal, is one.
+        client.failure = store.StoreFailure.UNKNOWN
+        await prefix_feed.poll_once()
+        await prefix_feed.poll_once()
+        assert len(outages) == 1
+        client.failure = None
+        await prefix_feed.poll_once()
+        client.failure = store.StoreFailure.UNAVAILABLE
+        await prefix_feed.poll_once()
+        assert len(outages) == 2
+
+    anyio.run(main)
--- a/tests/test_feed_sharing.py
+++ b/tests/test_feed_sharing.py
@@ -265,7 +265,7 @@
             reader = feed_sharing.ZoneReader(
                 [zone.reader.feed], zone.reader_limits, zone.reader_suspects
             )
-            zone.reader.feed.last_failure_at = time.monotonic() - 0.5
+            zone.reader.feed.last_outage_at = time.monotonic() - 0.5
             zone.reader.feed.last_success_at = time.monotonic()
             request = feed_sharing.ChangesRequest({PREFIX: None}, 0.0)
             response = await reader.wait_for_changes(request)
