Contain unexpected errors of single inputs

Change: contain() turns such an error into an input_failed line with the input's kind and key, counted by the events metric. Items wait a second before the next run, orders count as rejected, a follower leaves its reader. Loops of the process itself still end it.

--- a/src/hibiscussaddle/batches/runs.py
+++ b/src/hibiscussaddle/batches/runs.py
@@ -13,6 +13,7 @@
 from hibiscussaddle.batches import events
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import placement
+from hibiscussaddle import containment
 from hibiscussaddle import decoding
 from hibiscussaddle import endpoints
 from hibiscussaddle import logs
@@ -23,6 +24,7 @@
 
 # A reachable engine accepts a connection within milliseconds.
 _CONNECT_TIMEOUT_SECONDS: typing.Final = 0.5
+_UNEXPECTED_ERROR_DELAY_SECONDS: typing.Final = 1.0
 # Engines explain a refusal in a few words.
 _MAX_REFUSAL_BYTES: typing.Final = 64 << 10
 
@@ -109,7 +111,10 @@
         progress.runs += 1
         try:
             with anyio.CancelScope() as progress.cancel_scope:
-                return await self._send(progress, batch, endpoint)
+                with containment.contain("item", progress.item.id):
+                    return await self._send(progress, batch, endpoint)
+                # The next run may fail in the same way.
+                await anyio.sleep(_UNEXPECTED_ERROR_DELAY_SECONDS)
             return RunEnd.BROKEN
         finally:
             progress.cancel_scope = None
--- a/src/hibiscussaddle/fleet/feed_sharing.py
+++ b/src/hibiscussaddle/fleet/feed_sharing.py
@@ -17,6 +17,7 @@
 from starlette import responses
 from starlette import routing
 
+from hibiscussaddle import containment
 from hibiscussaddle import decoding
 from hibiscussaddle.fleet import change_log
 from hibiscussaddle.fleet import feed as feed_lib
@@ -284,7 +285,12 @@
             )
         except (httpx.HTTPError, TimeoutError, ValueError) as exc:
             return str(exc) or type(exc).__name__
-        self._apply_response(response, sent_at)
+        is_applied = False
+        with containment.contain("changes", reader.instance):
+            self._apply_response(response, sent_at)
+            is_applied = True
+        if not is_applied:
+            return "the changes could not be applied"
         if self.followed_reader != reader.instance:
             self.followed_reader = reader.instance
             logs.event(_LOG, "reader_followed", reader=reader.instance)
--- a/src/hibiscussaddle/fleet/presence.py
+++ b/src/hibiscussaddle/fleet/presence.py
@@ -14,6 +14,7 @@
 
 from hibiscussaddle.adapters import store
 from hibiscussaddle import addresses
+from hibiscussaddle import containment
 from hibiscussaddle import decoding
 from hibiscussaddle.fleet import member as member_lib
 from hibiscussaddle.fleet import roles
@@ -165,20 +166,23 @@
     def apply_changes(self, entries: list[store.StoreEntry]) -> None:
         """Apply changes to the keys of members."""
         for entry in entries:
-            if not entry.key.startswith(PREFIX):
-                continue
-            if entry.data is None:
-                self._remove(entry.key.removeprefix(PREFIX))
-                continue
-            try:
-                member = decoding.decode_json(entry.data, Member)
-                if member.peer_address:
-                    addresses.parse(member.peer_address)
-            except ValueError as exc:
-                store.log_decode_error(exc, entry.data)
-                continue
-            if self.all.get(member.instance) != member:
-                self._put(member)
+            if entry.key.startswith(PREFIX):
+                with containment.contain("member_entry", entry.key):
+                    self._apply_change(entry)
+
+    def _apply_change(self, entry: store.StoreEntry) -> None:
+        if entry.data is None:
+            self._remove(entry.key.removeprefix(PREFIX))
+            return
+        try:
+            member = decoding.decode_json(entry.data, Member)
+            if member.peer_address:
+                addresses.parse(member.peer_address)
+        except ValueError as exc:
+            store.log_decode_error(exc, entry.data)
+            return
+        if self.all.get(member.instance) != member:
+            self._put(member)
 
     def _put(self, member: Member) -> None:
         if member.instance == self.me.instance and not self.me.allowed_lags:
--- a/src/hibiscussaddle/fleet/view.py
+++ b/src/hibiscussaddle/fleet/view.py
@@ -12,6 +12,7 @@
 import anyio
 
 from hibiscussaddle.adapters import store
+from hibiscussaddle import containment
 from hibiscussaddle import endpoints
 from hibiscussaddle import logs
 from hibiscussaddle.platform import config_wire
@@ -78,10 +79,11 @@
         for entry in entries:
             if entry.data is None:
                 continue
-            try:
-                self._apply_operator_entry(entry.key, entry.data)
-            except ValueError as exc:
-                _log_malformed(entry, exc)
+            with containment.contain("operator_entry", entry.key):
+                try:
+                    self._apply_operator_entry(entry.key, entry.data)
+                except ValueError as exc:
+                    _log_malformed(entry, exc)
         self._notify()
 
     def _apply_operator_entry(self, key: str, data: bytes) -> None:
@@ -123,21 +125,25 @@
         """Apply changes to the entries of endpoints."""
         self._record_response()
         for entry in entries:
-            endpoint_id = _endpoint_id(entry.key)
-            if entry.data is None:
-                self._handle_missing_entry(endpoint_id)
-                continue
-            try:
-                endpoint = endpoint_wire.decode_endpoint(entry.key, entry.data)
-            except ValueError as exc:
-                _log_malformed(entry, exc)
-                self._remove(endpoint_id, "malformed")
-                continue
-            self.removal_deadlines.pop(endpoint_id, None)
-            self._put_endpoint(endpoint)
+            with containment.contain("endpoint_entry", entry.key):
+                self._apply_endpoint_entry(entry)
         self.expire(self.clock())
         self._notify()
 
+    def _apply_endpoint_entry(self, entry: store.StoreEntry) -> None:
+        endpoint_id = _endpoint_id(entry.key)
+        if entry.data is None:
+            self._handle_missing_entry(endpoint_id)
+            return
+        try:
+            endpoint = endpoint_wire.decode_endpoint(entry.key, entry.data)
+        except ValueError as exc:
+            _log_malformed(entry, exc)
+            self._remove(endpoint_id, "malformed")
+            return
+        self.removal_deadlines.pop(endpoint_id, None)
+        self._put_endpoint(endpoint)
+
     def _put_endpoint(self, endpoint: endpoints.Endpoint) -> None:
         known = self.directory.get(endpoint.id)
         self.directory.put(endpoint)
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -23,6 +23,7 @@
 from hibiscussaddle.batches import storage
 from hibiscussaddle.batches import text_cache
 from hibiscussaddle.batches import waiting_items
+from hibiscussaddle import containment
 from hibiscussaddle.fleet import change_log
 from hibiscussaddle.fleet import feed
 from hibiscussaddle.fleet import feed_sharing
@@ -331,8 +332,10 @@
 
 def endpoint_content(entry: store.StoreEntry) -> object:
     """Return the content of an endpoint's entry without its heartbeat."""
-    try:
-        return endpoint_wire.decode_endpoint(entry.key, entry.data or b"")
-    except ValueError:
-        # The view of each instance logs the malformed entry.
-        return entry.data
+    with containment.contain("endpoint_entry", entry.key):
+        try:
+            return endpoint_wire.decode_endpoint(entry.key, entry.data or b"")
+        except ValueError:
+            # The view of each instance logs the malformed entry.
+            pass
+    return entry.data
--- a/src/hibiscussaddle/rate_limits/limiter.py
+++ b/src/hibiscussaddle/rate_limits/limiter.py
@@ -15,6 +15,7 @@
 import anyio
 import httpx
 
+from hibiscussaddle import containment
 from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import member as member_lib
 from hibiscussaddle.fleet import observations
@@ -323,7 +324,8 @@
             receivers = list(self._members.zone_readers().values())
         message = self._message(scope, endpoint_id, incarnation, None)
         for member in receivers:
-            await self._send(member, message)
+            with containment.contain("limit", endpoint_id):
+                await self._send(member, message)
 
     async def _fetch_for_item(self, endpoint: endpoints.Endpoint) -> None:
         state = self._asked.for_endpoint(endpoint)
--- a/src/hibiscussaddle/weights/controller.py
+++ b/src/hibiscussaddle/weights/controller.py
@@ -14,6 +14,7 @@
 import httpx
 
 from hibiscussaddle.adapters import connections
+from hibiscussaddle import containment
 from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import observations
 from hibiscussaddle.fleet import view as view_lib
@@ -170,6 +171,20 @@
         model: str,
         order: rollout.Order,
         endpoint: endpoints.Endpoint,
+    ) -> None:
+        is_done = False
+        with containment.contain("weight_order", endpoint.id):
+            await self._carry_out(plan, model, order, endpoint)
+            is_done = True
+        if not is_done:
+            plan.record_rejection(order, time.monotonic())
+
+    async def _carry_out(
+        self,
+        plan: rollout.Rollout,
+        model: str,
+        order: rollout.Order,
+        endpoint: endpoints.Endpoint,
     ) -> None:
         sent_at = time.monotonic()
         accepted = self._accepted.for_endpoint(endpoint).count
