--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -19,18 +19,9 @@
 from hibiscussaddle.platform import store_wire
 from hibiscussaddle.routes import routing_config
 
-ENTRY: typing.Final = {
-    "service": "engines",
-    "address": "10.0.0.9:8080",
-    "zone": "zone-a",
-    "version": "v1",
-    "slots": 12,
-    "state": "ready",
-    "coldRemainingMs": 0,
-    "models": [{"name": "base", "version": 3, "adapters": []}],
-    "sequence": 41,
-    "born": 1700000000000,
-}
+import platform_builders
+
+ENTRY: typing.Final = json.loads(platform_builders.endpoint_value())
 
 
 def _encode(value: object) -> bytes:
