Decide a stand-in's failure along with the proof of its response

Trace: the scoring service recorded with the proof that it was to fail, and decided after an await; another request had used up the failure meanwhile, so it responded with success and the checker found a failure's proof. A race of the stand-in, not of the product; the check is unchanged.

--- a/src/hibiscussaddle/platform/standins/endpoint.py
+++ b/src/hibiscussaddle/platform/standins/endpoint.py
@@ -155,10 +155,13 @@
         headers["x-server-stamp"] = endpoint.proof(request_id)
         endpoint.started_requests.append(request_id)
         if not endpoint.cfg.model:
+            # Decided along with the proof, since other requests may use up the
+            # failures meanwhile.
+            is_failure = endpoint.failures_left > 0
+            endpoint.failures_left -= is_failure
             body = await req.body()
             await anyio.sleep(endpoint.cfg.response_seconds)
-            if endpoint.failures_left:
-                endpoint.failures_left -= 1
+            if is_failure:
                 return responses.Response(b"", 500, headers)
             return responses.Response(b"answer to " + body, 200, headers)
         headers["x-weight-versions"] = str(endpoint.version)
