Read keys, duties and machine limits from configuration and settings

The deployments with customers' keys and platform duties name them in the configuration (workspaces, public routes) and in the settings. Nothing uses the new fields yet. An empty variable counts as unset, since the deployment passes one for each value that a site lacks.

--- a/src/hibiscussaddle/batches/model.py
+++ b/src/hibiscussaddle/batches/model.py
@@ -52,6 +52,8 @@
     min_version: int = 0
     # Complete groups that the trainer waits for; 0 waits for all items.
     groups_wanted: int = 0
+    # Workspace whose callers may read the batch; empty without workspaces.
+    workspace: str = ""
 
 
 class Outcome(enum.Enum):
@@ -98,6 +100,7 @@
     # Wall-clock seconds.
     submitted_at: float
     route: str = ""
+    workspace: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -162,7 +165,9 @@
 
 def create_head(batch: Batch) -> Head:
     """Return the head of a batch."""
-    return Head(len(batch.items), batch.submitted_at, batch.route)
+    return Head(
+        len(batch.items), batch.submitted_at, batch.route, batch.workspace
+    )
 
 
 def encode_parts(batch: Batch) -> list[bytes]:
--- a/src/hibiscussaddle/gateway_settings.py
+++ b/src/hibiscussaddle/gateway_settings.py
@@ -46,6 +46,33 @@
     cpu_cores: float = settings.field(
         1.0, "speed of that core relative to a reference core", 0.0, 1000.0
     )
+    memory_mb: float = settings.field(
+        0.0, "memory of this instance in MB; 0 when it is unknown", 0, 1e6
+    )
+    file_descriptors: int = settings.field(
+        0, "descriptors of this instance; 0 when unknown", 0, 10_000_000
+    )
+    strict_revocation: str = settings.field(
+        "false", "whether a revoked key must stop working everywhere"
+    )
+    revocation_ms: float = settings.field(
+        0.0, "time within which a revoked key stops working", 0, 3_600_000
+    )
+    control_address: str = settings.field(
+        "", "host:port of the control API; empty when there is none"
+    )
+    control_duties: tuple[str, ...] = settings.field(
+        (), "calls of the control API that this system makes"
+    )
+    control_calls_per_second: float = settings.field(
+        1.0, "calls that the control API accepts from all", 0.001, 1e6
+    )
+    usage_window_seconds: float = settings.field(
+        0.0, "length of a usage window; 0 reports no usage", 0, 86_400
+    )
+    usage_late_seconds: float = settings.field(
+        0.0, "time from the end of a window until its report is due", 0, 86_400
+    )
     log_level: str = settings.field("info", "debug, info, warning or error")
 
 
@@ -56,7 +83,8 @@
     own_environ = {
         name: value
         for name, value in environ.items()
-        if name != _PLATFORM_VARIABLE
+        # The deployment passes an empty value for what a site doesn't have.
+        if name != _PLATFORM_VARIABLE and value != ""
     }
     return settings.create_settings(
         GatewaySettings, flags, own_environ
@@ -75,6 +103,7 @@
         "peer_address",
         "metrics_address",
         "store_address",
+        "control_address",
     ):
         value = getattr(cfg, name)
         if not value:
@@ -87,6 +116,10 @@
                 value,
                 f"host:port with a port in 1..{addresses.MAX_PORT}",
             )
+    if cfg.strict_revocation not in ("true", "false"):
+        return settings.invalid_setting(
+            "strict_revocation", cfg.strict_revocation, "true, false"
+        )
     if cfg.log_level not in settings.LOG_LEVELS:
         return settings.invalid_setting(
             "log_level", cfg.log_level, ", ".join(settings.LOG_LEVELS)
--- a/src/hibiscussaddle/platform/config_wire.py
+++ b/src/hibiscussaddle/platform/config_wire.py
@@ -44,6 +44,15 @@
     result_deadline_ms: float = 0.0
     retention_s: float = 0.0
     single_version: bool = False
+    public: bool = False
+
+
+class _Workspace(msgspec.Struct, rename="camel"):
+    """Describe a "tenant" of the protocol."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: decoding.Int | None = None
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -57,6 +66,7 @@
     version: decoding.Int
     routes: list[_Route]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Workspace] | None = None
 
 
 class _Version(msgspec.Struct):
@@ -74,7 +84,19 @@
         found.limits.idle_timeout_ms / 1000,
     )
     routes = tuple(_to_route(route) for route in found.routes)
-    return routing_config.RoutingConfig(found.version, routes, limits)
+    workspaces = None
+    if found.tenants is not None:
+        workspaces = tuple(
+            routing_config.Workspace(
+                workspace.name,
+                frozenset(workspace.api_keys),
+                workspace.priority,
+            )
+            for workspace in found.tenants
+        )
+    return routing_config.RoutingConfig(
+        found.version, routes, limits, workspaces
+    )
 
 
 def decode_published_version(key: str, data: bytes) -> tuple[str, int] | None:
@@ -126,4 +148,5 @@
         results_due_after=route.result_deadline_ms / 1000,
         retention=route.retention_s,
         single_version=route.single_version,
+        is_public=route.public,
     )
--- a/src/hibiscussaddle/platform/endpoint_wire.py
+++ b/src/hibiscussaddle/platform/endpoint_wire.py
@@ -35,6 +35,8 @@
 # A single integer despite the plural; a response header, and a field of the
 # events in a stream.
 WEIGHT_VERSION_HEADER: typing.Final = "x-weight-versions"
+# Name of the caller's workspace, which only this system sets.
+WORKSPACE_HEADER: typing.Final = "x-tenant"
 LAST_EVENT_ID_HEADER: typing.Final = "last-event-id"
 OUTPUT_TOKENS_ESTIMATE_HEADER: typing.Final = "x-length-hint"
 PROMPT_AND_OUTPUT_TOKENS_HEADER: typing.Final = "x-token-counts"
--- a/src/hibiscussaddle/routes/request_state.py
+++ b/src/hibiscussaddle/routes/request_state.py
@@ -34,6 +34,8 @@
     timeout: float
     # Monotonic seconds of the arrival.
     arrived_at: float
+    # Workspace of the caller's key; empty without one.
+    workspace: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/hibiscussaddle/routes/routing_config.py
+++ b/src/hibiscussaddle/routes/routing_config.py
@@ -50,6 +50,8 @@
     retention: float = 0.0
     # Whether all events of an item must come from one weight version.
     single_version: bool = False
+    # Whether requests need no key.
+    is_public: bool = False
 
     def service_for(self, request_id: str) -> str:
         """Return the service for a request id, the same for each retry."""
@@ -75,6 +77,18 @@
     idle_timeout: float = 15.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Workspace:
+    """Describe one workspace and the keys of its callers."""
+
+    name: str
+    # Not shown, so that no log line or error contains them.
+    keys: frozenset[str] = dataclasses.field(repr=False)
+    # 0 is the highest; it goes before the priority of a route. None when the
+    # workspace has none.
+    priority: int | None = None
+
+
 @dataclasses.dataclass(frozen=True)
 class RoutingConfig:
     """Hold one version of the routing configuration."""
@@ -82,6 +96,8 @@
     version: int
     routes: tuple[Route, ...]
     limits: Limits = Limits()
+    # None when callers need no keys.
+    workspaces: tuple[Workspace, ...] | None = None
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix."""
