Stop running an item after three engines ended under it

Items use the table of requests under which endpoints ended, which peers share. Unlike a request an item runs beside others, so one crash says little: those that were there spread over the engines, two crashes isolate an item from other suspects, and after three it isn't run again. It stays open until its retention is over, since an item must not be listed as abandoned before.

--- a/src/hibiscussaddle/adapters/end_checks.py
+++ b/src/hibiscussaddle/adapters/end_checks.py
@@ -12,6 +12,12 @@
 
 # The kernel of a reachable machine refuses a connection within a round trip.
 _CONNECT_TIMEOUT_SECONDS: typing.Final = 0.05
+# Raised when a connection breaks under a request, other than by a timeout.
+BROKEN_CONNECTION_ERRORS: typing.Final = (
+    httpx.ReadError,
+    httpx.WriteError,
+    httpx.RemoteProtocolError,
+)
 # Requests whose connections broke together share one check.
 _SHARED_SECONDS: typing.Final = 0.3
 
--- a/src/hibiscussaddle/batches/engine_choice.py
+++ b/src/hibiscussaddle/batches/engine_choice.py
@@ -1,5 +1,7 @@
 """Choose among the engines that may run the items of one batch."""
 
+from collections import abc
+
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import placement
 from hibiscussaddle.batches import runs
@@ -33,7 +35,11 @@
         return cfg.route(self._batch.route) if cfg else None
 
     def choose(
-        self, progress: runs.Progress, now: float, allow_probe: bool
+        self,
+        progress: runs.Progress,
+        now: float,
+        allow_probe: bool,
+        avoided_ids: abc.Container[str] = (),
     ) -> endpoints.Endpoint | None:
         """Return the engine for an item's next run, None without capacity.
 
@@ -43,6 +49,8 @@
         free: list[endpoints.Endpoint] = []
         limited: list[endpoints.Endpoint] = []
         for candidate in self.candidates(progress.item):
+            if candidate.id in avoided_ids:
+                continue
             is_limited = self._limiter.is_limited(candidate)
             (limited if is_limited else free).append(candidate)
 
--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -22,6 +22,7 @@
 from hibiscussaddle.batches import runs
 from hibiscussaddle.batches import scores
 from hibiscussaddle.batches import storage
+from hibiscussaddle.batches import suspect_items as suspect_items_lib
 from hibiscussaddle.batches import text_cache
 from hibiscussaddle.batches import waiting_items
 from hibiscussaddle.batches import write_coalescing
@@ -37,6 +38,8 @@
 _CHECK_INTERVAL_SECONDS: typing.Final = 0.1
 # Generating a text of fewer events again is faster than storing it.
 _MIN_CHECKPOINT_EVENTS: typing.Final = 16
+# Interval at which an item that must not run again is checked for its end.
+_MARKED_CHECK_SECONDS: typing.Final = 0.5
 # Ends of runs that the engine never started; a probe run follows.
 _NOT_STARTED_ENDS: typing.Final = (
     runs.RunEnd.OTHER_ENDPOINT,
@@ -58,6 +61,9 @@
     scorer: scorer.Scorer
     reader: reader.BatchReader
     limiter: limiter_lib.Limiter
+    suspect_items: suspect_items_lib.SuspectItems = dataclasses.field(
+        default_factory=suspect_items_lib.SuspectItems
+    )
 
 
 class BatchRunner:
@@ -236,12 +242,17 @@
         self, progress: runs.Progress, rank: waiting_items.Rank
     ) -> None:
         """Run an item until its text is complete, then score and log it."""
+        suspect_items = self._dependencies.suspect_items
         while not progress.transcript.is_complete:
-            endpoint = await self._wait_for_engine(progress, rank)
-            if endpoint is None:
-                self._abandon_item(progress)
-                return
-            end = await self._run_once(progress, endpoint)
+            await self._wait_while_marked(progress)
+            try:
+                endpoint = await self._wait_for_engine(progress, rank)
+                if endpoint is None:
+                    self._abandon_item(progress)
+                    return
+                end = await self._run_once(progress, endpoint)
+            finally:
+                suspect_items.release(self.batch, progress.item)
             if end is runs.RunEnd.COMPLETE and self._accept_text(progress):
                 progress.transcript.is_complete = True
             elif end is runs.RunEnd.FAILED:
@@ -257,6 +268,17 @@
         else:
             self._complete_item(progress, score)
 
+    async def _wait_while_marked(self, progress: runs.Progress) -> None:
+        """Keep an item that ended several engines until it is abandoned.
+
+        It may not be listed as abandoned before its retention is over.
+        """
+        suspect_items = self._dependencies.suspect_items
+        while suspect_items.is_marked(
+            self.batch, progress.item
+        ) and not self._limits.is_abandoned(progress):
+            await anyio.sleep(_MARKED_CHECK_SECONDS)
+
     async def _run_once(
         self, progress: runs.Progress, endpoint: endpoints.Endpoint
     ) -> runs.RunEnd:
@@ -327,17 +349,45 @@
         def choose(allow_probe: bool) -> endpoints.Endpoint | None:
             if not self._ownership.is_confirmed():
                 return None
-            return self._choice.choose(progress, time.monotonic(), allow_probe)
+            now = time.monotonic()
+            if not suspect_items.ended_count(self.batch, progress.item):
+                return self._choice.choose(progress, now, allow_probe)
+            return self._choose_for_suspect(progress, now, allow_probe)
 
+        suspect_items = self._dependencies.suspect_items
         route = self._choice.route()
         service = route.service_for(progress.item.id) if route else ""
+        pool = f"{self.batch.id}/{service}"
+        if suspect_items.must_be_alone(self.batch, progress.item):
+            # Others need not wait while every engine has a suspect.
+            pool += "/suspect"
         return await self._dependencies.waiting_items.wait_for_engine(
             rank,
-            f"{self.batch.id}/{service}",
+            pool,
             choose,
             lambda: self._limits.is_abandoned(progress),
         )
 
+    def _choose_for_suspect(
+        self, progress: runs.Progress, now: float, allow_probe: bool
+    ) -> endpoints.Endpoint | None:
+        """Choose an engine apart from other items that may have ended one."""
+        item = progress.item
+        suspect_items = self._dependencies.suspect_items
+        if suspect_items.is_marked(self.batch, item):
+            return None
+        avoided = suspect_items.avoided_engines(
+            self.batch, item, self._choice.candidates(item)
+        )
+        endpoint = self._choice.choose(progress, now, allow_probe, avoided)
+        if endpoint is None and not suspect_items.must_be_alone(
+            self.batch, item
+        ):
+            endpoint = self._choice.choose(progress, now, allow_probe)
+        if endpoint is not None:
+            suspect_items.reserve(self.batch, item, endpoint.id)
+        return endpoint
+
     async def _move_slow_runs(self) -> None:
         """Move runs off engines that stall or are slow, until cancelled."""
         while True:
--- a/src/hibiscussaddle/batches/runs.py
+++ b/src/hibiscussaddle/batches/runs.py
@@ -10,9 +10,11 @@
 import httpx
 
 from hibiscussaddle.adapters import connections
+from hibiscussaddle.adapters import end_checks
 from hibiscussaddle.batches import events
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import placement
+from hibiscussaddle.batches import suspect_items as suspect_items_lib
 from hibiscussaddle import containment
 from hibiscussaddle import decoding
 from hibiscussaddle import endpoints
@@ -92,8 +94,10 @@
         client: httpx.AsyncClient,
         engines: placement.Placement,
         limiter: limiter_lib.Limiter,
+        suspect_items: suspect_items_lib.SuspectItems | None = None,
     ) -> None:
         """Record what is observed of the engines in the placement."""
+        self._suspect_items = suspect_items or suspect_items_lib.SuspectItems()
         self._client = client
         self._limiter = limiter
         self._engines = engines
@@ -153,6 +157,8 @@
             ) as resp:
                 return await self._receive(progress, batch, endpoint, resp)
         except (httpx.HTTPError, events.MalformedStreamError) as exc:
+            if isinstance(exc, end_checks.BROKEN_CONNECTION_ERRORS):
+                await self._suspect_items.check_end(batch, item, endpoint)
             return self._record_broken_run(progress, endpoint, exc)
 
     def _record_broken_run(
@@ -209,6 +215,7 @@
                 self._record_event(progress, endpoint)
         if not parser.is_between_events:
             raise events.MalformedStreamError("stream ends inside an event")
+        self._suspect_items.record_complete(batch, progress.item)
         return RunEnd.COMPLETE
 
     def _record_event(
--- /dev/null
+++ b/src/hibiscussaddle/batches/suspect_items.py
@@ -0,0 +1,124 @@
+"""Limit how many engines one item can end.
+
+An item that makes its engine crash is tried again elsewhere, and its engine
+mostly ran other items too. Those that were there spread over the engines, so
+that the next crash tells them apart.
+"""
+
+import collections
+import logging
+import time
+import typing
+
+from hibiscussaddle.adapters import end_checks
+from hibiscussaddle.batches import model
+from hibiscussaddle import endpoints
+from hibiscussaddle import logs
+from hibiscussaddle.routes import suspects
+
+_LOG = logging.getLogger(__name__)
+
+# An item under which as many engines ended waits for an engine without
+# another such item, since the two could not be told apart.
+_ISOLATED_ENDED: typing.Final = 2
+# An item under which as many engines ended is not run again. Items that are
+# innocent share an engine with others, so one more than for a request.
+MAX_ENDED: typing.Final = 3
+
+
+class SuspectItems:
+    """Track the items under which engines ended, and where they run."""
+
+    def __init__(
+        self,
+        known: suspects.Suspects | None = None,
+        end_checker: end_checks.EndChecker | None = None,
+    ) -> None:
+        """Share the table of requests under which endpoints ended."""
+        # An empty table counts as false.
+        self._known = suspects.Suspects() if known is None else known
+        self._end_checker = end_checker or end_checks.EndChecker()
+        # Engine of each suspect that runs or is about to.
+        self._engines: dict[suspects.Fingerprint, str] = {}
+
+    def ended_count(self, batch: model.Batch, item: model.Item) -> int:
+        """Return under how many runs of an item its engine ended."""
+        # Usually there is none, and a long body takes a while to hash.
+        if not self._known:
+            return 0
+        return self._known.ended_count(
+            _fingerprint(batch, item), time.monotonic()
+        )
+
+    def is_marked(self, batch: model.Batch, item: model.Item) -> bool:
+        """Return whether an item must not run again."""
+        return self.ended_count(batch, item) >= MAX_ENDED
+
+    def must_be_alone(self, batch: model.Batch, item: model.Item) -> bool:
+        """Return whether an item waits for an engine without a suspect."""
+        return self.ended_count(batch, item) >= _ISOLATED_ENDED
+
+    def avoided_engines(
+        self,
+        batch: model.Batch,
+        item: model.Item,
+        candidates: typing.Iterable[endpoints.Endpoint],
+    ) -> frozenset[str]:
+        """Return the engines with more suspects than the others.
+
+        For an item that must be alone these are all with a suspect.
+        """
+        own = _fingerprint(batch, item)
+        counts = collections.Counter(
+            engine for known, engine in self._engines.items() if known != own
+        )
+        if self.must_be_alone(batch, item):
+            return frozenset(counts)
+        ids = [endpoint.id for endpoint in candidates]
+        least = min((counts[name] for name in ids), default=0)
+        return frozenset(name for name in ids if counts[name] > least)
+
+    def reserve(
+        self, batch: model.Batch, item: model.Item, endpoint_id: str
+    ) -> None:
+        """Record the engine of a suspect until release()."""
+        self._engines[_fingerprint(batch, item)] = endpoint_id
+
+    def release(self, batch: model.Batch, item: model.Item) -> None:
+        """Record that a suspect is at no engine any more."""
+        if self._engines:
+            self._engines.pop(_fingerprint(batch, item), None)
+
+    def record_complete(self, batch: model.Batch, item: model.Item) -> None:
+        """Record that an engine survived a whole run."""
+        if self._known:
+            self._known.record_response(_fingerprint(batch, item))
+
+    async def check_end(
+        self,
+        batch: model.Batch,
+        item: model.Item,
+        endpoint: endpoints.Endpoint,
+    ) -> None:
+        """Record whether the engine ended under a run that broke off."""
+        if not await self._end_checker.has_ended(endpoint):
+            return
+        self._known.record_end(
+            _fingerprint(batch, item),
+            (endpoint.id, endpoint.incarnation),
+            time.monotonic(),
+        )
+        count = self.ended_count(batch, item)
+        logs.event(
+            _LOG,
+            "item_marked" if count >= MAX_ENDED else "engine_ended",
+            logging.WARNING,
+            batch=batch.id,
+            item=item.id,
+            endpoint=endpoint.id,
+            ended=count,
+        )
+
+
+def _fingerprint(batch: model.Batch, item: model.Item) -> suspects.Fingerprint:
+    return suspects.fingerprint("POST", batch.host, item.path, item.body)
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -21,6 +21,7 @@
 from hibiscussaddle.batches import runner
 from hibiscussaddle.batches import runs
 from hibiscussaddle.batches import storage
+from hibiscussaddle.batches import suspect_items as suspect_items_lib
 from hibiscussaddle.batches import text_cache
 from hibiscussaddle.batches import waiting_items
 from hibiscussaddle import containment
@@ -187,16 +188,18 @@
     batch_reader = reader.BatchReader(
         batches, peer_reads.PeerReadClient(client, members, view)
     )
+    suspect_items = suspect_items_lib.SuspectItems(known_suspects)
     dependencies = runner.Dependencies(
         batches,
         view,
         engines,
-        runs.ItemRunner(client, engines, limiter),
+        runs.ItemRunner(client, engines, limiter, suspect_items),
         text_cache.TextCache(),
         waiting_items.WaitingItems(engines),
         scorer_lib.Scorer(forwarder, view, random.Random()),
         batch_reader,
         limiter,
+        suspect_items,
     )
     limiter.on_leaving = view.record_leaving
     limiter.on_item_permit = dependencies.waiting_items.wake
--- a/src/hibiscussaddle/routes/forward.py
+++ b/src/hibiscussaddle/routes/forward.py
@@ -47,14 +47,6 @@
 }
 
 
-# Raised when a connection breaks under a request, other than by a timeout.
-_BROKEN_CONNECTION_ERRORS: typing.Final = (
-    httpx.ReadError,
-    httpx.WriteError,
-    httpx.RemoteProtocolError,
-)
-
-
 class _AttemptEnd(enum.Enum):
     RESPONDED = "answered"
     NOT_RUN = "not_run"
@@ -365,7 +357,7 @@
                 state, endpoint, exc, _AttemptEnd.NOT_RUN
             )
         except httpx.HTTPError as exc:
-            if isinstance(exc, _BROKEN_CONNECTION_ERRORS):
+            if isinstance(exc, end_checks.BROKEN_CONNECTION_ERRORS):
                 await self._check_end(state, endpoint)
             return self._fail_attempt(
                 state, endpoint, exc, _AttemptEnd.UNKNOWN
--- a/src/hibiscussaddle/routes/suspects.py
+++ b/src/hibiscussaddle/routes/suspects.py
@@ -105,6 +105,11 @@
             return Verdict.FREE
         return Verdict.MARKED if record.is_marked else Verdict.SUSPECT
 
+    def ended_count(self, request: Fingerprint, now: float) -> int:
+        """Return how many endpoints are known to have ended under it."""
+        record = self._get(request, now)
+        return len(record.ended) if record else 0
+
     def record_end(
         self, request: Fingerprint, lifetime: Lifetime, now: float
     ) -> bool:
--- /dev/null
+++ b/tests/test_suspect_items.py
@@ -0,0 +1,162 @@
+"""Guard engines against items that end one engine after the other."""
+
+import dataclasses
+import typing
+
+import anyio
+import pytest
+
+from hibiscussaddle.adapters import end_checks
+from hibiscussaddle.batches import model
+from hibiscussaddle.batches import runner
+from hibiscussaddle.batches import runs
+from hibiscussaddle.batches import suspect_items
+from hibiscussaddle import endpoints
+from hibiscussaddle.fleet import view as view_lib
+from hibiscussaddle.routes import suspects
+
+import batch_builders
+import batch_harness
+
+RUN_SECONDS: typing.Final = 0.02
+TIMEOUT_SECONDS: typing.Final = 20.0
+
+
+class CrashingEngines(batch_harness.FakeItemRunner):
+    """End the engine, and all runs on it, of each deadly item."""
+
+    def __init__(self, view: view_lib.View, deadly: set[str]) -> None:
+        """Start without any crash."""
+        super().__init__()
+        self.ended: list[str] = []
+        self.suspect_items: suspect_items.SuspectItems
+        self._view = view
+        self._deadly = deadly
+        self._lifetimes: set[tuple[str, int]] = set()
+
+    async def has_ended(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether this lifetime of an engine is over."""
+        return (endpoint.id, endpoint.incarnation) in self._lifetimes
+
+    async def run(
+        self,
+        progress: runs.Progress,
+        batch: model.Batch,
+        endpoint: typing.Any,
+    ) -> runs.RunEnd:
+        """Run an item for a moment unless its engine ends."""
+        await anyio.sleep(RUN_SECONDS)
+        if progress.item.id in self._deadly:
+            self._crash(endpoint)
+        if await self.has_ended(endpoint):
+            await self.suspect_items.check_end(batch, progress.item, endpoint)
+            return runs.RunEnd.BROKEN
+        end = await super().run(progress, batch, endpoint)
+        self.suspect_items.record_complete(batch, progress.item)
+        return end
+
+    def _crash(self, endpoint: endpoints.Endpoint) -> None:
+        lifetime = (endpoint.id, endpoint.incarnation)
+        if lifetime not in self._lifetimes:
+            self._lifetimes.add(lifetime)
+            self.ended.append(endpoint.id)
+            restarted = dataclasses.replace(
+                endpoint, incarnation=endpoint.incarnation + 1
+            )
+            self._view.directory.put(restarted)
+
+
+@pytest.mark.parametrize("deadly_count", [1, 2])
+def test_items_end_three_engines_each_at_most(deadly_count: int) -> None:
+    """Fails when an item that crashes its engine is run again and again.
+
+    Fails as well when items that ran beside it are not run to their end.
+    """
+    items = [
+        batch_builders.item(f"item-{number}", path=f"/run/{number}")
+        for number in range(24)
+    ]
+    deadly = {item.id for item in items[:deadly_count]}
+    batch = batch_builders.batch(*items)
+
+    async def main() -> None:
+        async with batch_harness.harness() as harness:
+            for number in range(2, 7):
+                harness.view.directory.put(
+                    batch_builders.engine(f"engine-{number}")
+                )
+            engines = CrashingEngines(harness.view, deadly)
+            known = suspects.Suspects()
+            engines.suspect_items = suspect_items.SuspectItems(
+                known, typing.cast(end_checks.EndChecker, engines)
+            )
+            dependencies = dataclasses.replace(
+                harness.dependencies(engines),
+                suspect_items=engines.suspect_items,
+            )
+            record = await harness.accept(batch)
+            owned = runner.BatchRunner(dependencies, batch, record)
+
+            async def wait_for_others() -> None:
+                expected = {item.id for item in items} - deadly
+                while True:
+                    results = await harness.logged_results(batch.id)
+                    if expected <= {result.item_id for result in results}:
+                        return
+                    await anyio.sleep(RUN_SECONDS)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(owned.run)
+                with anyio.fail_after(TIMEOUT_SECONDS):
+                    await wait_for_others()
+                    while known.marked_count() < deadly_count:
+                        await anyio.sleep(RUN_SECONDS)
+                    while not all(
+                        engines.suspect_items.is_marked(batch, item)
+                        for item in items[:deadly_count]
+                    ):
+                        await anyio.sleep(RUN_SECONDS)
+                tasks.cancel_scope.cancel()
+            limit = suspect_items.MAX_ENDED * deadly_count
+            assert len(engines.ended) <= limit
+            results = await harness.logged_results(batch.id)
+            # The retention isn't over, so none of them was given up.
+            assert not {result.item_id for result in results} & deadly
+
+    anyio.run(main)
+
+
+def test_successor_does_not_run_a_marked_item() -> None:
+    """Fails when a new owner starts an item over that ended engines."""
+    batch = batch_builders.batch()
+    item = batch.items[0]
+
+    async def main() -> None:
+        async with batch_harness.harness() as harness:
+            engines = CrashingEngines(harness.view, {item.id})
+            first = suspects.Suspects()
+            engines.suspect_items = suspect_items.SuspectItems(
+                first, typing.cast(end_checks.EndChecker, engines)
+            )
+            for incarnation in range(suspect_items.MAX_ENDED):
+                engine = batch_builders.engine(
+                    "engine-1", incarnation=incarnation
+                )
+                engines._crash(engine)
+                await engines.suspect_items.check_end(batch, item, engine)
+            received = suspects.Suspects()
+            now = anyio.current_time()
+            for evidence in first.changes_after(None, now):
+                received.apply(evidence, now)
+            dependencies = dataclasses.replace(
+                harness.dependencies(batch_harness.FakeItemRunner()),
+                suspect_items=suspect_items.SuspectItems(received),
+            )
+            record = await harness.accept(batch)
+            owned = runner.BatchRunner(dependencies, batch, record)
+            with anyio.move_on_after(0.3) as scope:
+                await owned.run()
+            assert scope.cancelled_caught
+            assert not await harness.logged_results(batch.id)
+
+    anyio.run(main)
