--- a/src/hibiscussaddle/batches/runs.py
+++ b/src/hibiscussaddle/batches/runs.py
@@ -157,7 +157,11 @@
             ) as resp:
                 return await self._receive(progress, batch, endpoint, resp)
         except (httpx.HTTPError, events.MalformedStreamError) as exc:
-            if isinstance(exc, end_checks.BROKEN_CONNECTION_ERRORS):
+            # A run that got an event survived its prompt. If it ends its
+            # engine later, its next run resumes there and gets none.
+            if progress.last_event_at is None and isinstance(
+                exc, end_checks.BROKEN_CONNECTION_ERRORS
+            ):
                 await self._suspect_items.check_end(batch, item, endpoint)
             return self._record_broken_run(progress, endpoint, exc)
 
