Track the age of the known keys

fleet/confirmation.py holds the sending of the store call that confirmed the operator's documents, on CLOCK_BOOTTIME. A reader tells followers its age at the arrival of their request, which they count from their own sending. With the age at the creation of the response, as first planned, the wait of a second counts twice and a follower in calm reaches 1.5 + 1.5 + 1 + 1 = 5 s. The reader also ends the wait when it gets a confirmation.

The watch of the operator's documents waits 1.5 s instead of 10 s with strict revocation only: 0.57 more store calls a second for each reader, from the intervals, not measured. Responses to followers are unchanged elsewhere. A follower of a reader of an earlier build reads the store itself.

A listing that is older than a page of the reader that has overtaken it no longer takes a feed back.

--- a/src/hibiscussaddle/fleet/feed.py
+++ b/src/hibiscussaddle/fleet/feed.py
@@ -10,7 +10,9 @@
 import result
 
 from hibiscussaddle.adapters import store
+from hibiscussaddle import clocks
 from hibiscussaddle.fleet import change_log
+from hibiscussaddle.fleet import confirmation as confirmation_lib
 from hibiscussaddle import logs
 
 _LOG = logging.getLogger(__name__)
@@ -36,6 +38,7 @@
         pause: float = 0.0,
         on_failure: abc.Callable[[], None] = lambda: None,
         changes: change_log.ChangeLog | None = None,
+        confirmation: confirmation_lib.Confirmation | None = None,
     ) -> None:
         """Set the longest wait of a watch and the pause after each one.
 
@@ -52,6 +55,9 @@
         self.last_outage_at = float("-inf")
         # Changes that followers of this instance read.
         self.change_log = changes or change_log.ChangeLog()
+        # Records which responses confirmed the keys; None if their age doesn't
+        # matter.
+        self.confirmation = confirmation
         # Called after each poll with whether anything changed.
         self.on_poll: abc.Callable[[bool], None] = lambda _: None
         self._client = client
@@ -108,27 +114,52 @@
     async def poll_once(self) -> store.StoreFailure | None:
         """Make one store call; return the failure, if any."""
         is_listing = self._revision is None
+        sent_at = clocks.boot_seconds()
         if self._revision is None:
             response = await self._client.scan(self.prefix)
         else:
             # A call on a connection that loses packets silently hangs for its
             # whole wait, so calls don't wait until the store responds again.
-            wait = 0.0 if self.is_failing() else self._wait_seconds
+            # A process that was suspended needs a response at once, too.
+            wait = 0.0
+            if not self.is_failing() and not self._is_stale(sent_at):
+                wait = self._wait_seconds
             response = await self._client.watch(
                 self.prefix, self._revision, wait
             )
         if isinstance(response, result.Err):
             return self._record_failure(response.err_value.failure)
         entries, revision = response.ok_value
-        if not is_listing and revision < (self._revision or 0):
+        if revision < self._newest_known_revision():
             # A response older than the known revision is not the newest state.
+            # It may also be a listing that a page of the reader has overtaken.
             return self._record_failure(store.StoreFailure.UNKNOWN)
         page = change_log.Page(tuple(entries), revision, is_listing)
-        self.apply(page, time.monotonic())
+        self.apply(page, time.monotonic(), sent_at)
         return None
 
-    def apply(self, page: change_log.Page, now: float) -> None:
-        """Apply a page that is at least as new as the known revision."""
+    def _newest_known_revision(self) -> int:
+        known = self._revision or 0
+        if self.confirmation is None:
+            return known
+        return max(known, self.confirmation.revision)
+
+    def _is_stale(self, now: float) -> bool:
+        return self.confirmation is not None and (
+            not self.confirmation.is_fresh(now)
+        )
+
+    def apply(
+        self,
+        page: change_log.Page,
+        now: float,
+        confirmed_at: float | None = None,
+    ) -> None:
+        """Apply a page that is at least as new as the known revision.
+
+        It holds all changes acknowledged before `confirmed_at`, in seconds of
+        clocks.boot_seconds(); None if that is unknown.
+        """
         if self.last_failure_at != float("-inf") and self.is_failing():
             logs.event(_LOG, "store_regained", prefix=self.prefix)
         self._revision = page.revision
@@ -136,6 +167,8 @@
         changed = self.change_log.apply(page)
         handler = self._on_listing if page.is_listing else self._on_changes
         handler(list(page.entries))
+        if self.confirmation is not None and confirmed_at is not None:
+            self.confirmation.confirm(confirmed_at, page.revision)
         self.on_poll(changed)
 
     def is_failing(self) -> bool:
--- a/src/hibiscussaddle/fleet/feed_sharing.py
+++ b/src/hibiscussaddle/fleet/feed_sharing.py
@@ -17,9 +17,11 @@
 from starlette import responses
 from starlette import routing
 
+from hibiscussaddle import clocks
 from hibiscussaddle import containment
 from hibiscussaddle import decoding
 from hibiscussaddle.fleet import change_log
+from hibiscussaddle.fleet import confirmation as confirmation_lib
 from hibiscussaddle.fleet import feed as feed_lib
 from hibiscussaddle.fleet import presence
 from hibiscussaddle import logs
@@ -77,6 +79,17 @@
     # Requests under which endpoints ended, which end the wait.
     suspects: tuple[suspects_lib.Evidence, ...] = ()
     suspects_revision: int = 0
+    # Age of the reader's knowledge of the operator's documents at the arrival
+    # of the request, in seconds. Left out of the encoding while unknown.
+    age_at_arrival: float | msgspec.UnsetType = msgspec.UNSET
+
+
+def _find_confirmation(
+    feeds: abc.Iterable[feed_lib.Feed],
+) -> confirmation_lib.Confirmation | None:
+    return next(
+        (f.confirmation for f in feeds if f.confirmation is not None), None
+    )
 
 
 class ZoneReader:
@@ -93,12 +106,14 @@
         self._suspects = suspects
         suspects.on_change = self._notify
         self._feeds = {feed.prefix: feed for feed in feeds}
+        self._confirmation = _find_confirmation(feeds)
         self._changed = anyio.Event()
         for feed in feeds:
             feed.on_poll = self._on_feed_poll
 
     def _on_feed_poll(self, changed: bool) -> None:
-        if changed or not self.is_current(time.monotonic()):
+        is_confirmed = self._confirmation is not None
+        if changed or is_confirmed or not self.is_current(time.monotonic()):
             self._notify()
 
     def _notify(self) -> None:
@@ -116,7 +131,13 @@
     async def wait_for_changes(
         self, request: ChangesRequest
     ) -> ChangesResponse | None:
-        """Return changes once there are any; None if this reader is stale."""
+        """Return changes once there are any; None if this reader is stale.
+
+        A confirmation that the operator's documents are current ends the wait
+        as well, so that followers know them for about as long as the reader.
+        """
+        arrived_at = clocks.boot_seconds()
+        confirmed_at = self._confirmed_at()
         deadline = time.monotonic() + min(request.wait, WAIT_SECONDS)
         while True:
             now = time.monotonic()
@@ -126,12 +147,19 @@
                 return None
             if self._has_changes(request) or now >= deadline:
                 break
+            if self._confirmed_at() != confirmed_at:
+                break
             # Wakes up periodically, since an overdue response sets no event.
             with anyio.move_on_after(min(deadline - now, MAX_OVERDUE_SECONDS)):
                 await self._changed.wait()
         if self._is_behind(request):
             return None
-        return self._create_response(request, time.monotonic())
+        return self._create_response(request, time.monotonic(), arrived_at)
+
+    def _confirmed_at(self) -> float | None:
+        if self._confirmation is None:
+            return None
+        return self._confirmation.confirmed_at
 
     def _has_changes(self, request: ChangesRequest) -> bool:
         known = request.suspects_after
@@ -151,7 +179,7 @@
         )
 
     def _create_response(
-        self, request: ChangesRequest, now: float
+        self, request: ChangesRequest, now: float, arrived_at: float
     ) -> ChangesResponse:
         pages = {
             prefix: self._feeds[prefix].change_log.changes_after(after)
@@ -163,6 +191,11 @@
         failed_ago = (
             None if last_outage_at == float("-inf") else now - last_outage_at
         )
+        age: float | msgspec.UnsetType = msgspec.UNSET
+        if self._confirmation is not None and (
+            self._confirmation.confirmed_at is not None
+        ):
+            age = self._confirmation.age(arrived_at)
         return ChangesResponse(
             pages,
             failed_ago,
@@ -170,6 +203,7 @@
             self._limits.revision,
             self._suspects.changes_after(request.suspects_after, now),
             self._suspects.revision,
+            age,
         )
 
 
@@ -192,6 +226,7 @@
         self._client = client
         self._members = members
         self._feeds = feeds
+        self._confirmation = _find_confirmation(feeds)
         # Instance whose changes are applied; empty while there is none.
         self.followed_reader = ""
         # Called when the followed reader fails.
@@ -263,7 +298,10 @@
         # The first request doesn't wait, as its response shows whether the
         # reader is current.
         is_following = self.followed_reader == reader.instance
-        wait = WAIT_SECONDS if is_following else 0.0
+        sent_at_boot = clocks.boot_seconds()
+        wait = 0.0
+        if is_following and self._knows_fresh_keys(sent_at_boot):
+            wait = WAIT_SECONDS
         request = ChangesRequest(
             {f.prefix: f.revision for f in self._feeds},
             wait,
@@ -285,21 +323,35 @@
             )
         except (httpx.HTTPError, TimeoutError, ValueError) as exc:
             return str(exc) or type(exc).__name__
+        if self._confirmation is not None and (
+            response.age_at_arrival is msgspec.UNSET
+        ):
+            return "the reader does not tell the age of its knowledge"
         is_applied = False
         with containment.contain("changes", reader.instance):
-            self._apply_response(response, sent_at)
+            self._apply_response(response, sent_at, sent_at_boot)
             is_applied = True
         if not is_applied:
             return "the changes could not be applied"
+        # After a wait, this process may have been suspended; the next request
+        # then doesn't wait.
+        if not wait and not self._knows_fresh_keys(clocks.boot_seconds()):
+            return "the reader's knowledge is too old"
         if self.followed_reader != reader.instance:
             self.followed_reader = reader.instance
             logs.event(_LOG, "reader_followed", reader=reader.instance)
         return ""
 
+    def _knows_fresh_keys(self, now: float) -> bool:
+        return self._confirmation is None or self._confirmation.is_fresh(now)
+
     def _apply_response(
-        self, response: ChangesResponse, sent_at: float
+        self, response: ChangesResponse, sent_at: float, sent_at_boot: float
     ) -> None:
         now = time.monotonic()
+        confirmed_at = None
+        if response.age_at_arrival is not msgspec.UNSET:
+            confirmed_at = sent_at_boot - response.age_at_arrival
         for report in response.limits:
             self._limits.apply_report(report, now, "reader")
         self._limits_revision = response.limits_revision
@@ -316,7 +368,7 @@
             ):
                 feed.record_outage()
             feed.suspend()
-            feed.apply(page, now)
+            feed.apply(page, now, confirmed_at)
 
 
 def create_route(reader: ZoneReader) -> routing.Route:
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -25,8 +25,10 @@
 from hibiscussaddle.batches import waiting_items
 from hibiscussaddle import containment
 from hibiscussaddle.fleet import change_log
+from hibiscussaddle.fleet import confirmation as confirmation_lib
 from hibiscussaddle.fleet import feed
 from hibiscussaddle.fleet import feed_sharing
+from hibiscussaddle.fleet import key_age as key_age_lib
 from hibiscussaddle.fleet import presence as presence_lib
 from hibiscussaddle.fleet import retirement
 from hibiscussaddle.fleet import view as view_lib
@@ -52,6 +54,10 @@
 # Longest waits of watches, long since each store response counts as a call.
 # Connection probes detect a connection that loses packets silently sooner.
 _OPERATOR_WAIT_SECONDS: typing.Final = 10.0
+# The same where a revoked key must stop working within a time. The known keys
+# are at most two waits old in calm, and half of the time is left for failures.
+_STRICT_OPERATOR_WAIT_SECONDS: typing.Final = 1.5
+_STRICT_WAIT_FRACTION: typing.Final = 0.3
 # Short, so that a watch that is lost on such a connection is sent again early
 # enough for the bound below.
 ENDPOINT_WAIT_SECONDS: typing.Final = 0.5
@@ -93,6 +99,7 @@
     gateway: gateway_lib.Gateway
     metrics: gateway_metrics.GatewayMetrics
     memory_growth: process_memory.GrowthLog
+    key_age: key_age_lib.KeyAge
 
     @property
     def background_loops(
@@ -114,6 +121,7 @@
             self.limiter.run,
             self.suspect_spreader.run,
             self.memory_growth.run,
+            self.key_age.run,
         )
 
 
@@ -160,7 +168,16 @@
         may_claim=contention.may_claim,
         instance=machine,
     )
-    feeds = _create_feeds(store_client, view, members, contention)
+    confirmation = _create_confirmation(cfg)
+    key_age = key_age_lib.KeyAge(confirmation)
+    feeds = _create_feeds(
+        store_client,
+        view,
+        members,
+        contention,
+        confirmation,
+        _operator_wait_seconds(cfg),
+    )
     limits = observed.ObservedLimits()
     known_suspects = suspects.Suspects()
     spreader = suspect_spread.SuspectSpreader(client, members, known_suspects)
@@ -217,6 +234,7 @@
         random.Random(),
         cfg.grace_seconds,
     )
+    gateway.keys_are_fresh = key_age.is_fresh
     resident = process_memory.ResidentMemory()
     gauges = gateway_metrics.create_gauges(
         running=lambda: gateway.running_requests,
@@ -241,6 +259,7 @@
         held_responses=lambda: pool.held_bytes,
         marked_requests=known_suspects.marked_count,
         tasks=lambda: len(anyio.get_running_tasks()),
+        keys_age=key_age.seconds,
     )
     metrics = gateway_metrics.GatewayMetrics(
         gauges, dependencies.scorer.outcomes, limiter.outcomes
@@ -279,6 +298,7 @@
             resident.read_bytes,
             lambda: gateway_metrics.create_memory_fields(gauges),
         ),
+        key_age=key_age,
     )
 
 
@@ -287,11 +307,32 @@
     return math.nan if value is None else value
 
 
+def _revocation_seconds(cfg: gateway_settings.GatewaySettings) -> float:
+    """Return the time within which a revoked key ends; 0 if unbounded."""
+    return cfg.revocation_ms / 1000 if cfg.strict_revocation == "true" else 0.0
+
+
+def _create_confirmation(
+    cfg: gateway_settings.GatewaySettings,
+) -> confirmation_lib.Confirmation | None:
+    seconds = _revocation_seconds(cfg)
+    return confirmation_lib.Confirmation(seconds) if seconds else None
+
+
+def _operator_wait_seconds(cfg: gateway_settings.GatewaySettings) -> float:
+    seconds = _revocation_seconds(cfg)
+    if not seconds:
+        return _OPERATOR_WAIT_SECONDS
+    return min(_STRICT_OPERATOR_WAIT_SECONDS, _STRICT_WAIT_FRACTION * seconds)
+
+
 def _create_feeds(
     client: store.StoreClient,
     view: view_lib.View,
     members: presence_lib.Members,
     contention: lease_contention.LeaseContention,
+    confirmation: confirmation_lib.Confirmation | None,
+    operator_wait: float,
 ) -> tuple[feed.Feed, ...]:
     def apply_lease_listing(entries: list[store.StoreEntry]) -> None:
         members.apply_listing(entries)
@@ -307,7 +348,8 @@
             config_wire.OPERATOR_PREFIX,
             view.apply_operator_entries,
             view.apply_operator_entries,
-            _OPERATOR_WAIT_SECONDS,
+            operator_wait,
+            confirmation=confirmation,
         ),
         feed.Feed(
             client,
--- a/src/hibiscussaddle/gateway_metrics.py
+++ b/src/hibiscussaddle/gateway_metrics.py
@@ -125,6 +125,7 @@
     held_responses: abc.Callable[[], float],
     marked_requests: abc.Callable[[], float],
     tasks: abc.Callable[[], float],
+    keys_age: abc.Callable[[], float],
 ) -> Gauges:
     """Return the gauges of an instance by metric name."""
     return {
@@ -143,6 +144,7 @@
         "held_response_bytes": held_responses,
         "marked_requests": marked_requests,
         "tasks": tasks,
+        "keys_age_seconds": keys_age,
     }
 
 
--- a/tests/test_feed_sharing.py
+++ b/tests/test_feed_sharing.py
@@ -10,6 +10,8 @@
 from starlette import applications
 
 from hibiscussaddle.adapters import store
+from hibiscussaddle import clocks
+from hibiscussaddle.fleet import confirmation
 from hibiscussaddle.fleet import feed
 from hibiscussaddle.fleet import feed_sharing
 from hibiscussaddle.fleet import presence
@@ -27,8 +29,11 @@
 class Instance:
     """Hold the feed of one instance and the entries that it received."""
 
-    def __init__(self, client: store.StoreClient) -> None:
-        """Watch one prefix."""
+    def __init__(
+        self, client: store.StoreClient, is_strict: bool = False
+    ) -> None:
+        """Watch one prefix; if strict, with a bound of its age of 2 s."""
+        self.confirmation = confirmation.Confirmation(2.0)
         self.seen: dict[str, bytes | None] = {}
         self.client = client
         self.outages = 0
@@ -39,6 +44,7 @@
             self.record_entries,
             0.3,
             on_failure=self.record_failure,
+            confirmation=self.confirmation if is_strict else None,
         )
 
     def record_entries(self, entries: list[store.StoreEntry]) -> None:
@@ -95,8 +101,13 @@
 
 
 @contextlib.asynccontextmanager
-async def run_zone() -> abc.AsyncIterator[tuple[Zone, anyio.abc.TaskGroup]]:
-    """Run a reader and a follower; yield them and their task group."""
+async def run_zone(
+    strict: tuple[bool, bool] = (False, False), is_following: bool = True
+) -> abc.AsyncIterator[tuple[Zone, anyio.abc.TaskGroup]]:
+    """Run a reader and a follower; yield them and their task group.
+
+    Each is strict about the age of what it knows or not.
+    """
     fake = fake_store.Store()
     fake.write(PREFIX + "first", b"1")
     zone = Zone(fake)
@@ -105,8 +116,8 @@
         url = await enter(loopback.serve(fake_store.create_app(fake)))
         http = await enter(httpx.AsyncClient(trust_env=False))
         zone.reader, zone.follower = (
-            Instance(store.create_client(http, url, 2.0, 1000.0))
-            for _ in range(2)
+            Instance(store.create_client(http, url, 2.0, 1000.0), is_strict)
+            for is_strict in strict
         )
         reader = feed_sharing.ZoneReader(
             [zone.reader.feed], zone.reader_limits, zone.reader_suspects
@@ -140,7 +151,7 @@
         ):
             tasks.start_soon(loop)
         await zone.wait_for_value("first", b"1", 2)
-        await zone.wait_for_following()
+        await zone.wait_for_following(is_following)
         yield zone, tasks
         tasks.cancel_scope.cancel()
 
@@ -223,6 +234,58 @@
     )
 
 
+async def _watch_age(zone: Zone, seconds: float) -> float:
+    """Return the largest age of the follower's knowledge within a time."""
+    worst = 0.0
+    with anyio.move_on_after(seconds):
+        while True:
+            now = clocks.boot_seconds()
+            worst = max(worst, zone.follower.confirmation.age(now))
+            await anyio.sleep(0.01)
+    return worst
+
+
+def test_follower_knows_current_keys_without_store_calls() -> None:
+    """Fails when a follower in calm refuses requests with a key."""
+
+    async def main() -> None:
+        async with run_zone((True, True)) as (zone, _):
+            before = zone.follower.calls
+            # Two waits of the reader's watch, and 0.4 s for the test's load.
+            assert await _watch_age(zone, 3.0) < 0.3 * 2 + 0.4
+            assert zone.follower.calls == before
+
+    anyio.run(main)
+
+
+def test_follower_keeps_current_keys_when_its_reader_loses_the_store() -> None:
+    """Fails when a follower's keys grow old since its reader was cut off."""
+
+    async def main() -> None:
+        async with run_zone((True, True)) as (zone, _):
+            _disconnect_store(zone.reader)
+            # The reader's call fails, and the follower calls the store.
+            assert await _watch_age(zone, 3.0) < 1.5
+
+    anyio.run(main)
+
+
+def test_follower_keeps_current_keys_beside_an_earlier_build() -> None:
+    """Fails when the keys of a follower grow old in a rolling upgrade.
+
+    A reader of an earlier build doesn't tell the age of its knowledge.
+    """
+
+    async def main() -> None:
+        async with run_zone((False, True), False) as (zone, _):
+            assert await _watch_age(zone, 2.0) < 1.0
+        # A follower of an earlier build ignores the age.
+        async with run_zone((True, False)):
+            pass
+
+    anyio.run(main)
+
+
 def test_follower_lists_keys_when_it_stops_following() -> None:
     """Fails when a change is missed that watches did not receive.
 
