Identify callers by key and name their workspace to endpoints

Endpoints refused to trust requests without a workspace, and any caller could read any batch. Each request, submission and batch call is now identified where the configuration holds workspaces; the workspace goes to endpoints with every attempt, item and scoring call, and batches are used by their workspace only. Keys and a caller's own workspace header are dropped where a call enters, so no later part holds them.

--- a/src/hibiscussaddle/auth.py
+++ b/src/hibiscussaddle/auth.py
@@ -26,5 +26,5 @@
 
 def bearer_token(header: str) -> str:
     """Return the token of an Authorization header, or an empty string."""
-    scheme, _, token = header.partition(" ")
-    return token.strip() if scheme.lower() == "bearer" else ""
+    scheme, *token = header.split(maxsplit=1) or [""]
+    return token[0].strip() if token and scheme.lower() == "bearer" else ""
--- a/src/hibiscussaddle/batches/model.py
+++ b/src/hibiscussaddle/batches/model.py
@@ -163,6 +163,15 @@
     return OWNER_PREFIX + batch_id
 
 
+def may_use(workspace: str | None, head: Head) -> bool:
+    """Return whether callers of a workspace may use a batch.
+
+    With None callers need no key. A batch without a workspace was submitted
+    where no key was needed.
+    """
+    return workspace is None or head.workspace in ("", workspace)
+
+
 def create_head(batch: Batch) -> Head:
     """Return the head of a batch."""
     return Head(
--- a/src/hibiscussaddle/batches/owners.py
+++ b/src/hibiscussaddle/batches/owners.py
@@ -93,7 +93,10 @@
     async def accept(
         self, batch: model.Batch, timeout: float
     ) -> result.Result[None, store.StoreError]:
-        """Store a batch and start it; return Ok if it is stored already."""
+        """Store a batch and start it; return Ok if it is stored already.
+
+        The error is a CONFLICT if another workspace has a batch of that ID.
+        """
         member = self.members.route_owner(batch.route)
         owner = self._me
         if member is not None and member.instance != owner.instance:
@@ -109,7 +112,9 @@
             return result.Ok(None)
         failure = response.err_value.failure
         if failure is store.StoreFailure.CONFLICT:
-            return result.Ok(None)
+            head = storage.conflicting_head(response.err_value)
+            if head is None or model.may_use(batch.workspace, head):
+                return result.Ok(None)
         if failure is store.StoreFailure.UNKNOWN:
             self._spawn(self._resolve_acceptance, batch.id)
         return response
--- a/src/hibiscussaddle/batches/reader.py
+++ b/src/hibiscussaddle/batches/reader.py
@@ -178,10 +178,18 @@
         self._cache = collections.OrderedDict()
 
     async def results(
-        self, batch_id: str, position: int, wait: float, max_bytes: int
+        self,
+        batch_id: str,
+        position: int,
+        wait: float,
+        max_bytes: int,
+        workspace: str | None = None,
     ) -> result.Result[Page, store.StoreError]:
-        """Return the results from a position on, waiting for the first."""
-        lookup = await self._cached_batch(batch_id)
+        """Return the results from a position on, waiting for the first.
+
+        Other workspaces' batches are MISSING; with None there are none.
+        """
+        lookup = await self._usable_batch(batch_id, workspace)
         if isinstance(lookup, result.Err):
             return lookup
         cached = lookup.ok_value
@@ -194,10 +202,10 @@
         return result.Ok(Page(cached.head.total, page))
 
     async def item_body(
-        self, batch_id: str, item_id: str
+        self, batch_id: str, item_id: str, workspace: str | None = None
     ) -> result.Result[bytes, store.StoreError]:
         """Return the body of one item, MISSING if there is none."""
-        lookup = await self._cached_batch(batch_id)
+        lookup = await self._usable_batch(batch_id, workspace)
         if isinstance(lookup, result.Err):
             return lookup
         cached = lookup.ok_value
@@ -218,10 +226,10 @@
         return result.Ok(cached.items[item_id])
 
     async def head(
-        self, batch_id: str
+        self, batch_id: str, workspace: str | None = None
     ) -> result.Result[model.Head, store.StoreError]:
         """Return the head of a batch, MISSING if there is none."""
-        return (await self._cached_batch(batch_id)).map(
+        return (await self._usable_batch(batch_id, workspace)).map(
             lambda cached: cached.head
         )
 
@@ -294,6 +302,17 @@
         if cached is not None:
             cached.is_ended = True
 
+    async def _usable_batch(
+        self, batch_id: str, workspace: str | None
+    ) -> result.Result[CachedBatch, store.StoreError]:
+        """Return a batch, MISSING if it belongs to another workspace."""
+        lookup = await self._cached_batch(batch_id)
+        if isinstance(lookup, result.Ok) and not model.may_use(
+            workspace, lookup.ok_value.head
+        ):
+            return result.Err(store.StoreError(store.StoreFailure.MISSING))
+        return lookup
+
     async def _cached_batch(
         self, batch_id: str
     ) -> result.Result[CachedBatch, store.StoreError]:
--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import functools
 import logging
 import time
 import typing
@@ -126,7 +127,9 @@
 
         If that text is complete and needs no score, it becomes the result.
         """
-        cached = self._dependencies.text_cache.pop(item.id)
+        cached = self._dependencies.text_cache.pop(
+            item.id, self.batch.workspace
+        )
         if cached != text_cache.CachedText():
             self._carried_over_groups.add(item.group)
         result = cached.result
@@ -152,7 +155,9 @@
 
     def _cache_texts(self) -> None:
         """Cache the texts of items that a later batch may contain again."""
-        put = self._dependencies.text_cache.put
+        put = functools.partial(
+            self._dependencies.text_cache.put, workspace=self.batch.workspace
+        )
         for result in [*self._log.logged.values(), *self._log.pending]:
             if result.outcome is model.Outcome.COMPLETED:
                 put(result.item_id, text_cache.CachedText(result=result))
--- a/src/hibiscussaddle/batches/runs.py
+++ b/src/hibiscussaddle/batches/runs.py
@@ -138,6 +138,8 @@
         if progress.transcript.last_id is not None:
             last = str(progress.transcript.last_id)
             headers[endpoint_wire.LAST_EVENT_ID_HEADER] = last
+        if batch.workspace:
+            headers[endpoint_wire.WORKSPACE_HEADER] = batch.workspace
         try:
             async with self._client.stream(
                 "POST",
--- a/src/hibiscussaddle/batches/scores.py
+++ b/src/hibiscussaddle/batches/scores.py
@@ -41,6 +41,7 @@
             call=call,
             item_id=progress.item.id,
             batch_route=self._batch.route,
+            workspace=self._batch.workspace,
             max_attempts=self._limits.max_attempts,
             seconds_left=self._limits.seconds_left,
             rank=lambda: self._rank(progress.item),
--- a/src/hibiscussaddle/batches/storage.py
+++ b/src/hibiscussaddle/batches/storage.py
@@ -197,6 +197,16 @@
         return response
 
 
+def conflicting_head(error: _Error) -> model.Head | None:
+    """Return the head that made accept() conflict, None if unreadable."""
+    for entry in error.current:
+        try:
+            return decoding.decode_json(entry.data or b"", model.Head)
+        except ValueError as exc:
+            store.log_decode_error(exc)
+    return None
+
+
 def _owner_put(batch_id: str, owner: model.Owner) -> store.Put:
     data = msgspec.json.encode(owner)
     return store.Put(model.owner_key(batch_id), data)
--- a/src/hibiscussaddle/batches/text_cache.py
+++ b/src/hibiscussaddle/batches/text_cache.py
@@ -39,15 +39,17 @@
         """Start with an empty cache."""
         # Each text and its size, which is read once: that of a string grows
         # when its encoded form is cached.
-        self._texts: collections.OrderedDict[str, tuple[CachedText, int]]
+        self._texts: collections.OrderedDict[
+            tuple[str, str], tuple[CachedText, int]
+        ]
         self._texts = collections.OrderedDict()
         self._held_bytes = 0
 
-    def put(self, item_id: str, text: CachedText) -> None:
+    def put(self, item_id: str, text: CachedText, workspace: str = "") -> None:
         """Store a text and evict the oldest ones above the limits."""
-        self.pop(item_id)
+        self.pop(item_id, workspace)
         size = text.held_bytes()
-        self._texts[item_id] = (text, size)
+        self._texts[workspace, item_id] = (text, size)
         self._held_bytes += size
         while len(self._texts) > _MAX_TEXTS or (
             len(self._texts) > 1 and self._held_bytes > _MAX_BYTES
@@ -59,8 +61,11 @@
         """Return the memory that the cached texts hold."""
         return self._held_bytes
 
-    def pop(self, item_id: str) -> CachedText:
-        """Remove and return the text of an item, empty if there is none."""
-        text, size = self._texts.pop(item_id, (CachedText(), 0))
+    def pop(self, item_id: str, workspace: str = "") -> CachedText:
+        """Remove and return the text of an item, empty if there is none.
+
+        Callers choose the IDs, so those of other workspaces may be equal.
+        """
+        text, size = self._texts.pop((workspace, item_id), (CachedText(), 0))
         self._held_bytes -= size
         return text
--- a/src/hibiscussaddle/codes.py
+++ b/src/hibiscussaddle/codes.py
@@ -43,6 +43,15 @@
         "The instance has no contracts or no configuration yet.",
         "Send the request again; check the store if it persists.",
     )
+    KEYS_OUTDATED = CodeInfo(
+        1103,
+        "keys_outdated",
+        "no",
+        503,
+        11,
+        "The instance can't confirm which keys hold now.",
+        "Send the request again after the Retry-After time.",
+    )
     UNAUTHORIZED = CodeInfo(
         1110,
         "unauthorized",
@@ -50,7 +59,7 @@
         401,
         12,
         "The key or the operators' secret is missing or wrong.",
-        "Check the key against the contract of the customer.",
+        "Check the key against the customer's contract or the workspaces.",
     )
     BAD_REQUEST = CodeInfo(
         1111,
@@ -196,6 +205,15 @@
         "A later pull of this step has already got a response.",
         "Continue with the latest pull number.",
     )
+    BATCH_ID_TAKEN = CodeInfo(
+        1304,
+        "batch_id_taken",
+        "no",
+        409,
+        19,
+        "Another workspace has a batch with this ID.",
+        "Submit the batch under a new ID.",
+    )
     ENDPOINT_REFUSED = CodeInfo(
         1401,
         "endpoint_refused",
--- /dev/null
+++ b/src/hibiscussaddle/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Customers' workspaces: who is calling and what callers may use."""
--- a/src/hibiscussaddle/gateway.py
+++ b/src/hibiscussaddle/gateway.py
@@ -16,6 +16,7 @@
 from hibiscussaddle.batches import reader as reader_lib
 from hibiscussaddle.batches import storage
 from hibiscussaddle import codes
+from hibiscussaddle.customers import keys as keys_lib
 from hibiscussaddle.fleet import feed
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import logs
@@ -68,6 +69,8 @@
         # Called with the route, status and seconds of each response.
         self.on_response: abc.Callable[[str, int, float], None]
         self.on_response = lambda *_: None
+        # Returns whether the known keys are recent enough to rely on.
+        self.keys_are_fresh: abc.Callable[[], bool] = lambda: True
         # Monotonic seconds at which SIGTERM arrived; None before it.
         self.stopped_at: float | None = None
         self.running_requests = 0
@@ -79,6 +82,7 @@
         self._store_transport = store_transport
         self._rng = rng
         self._grace_seconds = grace_seconds
+        self._keys = keys_lib.CurrentKeys()
 
     @property
     def is_stopping(self) -> bool:
@@ -122,13 +126,7 @@
         """Return the route of a request."""
         cfg = self._view.config
         if cfg is None:
-            return result.Err(
-                codes.Refusal(
-                    codes.Code.NOT_READY,
-                    "no configuration yet",
-                    _OTHER_INSTANCE_RETRY_SECONDS,
-                )
-            )
+            return result.Err(keys_lib.no_configuration())
         route = cfg.match(host, path)
         if route is None:
             return result.Err(
@@ -140,6 +138,63 @@
             )
         return result.Ok(route)
 
+    @property
+    def needs_keys(self) -> bool:
+        """Return whether callers need a key."""
+        cfg = self._view.config
+        return cfg is not None and cfg.workspaces is not None
+
+    def identify(
+        self,
+        route: routing_config.Route | None,
+        authorization: abc.Sequence[str],
+    ) -> keys_lib.Identity:
+        """Return the workspace of a call, None where it needs no key.
+
+        Calls for batches have no route. The authorization has the values of
+        all headers of that name.
+        """
+        is_fresh = self.keys_are_fresh()
+        retry_after = 0.0
+        if not is_fresh:
+            bounds = _OUTAGE_RETRY_SECONDS
+            if (
+                route is not None
+                and route.kind is routing_config.RouteKind.BATCH
+            ):
+                bounds = BATCH_OUTAGE_RETRY_SECONDS
+            retry_after = store_retry_seconds(
+                self._store_transport.outage_seconds(), self._rng, bounds
+            )
+        return self._keys.identify(
+            self._view.config, route, authorization, is_fresh, retry_after
+        )
+
+    async def identify_for_batch(
+        self, batch_id: str, authorization: abc.Sequence[str]
+    ) -> result.Result[str | None, codes.Refusal]:
+        """Return the workspace whose batches a caller may use; None for all.
+
+        An empty one may use the batches of public routes.
+        """
+        identity = self.identify(None, authorization)
+        if isinstance(identity, result.Ok):
+            workspace = identity.ok_value
+            return result.Ok(workspace.name if workspace else None)
+        if await self._is_public_batch(batch_id):
+            return result.Ok("")
+        return identity
+
+    async def _is_public_batch(self, batch_id: str) -> bool:
+        cfg = self._view.config
+        if cfg is None or not cfg.has_public_batches:
+            return False
+        head = await self.batch_reader.head(batch_id, "")
+        if isinstance(head, result.Err):
+            return False
+        route = cfg.route(head.ok_value.route)
+        return route is not None and route.is_public
+
     async def forward(
         self, req: request_state.CallerRequest, route: routing_config.Route
     ) -> request_state.Response:
@@ -206,6 +261,11 @@
                 )
                 return None
             failure = accepted.err_value.failure
+            if failure is store.StoreFailure.CONFLICT:
+                return codes.Refusal(
+                    codes.Code.BATCH_ID_TAKEN,
+                    f"another workspace has batch {batch.id!r}",
+                )
             if failure is store.StoreFailure.UNKNOWN:
                 may_be_stored = True
             elif not may_be_stored:
@@ -215,9 +275,14 @@
             "the store did not confirm whether it stored the batch",
         )
 
-    async def end_batch(self, batch_id: str) -> codes.Refusal | None:
-        """End a batch; return the refusal if it was not ended."""
-        head = await self.batch_reader.head(batch_id)
+    async def end_batch(
+        self, batch_id: str, workspace: str | None
+    ) -> codes.Refusal | None:
+        """End a batch; return the refusal if it was not ended.
+
+        With None callers need no key.
+        """
+        head = await self.batch_reader.head(batch_id, workspace)
         if isinstance(head, result.Err):
             return self.read_refusal(head.err_value, batch_id)
         ended = await self._batches.end(batch_id)
--- a/src/hibiscussaddle/platform/endpoint_wire.py
+++ b/src/hibiscussaddle/platform/endpoint_wire.py
@@ -47,7 +47,7 @@
 }
 
 
-# The ID of an endpoint is sent as a header: visible ASCII characters.
+# Values that are sent as a header: visible ASCII characters.
 _HEADER_VALUE: typing.Final = re.compile(r"[!-~]+")
 # Limits the work per endpoint that depends on its slots.
 _Slots: typing.TypeAlias = typing.Annotated[
@@ -92,6 +92,11 @@
     weight_versions: tuple[tuple[str, int], ...]
 
 
+def fits_header(text: str) -> bool:
+    """Return whether a header can hold a text as it is."""
+    return _HEADER_VALUE.fullmatch(text) is not None
+
+
 def decode_endpoint(key: str, data: bytes) -> endpoints.Endpoint:
     """Return the endpoint of an entry; raise ValueError if malformed."""
     entry = decoding.decode_json(data, _Entry)
@@ -102,7 +107,7 @@
         )
     addresses.check_ip(entry.address)
     endpoint_id = key.removeprefix(ENDPOINT_PREFIX)
-    if not _HEADER_VALUE.fullmatch(endpoint_id):
+    if not fits_header(endpoint_id):
         raise ValueError(f"endpoint ID {endpoint_id!r} fits no header")
     kinds = endpoints.EndpointKind
     return endpoints.Endpoint(
--- a/src/hibiscussaddle/platform/ingress.py
+++ b/src/hibiscussaddle/platform/ingress.py
@@ -15,6 +15,9 @@
 import result
 
 from hibiscussaddle import codes
+from hibiscussaddle.customers import batch_access
+from hibiscussaddle.customers import headers as customer_headers
+from hibiscussaddle.customers import priority
 from hibiscussaddle import gateway as gateway_lib
 from hibiscussaddle import logs
 from hibiscussaddle.platform import batch_wire
@@ -52,6 +55,18 @@
         """Return a header's value, or an empty string if it is absent."""
         return next((v for n, v in self.headers if n == name), "")
 
+    @property
+    def authorization(self) -> tuple[str, ...]:
+        """Return the values of all Authorization headers."""
+        return tuple(v for n, v in self.headers if n == "authorization")
+
+    @property
+    def has_body(self) -> bool:
+        """Return whether a body follows the headers."""
+        return bool(self.header("transfer-encoding")) or self.header(
+            "content-length"
+        ) not in ("", "0")
+
 
 @dataclasses.dataclass(frozen=True)
 class _Response:
@@ -94,6 +109,12 @@
         limit = self._gateway.limits.max_body_bytes
         call = _to_call(scope, arrived_at)
         timeout = _timeout_seconds(call)
+        if call.has_body:
+            early = self._early_refusal(call)
+            if early is not None:
+                with anyio.move_on_after(timeout):
+                    await self._refuse_unread(call, early, receive, send)
+                return
         # Nobody waits for the response after the deadline, and a caller that
         # was cut off without a reset would keep its request forever.
         with anyio.move_on_after(timeout) as body_scope:
@@ -128,6 +149,42 @@
             await _send_response(send, response, self._closes_connection)
             tasks.cancel_scope.cancel()
 
+    def _early_refusal(self, call: _Call) -> codes.Refusal | None:
+        """Return the refusal of a caller without a valid key.
+
+        The keys are checked again once the body is complete, with the
+        configuration that is in force then.
+        """
+        if not self._gateway.needs_keys or _batch_handler(call) is not None:
+            return None
+        found = self._gateway.find_route(call.header("host"), call.path)
+        if isinstance(found, result.Err):
+            return None
+        identity = self._gateway.identify(found.ok_value, call.authorization)
+        return identity.err()
+
+    async def _refuse_unread(
+        self,
+        call: _Call,
+        refusal: codes.Refusal,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Send a refusal at once, then discard the body.
+
+        Closing the connection while the caller still sends would destroy the
+        response on its way.
+        """
+        response = _refusal_response(refusal, call)
+        self._gateway.on_response(
+            response.route, response.status, time.monotonic() - call.arrived_at
+        )
+        await _send_response(
+            send, response, self._closes_connection, is_last=False
+        )
+        await _discard_body(receive, self._gateway.limits.max_body_bytes)
+        await send({"type": "http.response.body", "body": b""})
+
     @property
     def _closes_connection(self) -> bool:
         return self._gateway.is_stopping
@@ -148,25 +205,42 @@
             return _refusal_response(refusal, call)
 
     async def _dispatch(self, call: _Call) -> _Response:
-        for (method, prefix), handler in _HANDLERS.items():
-            if call.method == method and call.path.startswith(prefix):
-                response = await handler(self._gateway, call)
-                return dataclasses.replace(
-                    response, route=f"{method} {prefix}"
-                )
+        found_handler = _batch_handler(call)
+        if found_handler is not None:
+            name, handler = found_handler
+            response = await handler(self._gateway, call)
+            return dataclasses.replace(response, route=name)
         found = self._gateway.find_route(call.header("host"), call.path)
         if isinstance(found, result.Err):
             return _refusal_response(found.err_value, call)
         route = found.ok_value
+        identity = self._gateway.identify(route, call.authorization)
+        if isinstance(identity, result.Err):
+            response = _refusal_response(identity.err_value, call)
+            return dataclasses.replace(response, route=route.name)
+        if self._gateway.needs_keys:
+            headers = customer_headers.forwarded(call.headers)
+            call = dataclasses.replace(call, headers=headers)
         handle = _forward
         if route.kind is routing_config.RouteKind.BATCH:
             handle = _submit
-        response = await handle(self._gateway, route, call)
+        response = await handle(self._gateway, route, identity.ok_value, call)
         return dataclasses.replace(response, route=route.name)
 
 
+def _batch_handler(call: _Call) -> tuple[str, Handler] | None:
+    """Return the name and the handler of a batch call, None for others."""
+    for (method, prefix), handler in _HANDLERS.items():
+        if call.method == method and call.path.startswith(prefix):
+            return f"{method} {prefix}", handler
+    return None
+
+
 async def _forward(
-    gateway: gateway_lib.Gateway, route: routing_config.Route, call: _Call
+    gateway: gateway_lib.Gateway,
+    route: routing_config.Route,
+    workspace: routing_config.Workspace | None,
+    call: _Call,
 ) -> _Response:
     target = f"{call.path}?{call.query}" if call.query else call.path
     req = request_state.CallerRequest(
@@ -178,6 +252,8 @@
         body=call.body,
         timeout=_timeout_seconds(call),
         arrived_at=call.arrived_at,
+        workspace=workspace.name if workspace else "",
+        priority=priority.effective_priority(workspace, route),
     )
     response = await gateway.forward(req, route)
     if isinstance(response, codes.Refusal):
@@ -186,7 +262,10 @@
 
 
 async def _submit(
-    gateway: gateway_lib.Gateway, route: routing_config.Route, call: _Call
+    gateway: gateway_lib.Gateway,
+    route: routing_config.Route,
+    workspace: routing_config.Workspace | None,
+    call: _Call,
 ) -> _Response:
     if call.method != "POST":
         refusal = codes.Refusal(
@@ -202,6 +281,8 @@
     except ValueError as exc:
         refusal = codes.Refusal(codes.Code.BAD_REQUEST, str(exc))
         return _refusal_response(refusal, call)
+    if gateway.needs_keys:
+        batch = batch_access.assign(batch, workspace.name if workspace else "")
     submit_refusal = await gateway.submit(batch, _timeout_seconds(call))
     if submit_refusal is not None:
         return _refusal_response(submit_refusal, call)
@@ -219,9 +300,16 @@
     except ValueError as exc:
         refusal = codes.Refusal(codes.Code.BAD_REQUEST, str(exc))
         return _refusal_response(refusal, call)
+    identity = await gateway.identify_for_batch(batch_id, call.authorization)
+    if isinstance(identity, result.Err):
+        return _refusal_response(identity.err_value, call)
     wait = min(wait_ms / 1000, _MAX_READ_WAIT_SECONDS)
     found = await gateway.batch_reader.results(
-        batch_id, position, wait, batch_wire.MAX_PAGE_TEXT_BYTES
+        batch_id,
+        position,
+        wait,
+        batch_wire.MAX_PAGE_TEXT_BYTES,
+        identity.ok_value,
     )
     if isinstance(found, result.Err):
         refusal = gateway.read_refusal(found.err_value, batch_id)
@@ -238,7 +326,12 @@
     except ValueError as exc:
         refusal = codes.Refusal(codes.Code.BAD_REQUEST, str(exc))
         return _refusal_response(refusal, call)
-    found = await gateway.batch_reader.item_body(batch_id, item_id)
+    identity = await gateway.identify_for_batch(batch_id, call.authorization)
+    if isinstance(identity, result.Err):
+        return _refusal_response(identity.err_value, call)
+    found = await gateway.batch_reader.item_body(
+        batch_id, item_id, identity.ok_value
+    )
     if isinstance(found, result.Err):
         refusal = gateway.read_refusal(found.err_value, batch_id)
         return _refusal_response(refusal, call)
@@ -248,7 +341,10 @@
 @_handles("DELETE", batch_wire.RESULTS_PATH)
 async def _end_batch(gateway: gateway_lib.Gateway, call: _Call) -> _Response:
     batch_id = call.path.removeprefix(batch_wire.RESULTS_PATH)
-    refusal = await gateway.end_batch(batch_id)
+    identity = await gateway.identify_for_batch(batch_id, call.authorization)
+    if isinstance(identity, result.Err):
+        return _refusal_response(identity.err_value, call)
+    refusal = await gateway.end_batch(batch_id, identity.ok_value)
     if refusal is not None:
         return _refusal_response(refusal, call)
     return _Response(200, b"{}", _JSON_HEADERS)
@@ -324,6 +420,18 @@
             return bytes(body)
 
 
+async def _discard_body(receive: Receive, limit: int) -> None:
+    """Read the body until its end, the limit or a disconnect."""
+    size = 0
+    while size <= limit:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return
+        size += len(message.get("body", b""))
+        if not message.get("more_body"):
+            return
+
+
 async def _cancel_on_disconnect(
     receive: Receive, scope: anyio.CancelScope
 ) -> None:
@@ -336,8 +444,12 @@
 
 
 async def _send_response(
-    send: Send, response: _Response, closes_connection: bool
+    send: Send,
+    response: _Response,
+    closes_connection: bool,
+    is_last: bool = True,
 ) -> None:
+    """Send a response; its stream stays open unless this is the last part."""
     headers = [
         (name.encode("latin-1"), value.encode("latin-1"))
         for name, value in response.headers
@@ -352,7 +464,13 @@
             "headers": headers,
         }
     )
-    await send({"type": "http.response.body", "body": response.body})
+    await send(
+        {
+            "type": "http.response.body",
+            "body": response.body,
+            "more_body": not is_last,
+        }
+    )
 
 
 def create_ready_app(gateway: gateway_lib.Gateway) -> typing.Any:
--- a/src/hibiscussaddle/routes/forward.py
+++ b/src/hibiscussaddle/routes/forward.py
@@ -343,6 +343,8 @@
         deadline_ms = max(1, int(state.seconds_left * 1000))
         headers.append((endpoint_wire.DEADLINE_MS_HEADER, str(deadline_ms)))
         headers.append((endpoint_wire.EXPECTED_ENDPOINT_HEADER, endpoint.id))
+        if req.workspace:
+            headers.append((endpoint_wire.WORKSPACE_HEADER, req.workspace))
         try:
             async with self._client.stream(
                 req.method,
--- a/src/hibiscussaddle/routes/request_state.py
+++ b/src/hibiscussaddle/routes/request_state.py
@@ -36,6 +36,8 @@
     arrived_at: float
     # Workspace of the caller's key; empty without one.
     workspace: str = ""
+    # 0 is the highest; that of the workspace goes before that of the route.
+    priority: int = 5
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/hibiscussaddle/routes/routing_config.py
+++ b/src/hibiscussaddle/routes/routing_config.py
@@ -112,6 +112,14 @@
         """Return a route by its name."""
         return next((r for r in self.routes if r.name == name), None)
 
+    @property
+    def has_public_batches(self) -> bool:
+        """Return whether callers may submit batches without a key."""
+        return any(
+            route.is_public and route.kind is RouteKind.BATCH
+            for route in self.routes
+        )
+
     def batch_routes(self) -> tuple[str, ...]:
         """Return the names of the routes that accept batches."""
         return tuple(
--- a/src/hibiscussaddle/scoring/model.py
+++ b/src/hibiscussaddle/scoring/model.py
@@ -57,3 +57,5 @@
     may_send: abc.Callable[[], bool]
     # Whether the item's retention time has passed.
     is_expired: abc.Callable[[], bool]
+    # Workspace of the batch; empty without one.
+    workspace: str = ""
--- a/src/hibiscussaddle/scoring/scorer.py
+++ b/src/hibiscussaddle/scoring/scorer.py
@@ -188,6 +188,7 @@
         body=call.body,
         timeout=timeout,
         arrived_at=time.monotonic(),
+        workspace=job.workspace,
     )
 
 
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -21,6 +21,7 @@
 
     limits = routing_config.Limits()
     is_stopping = False
+    needs_keys = False
 
     def __init__(self) -> None:
         """Create a gateway without requests."""
@@ -37,6 +38,10 @@
         kind = routing_config.RouteKind.IDEMPOTENT
         return result.Ok(batch_builders.route(kind=kind))
 
+    def identify(self, *_: object) -> result.Ok[None]:
+        """Return that no key is needed."""
+        return result.Ok(None)
+
     async def forward(self, *_: object) -> None:
         """Run until cancelled."""
         self.started.set()
