--- a/src/hibiscussaddle/platform/ingress.py
+++ b/src/hibiscussaddle/platform/ingress.py
@@ -112,8 +112,7 @@
         if call.has_body:
             early = self._early_refusal(call)
             if early is not None:
-                with anyio.move_on_after(timeout):
-                    await self._refuse_unread(call, early, receive, send)
+                await self._refuse_unread(call, early, timeout, receive, send)
                 return
         # Nobody waits for the response after the deadline, and a caller that
         # was cut off without a reset would keep its request forever.
@@ -167,10 +166,11 @@
         self,
         call: _Call,
         refusal: codes.Refusal,
+        timeout: float,
         receive: Receive,
         send: Send,
     ) -> None:
-        """Send a refusal at once, then discard the body.
+        """Send a refusal at once, then discard the body until the timeout.
 
         Closing the connection while the caller still sends would destroy the
         response on its way.
@@ -182,7 +182,8 @@
         await _send_response(
             send, response, self._closes_connection, is_last=False
         )
-        await _discard_body(receive, self._gateway.limits.max_body_bytes)
+        with anyio.move_on_after(timeout):
+            await _discard_body(receive, self._gateway.limits.max_body_bytes)
         await send({"type": "http.response.body", "body": b""})
 
     @property
--- a/src/hibiscussaddle/platform/standins/endpoint.py
+++ b/src/hibiscussaddle/platform/standins/endpoint.py
@@ -62,10 +62,25 @@
         self.started_requests: list[str] = []
         # Unix seconds at which each request arrived.
         self.arrivals: list[float] = []
+        # Headers of each request that started, as received.
+        self.received: list[tuple[tuple[bytes, bytes], ...]] = []
         # Number of next requests to a plain service that fail.
         self.failures_left = 0
         self._heartbeats = 0
 
+    def workspaces(self) -> dict[str, list[str]]:
+        """Return the workspaces that each request was sent with, by ID."""
+        found: dict[str, list[str]] = {}
+        for request_id, headers in zip(
+            self.started_requests, self.received, strict=True
+        ):
+            found.setdefault(request_id, []).extend(
+                value.decode()
+                for name, value in headers
+                if name == b"x-tenant"
+            )
+        return found
+
     def proof(self, request_id: str) -> str:
         """Return the proof for the response to a request."""
         return f"{self.cfg.id}/{request_id}"
@@ -154,6 +169,7 @@
             return responses.Response(status_code=503, headers=headers)
         headers["x-server-stamp"] = endpoint.proof(request_id)
         endpoint.started_requests.append(request_id)
+        endpoint.received.append(tuple(req.headers.raw))
         if not endpoint.cfg.model:
             # Decided along with the proof, since other requests may use up the
             # failures meanwhile.
@@ -185,6 +201,9 @@
     async def started(_: requests.Request) -> responses.Response:
         return responses.JSONResponse(endpoint.started_requests)
 
+    async def workspaces(_: requests.Request) -> responses.Response:
+        return responses.JSONResponse(endpoint.workspaces())
+
     async def arrivals(_: requests.Request) -> responses.Response:
         return responses.JSONResponse(endpoint.arrivals)
 
@@ -204,6 +223,7 @@
             routing.Route("/-/order", order, methods=["POST"]),
             routing.Route("/started", started),
             routing.Route("/arrivals", arrivals),
+            routing.Route("/workspaces", workspaces),
             routing.Route(
                 "/{path:path}", run, methods=["GET", "POST", "PUT", "DELETE"]
             ),
