Report usage as a duty under the fleet's lease

The platform expects one report of each usage window and none came. The lease for weight orders moves to duties/ and covers usage reports and capacity orders too, with the same keys. Instances count the requests that endpoints began and send the totals to the holder, which fixes a report in the store before it sends it, so that a successor repeats the same bytes. Without a control API in the settings nothing of it is created.

--- a/src/hibiscussaddle/controllers/weights.py
+++ b/src/hibiscussaddle/controllers/weights.py
@@ -8,6 +8,7 @@
 
 from hibiscussaddle.adapters import weight_store
 from hibiscussaddle import controllers
+from hibiscussaddle.duties import lease as duty_lease
 from hibiscussaddle import endpoints
 from hibiscussaddle import engine_versions
 from hibiscussaddle import logs
@@ -15,7 +16,6 @@
 from hibiscussaddle.policy import readers
 from hibiscussaddle.policy import rollout
 from hibiscussaddle import runtime as runtime_lib
-from hibiscussaddle import weight_lease
 
 _LOG = logging.getLogger(__name__)
 TICK_SECONDS: typing.Final = 0.1
@@ -31,7 +31,7 @@
     def __init__(
         self,
         runtime: runtime_lib.Runtime,
-        lease: weight_lease.WeightLease,
+        lease: duty_lease.DutyLease,
         cfg: lease_policy.LeaseConfig,
     ) -> None:
         """Initialize without holding the lease."""
@@ -220,7 +220,7 @@
         return None
     cfg = cfg or lease_policy.LeaseConfig()
     name = f"{runtime.cfg.instance}/{runtime.incarnation}"
-    lease = weight_lease.WeightLease(
+    lease = duty_lease.DutyLease(
         runtime.store,
         runtime.cfg.zone,
         f"{name}/{secrets.token_hex(4)}",
--- a/src/hibiscussaddle/weights/lease_contention.py
+++ b/src/hibiscussaddle/duties/contention.py
@@ -1,11 +1,12 @@
-"""Decide when this instance may try to acquire the weight lease."""
+"""Know the holder of the duties and decide when to contend for them."""
 
+import dataclasses
 import time
 import typing
 
 from hibiscussaddle.adapters import store
+from hibiscussaddle.duties import lease as duty_lease
 from hibiscussaddle.fleet import presence as presence_lib
-from hibiscussaddle import weight_lease
 
 # Delay between one contender and the next: longer than a claim takes, so that
 # the others see the key and make no calls.
@@ -14,6 +15,33 @@
 _MAX_POSITION: typing.Final = 6
 
 
+@dataclasses.dataclass(frozen=True)
+class Holder:
+    """Name the process that holds the duties and where peers reach it."""
+
+    instance: str
+    peer_address: str
+    incarnation: int
+
+
+def machine_name(instance: str, peer_address: str) -> str:
+    """Return the start of the names of all holders on a machine.
+
+    The address is included because a machine may be replaced by another one
+    under the same name.
+    """
+    return f"{instance}/{peer_address}"
+
+
+def parse_holder(name: str) -> Holder | None:
+    """Return the holder of a lease's key, None if the name is malformed."""
+    parts = name.rsplit("/", 3)
+    # Instance, address, incarnation and the attempt to claim the lease.
+    if len(parts) != 4 or not parts[2].isdecimal():
+        return None
+    return Holder(parts[0], parts[1], int(parts[2]))
+
+
 class LeaseContention:
     """Watch the lease's key and stagger the contenders."""
 
@@ -26,8 +54,10 @@
         """
         self._members = members
         self._machine = machine
-        self._key = weight_lease.lease_key(zone)
+        self._key = duty_lease.lease_key(zone)
         self._free_since: float | None = None
+        # None while the lease is free or its holder is unknown.
+        self.holder: Holder | None = None
         # Whether the key still names a former process on this machine.
         self._is_stale = False
 
@@ -46,14 +76,13 @@
                 self._set_free()
             else:
                 self._free_since = None
-                self._is_stale = self._is_from_this_machine(entry)
-
-    def _is_from_this_machine(self, entry: store.StoreEntry) -> bool:
-        value = entry.value
-        holder = value.get("holder") if isinstance(value, dict) else None
-        return str(holder).startswith(f"{self._machine}/")
+                value = entry.value
+                found = value.get("holder") if isinstance(value, dict) else ""
+                self.holder = parse_holder(str(found))
+                self._is_stale = str(found).startswith(f"{self._machine}/")
 
     def _set_free(self) -> None:
+        self.holder = None
         self._is_stale = False
         if self._free_since is None:
             self._free_since = time.monotonic()
--- a/src/hibiscussaddle/weight_lease.py
+++ b/src/hibiscussaddle/duties/lease.py
@@ -1,4 +1,8 @@
-"""Hold the lease for the weight orders of a zone or of the whole fleet."""
+"""Hold the lease for the duties of a zone or of the whole fleet.
+
+Its fencing number accompanies weight orders, usage reports and capacity orders
+alike.
+"""
 
 from collections import abc
 import logging
@@ -24,7 +28,10 @@
 
 
 def lease_key(zone: str) -> str:
-    """Return the key that exists while a zone's lease is held."""
+    """Return the key that exists while a zone's lease is held.
+
+    The lease was first used for weight orders only.
+    """
     return f"{PREFIX}weights/{zone}"
 
 
@@ -33,7 +40,7 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-class WeightLease:
+class DutyLease:
     """Run the state machine of the lease with store calls."""
 
     def __init__(
@@ -57,7 +64,7 @@
         self.clock = now
         self._client = client
         self._may_claim = may_claim
-        self._key = lease_key(zone)
+        self.key = lease_key(zone)
         self._fence_key = f"fence/weights/{zone}"
         self._logged_holder: str | None = None
 
@@ -69,6 +76,14 @@
         """
         return self.machine.fencing_number(self.clock(), guarded)
 
+    @property
+    def key_revision(self) -> int:
+        """Return the revision of the lease's key, 0 unless it is held.
+
+        A write on this condition fails once another instance holds the lease.
+        """
+        return self.machine.key_revision
+
     async def run(self) -> None:
         """Claim and renew the lease until cancelled."""
         while True:
@@ -95,7 +110,7 @@
             return
         await self._send(call)
         await self._client.revoke(call.lease)
-        logs.event(_LOG, "lease_released", key=self._key)
+        logs.event(_LOG, "lease_released", key=self.key)
 
     def _log_change(self) -> None:
         held = self.fencing_number(guarded=True) is not None
@@ -103,12 +118,12 @@
         if holder != self._logged_holder:
             self._logged_holder = holder
             name = "lease_held" if held else "lease_lost"
-            logs.event(_LOG, name, key=self._key, holder=holder or "-")
+            logs.event(_LOG, name, key=self.key, holder=holder or "-")
 
     async def _send(self, call: lease.Call) -> lease.Reply:
         kind = lease.CallKind
         if call.kind in (kind.READ_KEY, kind.CHECK_KEY):
-            return _read_reply(await self._client.get(self._key))
+            return _read_reply(await self._client.get(self.key))
         if call.kind is kind.READ_FENCE:
             return _read_reply(await self._client.get(self._fence_key))
         if call.kind is kind.GRANT:
@@ -128,7 +143,7 @@
         if call.kind is lease.CallKind.PUT_KEY:
             value: object = {"holder": call.holder}
             put = await self._client.put(
-                self._key, value, call.expected_revision, call.lease
+                self.key, value, call.expected_revision, call.lease
             )
         else:
             fence = lease.Fence(
@@ -139,7 +154,7 @@
             put = await self._client.commit(
                 {
                     self._fence_key: call.expected_revision,
-                    self._key: call.key_revision,
+                    self.key: call.key_revision,
                 },
                 [store.Put(self._fence_key, msgspec.json.encode(fence))],
             )
--- a/src/hibiscussaddle/fleet/retirement.py
+++ b/src/hibiscussaddle/fleet/retirement.py
@@ -11,10 +11,10 @@
 import result
 
 from hibiscussaddle.adapters import store
+from hibiscussaddle.duties import lease as duty_lease
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import logs
 from hibiscussaddle.platform import config_wire
-from hibiscussaddle import weight_lease
 
 _LOG = logging.getLogger(__name__)
 
@@ -28,7 +28,7 @@
         self,
         client: store.StoreClient,
         view: view_lib.View,
-        lease: weight_lease.WeightLease,
+        lease: duty_lease.DutyLease,
     ) -> None:
         """Use the fleet-wide weight lease, so that one instance confirms."""
         self._client = client
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -24,6 +24,9 @@
 from hibiscussaddle.batches import text_cache
 from hibiscussaddle.batches import waiting_items
 from hibiscussaddle import containment
+from hibiscussaddle.duties import contention as duty_contention
+from hibiscussaddle.duties import control_client
+from hibiscussaddle.duties import lease as duty_lease
 from hibiscussaddle.fleet import change_log
 from hibiscussaddle.fleet import feed
 from hibiscussaddle.fleet import feed_sharing
@@ -45,9 +48,8 @@
 from hibiscussaddle.routes import suspect_spread
 from hibiscussaddle.routes import suspects
 from hibiscussaddle.scoring import scorer as scorer_lib
-from hibiscussaddle import weight_lease
+from hibiscussaddle.usage import service as usage_service
 from hibiscussaddle.weights import controller as weight_controller
-from hibiscussaddle.weights import lease_contention
 
 # Longest waits of watches, long since each store response counts as a call.
 # Connection probes detect a connection that loses packets silently sooner.
@@ -83,7 +85,7 @@
     batch_owners: owners.OwnedBatches
     waiting_items: waiting_items.WaitingItems
     engines: placement.Placement
-    weight_lease: weight_lease.WeightLease
+    duty_lease: duty_lease.DutyLease
     weight_controller: weight_controller.WeightController
     retirement: retirement.Retirement
     limiter: limiter_lib.Limiter
@@ -93,6 +95,10 @@
     gateway: gateway_lib.Gateway
     metrics: gateway_metrics.GatewayMetrics
     memory_growth: process_memory.GrowthLog
+    # None where the settings name no control API.
+    control: control_client.ControlClient | None
+    # None where usage isn't reported.
+    usage: usage_service.Usage | None
 
     @property
     def background_loops(
@@ -108,14 +114,24 @@
             self.presence.run,
             self.batch_owners.run,
             self.waiting_items.run,
-            self.weight_lease.run,
+            self.duty_lease.run,
             self.weight_controller.run,
             self.retirement.run,
             self.limiter.run,
             self.suspect_spreader.run,
             self.memory_growth.run,
+            *self._usage_loops(),
         )
 
+    def _usage_loops(
+        self,
+    ) -> tuple[
+        abc.Callable[[], abc.Coroutine[typing.Any, typing.Any, None]], ...
+    ]:
+        if self.usage is None:
+            return ()
+        return (self.usage.collector.run, self.usage.reporter.run)
+
 
 def create_components(cfg: gateway_settings.GatewaySettings) -> Components:
     """Create and connect the components of an instance."""
@@ -145,16 +161,14 @@
         transport, _STORE_TIMEOUT_SECONDS, cfg.store_calls_per_second
     )
     presence = presence_lib.Presence(store_client, members)
-    # The address is included because a machine may be replaced by another one
-    # under the same name.
-    machine = f"{cfg.instance}/{cfg.peer_address}"
+    machine = duty_contention.machine_name(cfg.instance, cfg.peer_address)
     holder = f"{machine}/{incarnation}"
-    contention = lease_contention.LeaseContention(
-        members, weight_lease.FLEET_SCOPE, machine
+    contention = duty_contention.LeaseContention(
+        members, duty_lease.FLEET_SCOPE, machine
     )
-    lease = weight_lease.WeightLease(
+    lease = duty_lease.DutyLease(
         store_client,
-        weight_lease.FLEET_SCOPE,
+        duty_lease.FLEET_SCOPE,
         holder,
         weight_controller.LEASE,
         may_claim=contention.may_claim,
@@ -184,6 +198,21 @@
     forwarder = forward.Forwarder(
         client, view, balancer, limiter, known_suspects
     )
+    control = None
+    if cfg.control_address:
+        control = control_client.ControlClient(
+            client,
+            cfg.control_address,
+            cfg.instance,
+            lease,
+            cfg.control_calls_per_second,
+        )
+    usage = None
+    if control is not None and usage_service.is_configured(cfg):
+        usage = usage_service.create_usage(
+            cfg, client, store_client, members, contention, lease, control
+        )
+        forwarder.usage = usage.counter
     batch_reader = reader.BatchReader(
         batches, peer_reads.PeerReadClient(client, members, view)
     )
@@ -259,7 +288,7 @@
         batch_owners=batch_owners,
         waiting_items=dependencies.waiting_items,
         engines=engines,
-        weight_lease=lease,
+        duty_lease=lease,
         weight_controller=weight_controller.WeightController(
             client,
             view,
@@ -279,6 +308,8 @@
             resident.read_bytes,
             lambda: gateway_metrics.create_memory_fields(gauges),
         ),
+        control=control,
+        usage=usage,
     )
 
 
@@ -291,7 +322,7 @@
     client: store.StoreClient,
     view: view_lib.View,
     members: presence_lib.Members,
-    contention: lease_contention.LeaseContention,
+    contention: duty_contention.LeaseContention,
 ) -> tuple[feed.Feed, ...]:
     def apply_lease_listing(entries: list[store.StoreEntry]) -> None:
         members.apply_listing(entries)
@@ -321,7 +352,7 @@
         ),
         feed.Feed(
             client,
-            weight_lease.PREFIX,
+            duty_lease.PREFIX,
             apply_lease_listing,
             apply_lease_changes,
             _LEASE_WAIT_SECONDS,
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -33,6 +33,7 @@
 from hibiscussaddle.rate_limits import permits
 from hibiscussaddle.routes import suspect_spread
 from hibiscussaddle import serving
+from hibiscussaddle.usage import collector
 
 _LOG = logging.getLogger(__name__)
 
@@ -123,6 +124,11 @@
             suspect_spread.create_route(components.suspects),
             permits.create_route(components.limiter.holder.serve),
             gateway_report.create_route(components),
+            *(
+                [collector.create_route(components.usage.collector.receive)]
+                if components.usage
+                else []
+            ),
         ],
         middleware=[
             middleware.Middleware(
@@ -186,8 +192,10 @@
             break
     with anyio.move_on_after(_CLOSE_RESERVE_SECONDS / 2):
         await components.batch_owners.release()
+        if components.usage is not None:
+            await components.usage.stop()
         await components.presence.deregister()
-        await components.weight_lease.release()
+        await components.duty_lease.release()
     logs.event(
         _LOG,
         "drained",
--- a/src/hibiscussaddle/gateway_report.py
+++ b/src/hibiscussaddle/gateway_report.py
@@ -81,7 +81,7 @@
         store=_describe_store(components),
         reader=components.follower.followed_reader,
         holds_weight_lease=(
-            components.weight_lease.fencing_number(guarded=True) is not None
+            components.duty_lease.fencing_number(guarded=True) is not None
         ),
         published_versions=dict(view.versions),
         running_requests=components.gateway.running_requests,
--- a/src/hibiscussaddle/policy/lease.py
+++ b/src/hibiscussaddle/policy/lease.py
@@ -146,6 +146,11 @@
         """Return the store's id of the lease, 0 without a lease."""
         return self._lease
 
+    @property
+    def key_revision(self) -> int:
+        """Return the revision of the lease's key, 0 unless it is held."""
+        return self._key_revision if self._is_holder else 0
+
     @property
     def deadline(self) -> float | None:
         """Return the time until which a granted lease is certainly held."""
--- a/src/hibiscussaddle/routes/forward.py
+++ b/src/hibiscussaddle/routes/forward.py
@@ -21,6 +21,7 @@
 from hibiscussaddle.routes import request_state
 from hibiscussaddle.routes import routing_config
 from hibiscussaddle.routes import suspects
+from hibiscussaddle.usage import counter as usage_counter
 
 _LOG = logging.getLogger(__name__)
 
@@ -83,6 +84,8 @@
         if known_suspects is None:
             known_suspects = suspects.Suspects()
         self._suspects = known_suspects
+        # None where usage isn't reported.
+        self.usage: usage_counter.UsageCounter | None = None
         self._end_checker = end_checks.EndChecker()
         # Endpoints that suspects of this instance have reached.
         self._suspect_endpoints: set[str] = set()
@@ -101,7 +104,15 @@
         self, req: request_state.CallerRequest, route: routing_config.Route
     ) -> request_state.Response:
         """Return the response of an endpoint, or a refusal."""
-        result = await self.forward_detailed(req, route)
+        if self.usage is None or not req.workspace:
+            result = await self.forward_detailed(req, route)
+        else:
+            counted = self.usage.track(req.workspace)
+            try:
+                result = await self.forward_detailed(req, route, usage=counted)
+            finally:
+                # The caller may have closed its connection.
+                counted.close()
         response = result.response or result.refusal
         assert response is not None
         return response
@@ -111,11 +122,12 @@
         req: request_state.CallerRequest,
         route: routing_config.Route,
         hedge_budget: retries.Budget | None = None,
+        usage: usage_counter.CountedRequest | None = None,
     ) -> request_state.ForwardResult:
         """Return the result of a request with the counts of its attempts."""
         limit = min(req.timeout - _RESPONSE_RESERVE_SECONDS, route.timeout)
         state = request_state.RequestState(
-            req, route, req.arrived_at + limit, hedge_budget
+            req, route, req.arrived_at + limit, hedge_budget, usage
         )
         with anyio.move_on_after(max(0.0, state.seconds_left)) as scope:
             self._running.add(scope)
@@ -311,6 +323,9 @@
         stats = self._balancer.stats(endpoint)
         stats.running += 1
         state.tried.append(endpoint.id)
+        sent_at = time.time()
+        if state.usage is not None:
+            state.usage.record_send(sent_at)
         try:
             outcome = await self._send(state, endpoint)
         finally:
@@ -318,6 +333,8 @@
         if outcome.end is _AttemptEnd.NOT_RUN:
             state.tried.remove(endpoint.id)
             state.refusals += 1
+            if state.usage is not None:
+                state.usage.record_not_run(sent_at)
             return
         if outcome.response is None:
             state.may_have_run = True
--- a/src/hibiscussaddle/routes/request_state.py
+++ b/src/hibiscussaddle/routes/request_state.py
@@ -9,6 +9,7 @@
 from hibiscussaddle.policy import retries
 from hibiscussaddle.routes import routing_config
 from hibiscussaddle.routes import suspects
+from hibiscussaddle.usage import counter as usage_counter
 
 # No attempt is sent with less time left, as no endpoint could respond.
 _MIN_ATTEMPT_SECONDS: typing.Final = 0.005
@@ -57,6 +58,8 @@
     deadline: float
     # Limits hedges; with None every slow attempt is hedged.
     hedge_budget: retries.Budget | None = None
+    # Counts the request for its workspace; None if it doesn't count.
+    usage: usage_counter.CountedRequest | None = None
     tried: list[str] = dataclasses.field(default_factory=list)
     # Attempts that ended before an endpoint started the request.
     refusals: int = 0
--- /dev/null
+++ b/src/hibiscussaddle/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Count the requests of each workspace and report them."""
--- /dev/null
+++ b/src/hibiscussaddle/usage/collector.py
@@ -0,0 +1,260 @@
+"""Bring the totals of all instances to the holder of the duties.
+
+Each instance sends its totals to the holder. An instance that stops hands all
+that it knows over; whoever receives it passes it on in the same way.
+"""
+
+from collections import abc
+import logging
+import time
+import typing
+
+import anyio
+import httpx
+import msgspec
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from hibiscussaddle import containment
+from hibiscussaddle import decoding
+from hibiscussaddle.duties import contention as duty_contention
+from hibiscussaddle.fleet import member as member_lib
+from hibiscussaddle.fleet import presence as presence_lib
+from hibiscussaddle import logs
+from hibiscussaddle.usage import counter as counter_lib
+from hibiscussaddle.usage import totals as totals_lib
+
+_LOG = logging.getLogger(__name__)
+
+_TOTALS_PATH: typing.Final = "/v1/usage/totals"
+# A live peer responds within milliseconds.
+_TIMEOUT_SECONDS: typing.Final = 0.3
+# How often an instance checks for changes to send. A killed instance loses the
+# counts of this time at most.
+_SEND_INTERVAL_SECONDS: typing.Final = 1.0
+# Instances that get what a stopping instance knows, if there is no other
+# holder: one of them may stop as well.
+_HEIRS: typing.Final = 2
+# Windows after the present one whose counts are taken from peers, whose clocks
+# may be ahead.
+_MAX_WINDOWS_AHEAD: typing.Final = 2
+
+
+class TotalsMessage(msgspec.Struct, frozen=True):
+    """Hold the totals of the sender and those entrusted to it."""
+
+    totals: list[totals_lib.Totals]
+    # Newest window whose report was accepted, as the sender knows.
+    reported_through: int = -1
+
+
+class TotalsResponse(msgspec.Struct, frozen=True):
+    """Confirm that the receiver keeps the totals."""
+
+    reported_through: int = -1
+
+
+class Collector:
+    """Keep the totals of this instance and pass them on."""
+
+    def __init__(
+        self,
+        client: httpx.AsyncClient,
+        members: presence_lib.Members,
+        contention: duty_contention.LeaseContention,
+        counter: counter_lib.UsageCounter,
+        table: totals_lib.Table,
+        wall_clock: abc.Callable[[], float] = time.time,
+    ) -> None:
+        """Send what the counter and the table hold."""
+        self._client = client
+        self._members = members
+        self._contention = contention
+        self._counter = counter
+        self._table = table
+        self._wall_clock = wall_clock
+        self._sequence = 0
+        # Final window and version of the counter in the own totals.
+        self._own_state = (-1, -1)
+        self._is_stopped = False
+        # Sequence of the totals of each process that the holder has got.
+        self._holder: duty_contention.Holder | None = None
+        self._delivered: dict[totals_lib.Source, int] = {}
+
+    async def run(self) -> None:
+        """Send changed totals to the holder until cancelled."""
+        while True:
+            self.update_own_totals()
+            with containment.contain("usage_totals", "holder"):
+                await self._deliver()
+            await anyio.sleep(_SEND_INTERVAL_SECONDS)
+
+    def update_own_totals(self) -> None:
+        """Bring the totals of this instance in the table up to date."""
+        self._counter.forget(self._table.reported_through)
+        final_through = totals_lib.ALL_WINDOWS
+        if not self._is_stopped:
+            final_through = self._counter.final_through(self._wall_clock())
+        state = (final_through, self._counter.version)
+        if state == self._own_state:
+            return
+        self._own_state = state
+        self._sequence += 1
+        me = self._members.me
+        self._table.merge(
+            totals_lib.Totals(
+                me.instance,
+                me.incarnation,
+                self._sequence,
+                final_through,
+                self._counter.counts(),
+            )
+        )
+
+    def sources(self) -> frozenset[totals_lib.Source]:
+        """Return the processes that run, as far as is known."""
+        me = self._members.me
+        members = {**self._members.all, me.instance: me}
+        return frozenset(
+            (member.instance, member.incarnation)
+            for member in members.values()
+        )
+
+    async def stop(self) -> None:
+        """Hand over all that this instance knows; nothing may count later."""
+        self._is_stopped = True
+        self.update_own_totals()
+        totals = self._table.all()
+        holder = self._contention.holder
+        if holder is not None and not self._is_me(holder):
+            if await self._send(holder.instance, holder.peer_address, totals):
+                return
+        sent_count = 0
+        for heir in self._heirs():
+            sent_count += await self._send(
+                heir.instance, heir.peer_address, totals
+            )
+            if sent_count == _HEIRS:
+                return
+        if not sent_count and any(t.windows for t in totals):
+            logs.event(_LOG, "usage_totals_lost", logging.WARNING)
+
+    def _heirs(self) -> list[member_lib.Member]:
+        """Return the instances that may get the duties next, in order."""
+        me = self._members.me.instance
+        return sorted(
+            (
+                member
+                for member in self._members.candidates()
+                if member.instance != me and member.peer_address
+            ),
+            key=lambda member: (member.leaving, member.instance),
+        )
+
+    def _is_me(self, holder: duty_contention.Holder) -> bool:
+        me = self._members.me
+        return holder.instance == me.instance and (
+            holder.incarnation == me.incarnation
+        )
+
+    async def _deliver(self) -> None:
+        """Send the holder what it has not got yet."""
+        holder = self._contention.holder
+        if holder != self._holder:
+            # The next holder knows nothing.
+            self._holder = holder
+            self._delivered = {}
+        if holder is None:
+            return
+        if self._is_me(holder):
+            self._table.retain(self.sources())
+            return
+        me = self._members.me
+        self._table.retain({(me.instance, me.incarnation)})
+        changed = [
+            totals
+            for totals in self._table.all()
+            if self._delivered.get(totals.source, -1) < totals.sequence
+        ]
+        if not changed:
+            return
+        if await self._send(holder.instance, holder.peer_address, changed):
+            self._delivered |= {
+                totals.source: totals.sequence for totals in changed
+            }
+
+    async def _send(
+        self, instance: str, address: str, totals: list[totals_lib.Totals]
+    ) -> bool:
+        """Send totals to an instance; return whether it keeps them."""
+        message = TotalsMessage(totals, self._table.reported_through)
+        try:
+            with anyio.fail_after(_TIMEOUT_SECONDS):
+                resp = await self._client.post(
+                    f"http://{address}{_TOTALS_PATH}",
+                    content=msgspec.msgpack.encode(message),
+                    timeout=_TIMEOUT_SECONDS,
+                )
+            resp.raise_for_status()
+            answer = decoding.decode_msgpack(resp.content, TotalsResponse)
+        except (httpx.HTTPError, TimeoutError, ValueError) as exc:
+            logs.event(
+                _LOG,
+                "usage_totals_unsent",
+                to=instance,
+                why=str(exc) or type(exc).__name__,
+            )
+            return False
+        self._record_reported(answer.reported_through)
+        return True
+
+    def receive(self, message: TotalsMessage) -> TotalsResponse | None:
+        """Keep totals of other instances; None if this one has stopped."""
+        if self._is_stopped:
+            return None
+        seconds = self._counter.window_seconds
+        newest = counter_lib.window_at(self._wall_clock(), seconds)
+        newest += _MAX_WINDOWS_AHEAD
+        self._record_reported(message.reported_through)
+        for totals in message.totals:
+            windows = {
+                window: counts
+                for window, counts in totals.windows.items()
+                if window <= newest
+            }
+            if windows.keys() != totals.windows.keys():
+                logs.event(
+                    _LOG,
+                    "usage_window_ahead",
+                    logging.WARNING,
+                    member=totals.instance,
+                    window=max(totals.windows),
+                )
+            self._table.merge(msgspec.structs.replace(totals, windows=windows))
+        return TotalsResponse(self._table.reported_through)
+
+    def _record_reported(self, through: int) -> None:
+        self._table.record_reported(through)
+        self._counter.forget(through)
+
+
+def create_route(
+    receive: abc.Callable[[TotalsMessage], TotalsResponse | None],
+) -> routing.Route:
+    """Return the HTTP route over which peers send their totals."""
+
+    async def serve(req: requests.Request) -> responses.Response:
+        try:
+            message = decoding.decode_msgpack(await req.body(), TotalsMessage)
+        except ValueError as exc:
+            logs.event(
+                _LOG, "usage_totals_malformed", logging.WARNING, why=exc
+            )
+            return responses.Response(status_code=400)
+        answer = receive(message)
+        if answer is None:
+            return responses.Response(status_code=503)
+        return responses.Response(msgspec.msgpack.encode(answer))
+
+    return routing.Route(_TOTALS_PATH, serve, methods=["POST"])
--- a/src/hibiscussaddle/weights/controller.py
+++ b/src/hibiscussaddle/weights/controller.py
@@ -15,6 +15,7 @@
 
 from hibiscussaddle.adapters import connections
 from hibiscussaddle import containment
+from hibiscussaddle.duties import lease as duty_lease
 from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import observations
 from hibiscussaddle.fleet import view as view_lib
@@ -24,7 +25,6 @@
 from hibiscussaddle.policy import model_shards
 from hibiscussaddle.policy import rollout
 from hibiscussaddle.rate_limits import limiter as limiter_lib
-from hibiscussaddle import weight_lease
 
 _LOG = logging.getLogger(__name__)
 
@@ -81,7 +81,7 @@
         self,
         client: httpx.AsyncClient,
         view: view_lib.View,
-        lease_client: weight_lease.WeightLease,
+        lease_client: duty_lease.DutyLease,
         instance: str,
         allowed_lag: abc.Callable[[str], int],
         limiter: limiter_lib.Limiter,
--- a/tests/test_limited_endpoints.py
+++ b/tests/test_limited_endpoints.py
@@ -16,12 +16,12 @@
 from hibiscussaddle.batches import placement
 from hibiscussaddle.batches import runs
 from hibiscussaddle import codes
+from hibiscussaddle.duties import lease as duty_lease
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle.rate_limits import limiter as limiter_lib
 from hibiscussaddle.routes import request_state
 from hibiscussaddle.routes import routing_config
 from hibiscussaddle.scoring import scorer as scorer_lib
-from hibiscussaddle import weight_lease
 from hibiscussaddle.weights import controller
 
 import batch_builders
@@ -298,7 +298,7 @@
             subject = controller.WeightController(
                 client,
                 view_lib.create_view(),
-                typing.cast(weight_lease.WeightLease, None),
+                typing.cast(duty_lease.DutyLease, None),
                 "gateway-1",
                 lambda _: 0,
                 limiter,
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -9,8 +9,8 @@
 
 from hibiscussaddle.adapters import store
 from hibiscussaddle.adapters import store_watch
+from hibiscussaddle.duties import lease as duty_lease
 from hibiscussaddle.platform.standins import store as fake_store
-from hibiscussaddle import weight_lease
 import loopback
 
 
@@ -147,7 +147,7 @@
             httpx.AsyncClient(trust_env=False) as http,
         ):
             client = store.create_client(http, url, calls_per_second=1000)
-            lease = weight_lease.WeightLease(client, "zone-a", "name")
+            lease = duty_lease.DutyLease(client, "zone-a", "name")
             with anyio.move_on_after(1):
                 await lease.run()
             assert lease.fencing_number(guarded=True) is None
