--- a/src/hibiscussaddle/commands/fleet.py
+++ b/src/hibiscussaddle/commands/fleet.py
@@ -18,6 +18,7 @@
         report = _fetch_report(address)
         for name in ("members", "endpoints", "batches"):
             report[name] = len(report[name])
+        report["duties"] = report.get("duties", {}).get("holder")
         console.show(report, output)
 
     def instances(self, address: str = "", output: str = "table") -> None:
@@ -58,6 +59,12 @@
             )
         )
 
+    def duties(self, address: str = "", output: str = "table") -> None:
+        """List which gateway holds the duties, and the usage reports."""
+        console.show(
+            [_to_duties_row(r) for r in _fetch_reports(address)], output
+        )
+
     def weights(self, address: str = "", output: str = "table") -> None:
         """List the weight version of each engine and the newest one."""
         report = _fetch_report(address)
@@ -111,3 +118,17 @@
         "requests": report.get("running_requests"),
         "batches": len(report.get("batches", [])),
     }
+
+
+def _to_duties_row(report: Report) -> Report:
+    duties = report.get("duties") or {}
+    usage = duties.get("usage") or {}
+    return {
+        "instance": report["instance"],
+        "holder": duties.get("holder"),
+        "fencing_number": duties.get("fencing_number"),
+        "reported_through": usage.get("reported_through"),
+        "windows_behind": usage.get("windows_behind"),
+        "reports_accepted": usage.get("reports_accepted"),
+        "calls_failed": usage.get("calls_failed"),
+    }
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -86,6 +86,7 @@
     waiting_items: waiting_items.WaitingItems
     engines: placement.Placement
     duty_lease: duty_lease.DutyLease
+    contention: duty_contention.LeaseContention
     weight_controller: weight_controller.WeightController
     retirement: retirement.Retirement
     limiter: limiter_lib.Limiter
@@ -271,6 +272,8 @@
         marked_requests=known_suspects.marked_count,
         tasks=lambda: len(anyio.get_running_tasks()),
     )
+    if usage is not None:
+        gauges = {**gauges, **usage.gauges()}
     metrics = gateway_metrics.GatewayMetrics(
         gauges, dependencies.scorer.outcomes, limiter.outcomes
     )
@@ -289,6 +292,7 @@
         waiting_items=dependencies.waiting_items,
         engines=engines,
         duty_lease=lease,
+        contention=contention,
         weight_controller=weight_controller.WeightController(
             client,
             view,
--- a/src/hibiscussaddle/gateway_report.py
+++ b/src/hibiscussaddle/gateway_report.py
@@ -13,6 +13,7 @@
 from hibiscussaddle import endpoints
 from hibiscussaddle import gateway_components
 from hibiscussaddle.rate_limits import limiter as limiter_lib
+from hibiscussaddle.usage import service as usage_service
 
 REPORT_PATH: typing.Final = "/v1/report"
 
@@ -46,6 +47,17 @@
     rate_limit: float | None = None
 
 
+class DutiesReport(msgspec.Struct, frozen=True):
+    """Describe the duties that one instance of the fleet holds."""
+
+    # Instance that holds them, as this one knows; empty while it is unknown.
+    holder: str
+    # None if this instance may not act as the holder now.
+    fencing_number: int | None
+    # None where usage isn't reported.
+    usage: usage_service.UsageReport | None
+
+
 class InstanceReport(msgspec.Struct, frozen=True):
     """Describe the state of one instance as it knows itself."""
 
@@ -66,6 +78,7 @@
     members: tuple[MemberReport, ...]
     endpoints: tuple[EndpointReport, ...]
     batches: tuple[batch_report.BatchReport, ...]
+    duties: DutiesReport
 
 
 def create_report(components: gateway_components.Components) -> InstanceReport:
@@ -107,6 +120,19 @@
             owned.report()
             for owned in components.batch_owners.runners.values()
         ),
+        duties=_describe_duties(components),
+    )
+
+
+def _describe_duties(
+    components: gateway_components.Components,
+) -> DutiesReport:
+    holder = components.contention.holder
+    usage = components.usage
+    return DutiesReport(
+        holder=holder.instance if holder else "",
+        fencing_number=components.duty_lease.fencing_number(guarded=False),
+        usage=usage.report() if usage else None,
     )
 
 
--- a/src/hibiscussaddle/usage/service.py
+++ b/src/hibiscussaddle/usage/service.py
@@ -1,9 +1,11 @@
 """The components that count and report usage, and how they are wired."""
 
+from collections import abc
 import dataclasses
 import random
 
 import httpx
+import msgspec
 
 from hibiscussaddle.adapters import store
 from hibiscussaddle.duties import contention as duty_contention
@@ -19,6 +21,18 @@
 from hibiscussaddle.usage import totals
 
 
+class UsageReport(msgspec.Struct, frozen=True):
+    """Describe the usage reports as one instance knows them."""
+
+    # Newest window whose report was accepted; -1 while unknown.
+    reported_through: int
+    # The rest is known to the holder only, since it took the duty over.
+    windows_behind: int
+    reports_accepted: int
+    # Calls that were refused or had no response.
+    calls_failed: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Usage:
     """Hold the components of one instance."""
@@ -26,6 +40,26 @@
     counter: counter_lib.UsageCounter
     collector: collector_lib.Collector
     reporter: reporter_lib.Reporter
+    table: totals.Table
+
+    def report(self) -> UsageReport:
+        """Return the state for operators."""
+        reports_state = self.reporter.reports
+        return UsageReport(
+            self.table.reported_through,
+            self.reporter.windows_behind(),
+            reports_state.reported_count,
+            reports_state.refused_count,
+        )
+
+    def gauges(self) -> dict[str, abc.Callable[[], float]]:
+        """Return the gauges by metric name."""
+        return {
+            "duties_held": lambda: self.reporter.is_holder,
+            "usage_windows_behind": lambda: self.report().windows_behind,
+            "usage_reports_accepted": lambda: self.report().reports_accepted,
+            "usage_calls_failed": lambda: self.report().calls_failed,
+        }
 
     async def stop(self) -> None:
         """Hand over all counts, before the duties are released."""
@@ -67,4 +101,4 @@
         collector,
         reports.Reports(report_cfg, table, random.Random()),
     )
-    return Usage(counter, collector, reporter)
+    return Usage(counter, collector, reporter, table)
