--- a/src/hibiscussaddle/usage/reports.py
+++ b/src/hibiscussaddle/usage/reports.py
@@ -191,23 +191,26 @@
         self, step: Step, outcome: control_wire.Outcome, now: float
     ) -> None:
         """Process the outcome of a call."""
-        kinds = control_wire.Outcome
         if self._fixed != (step.window, step.body):
             return
-        if outcome in (kinds.ACCEPTED, kinds.REJECTED):
-            # A report that was rejected would be rejected again, and the later
-            # ones must not wait for it.
-            self._fixed = None
-            self._next_window = step.window + 1
-            self._table.record_reported(step.window)
-            self._skip_old_windows(now)
-            self._succeed()
+        kinds = control_wire.Outcome
+        if outcome is kinds.NOT_HELD:
+            self.reset()
+            return
         if outcome is kinds.ACCEPTED:
             self.reported_count += 1
-            return
-        self.refused_count += 1
-        if outcome is not kinds.REJECTED:
+        else:
+            self.refused_count += 1
+        if outcome in (kinds.REFUSED, kinds.UNKNOWN):
             self._fail(now)
+            return
+        # A report that was rejected would be rejected again, and the later
+        # ones must not wait for it.
+        self._fixed = None
+        self._next_window = step.window + 1
+        self._table.record_reported(step.window)
+        self._skip_old_windows(now)
+        self._succeed()
 
     def _succeed(self) -> None:
         self._wait = _RETRY_SECONDS[0]
