Keep the counts of a killed holder at its heir

A killed holder took its own counts of the open windows with it, as all other instances keep theirs until they are reported. It now sends them to the member that contends for the duties first, which passes them on to the next holder. test_counts_of_a_killed_holder_are_reported fails without it.

--- a/src/hibiscussaddle/usage/collector.py
+++ b/src/hibiscussaddle/usage/collector.py
@@ -1,7 +1,8 @@
 """Bring the totals of all instances to the holder of the duties.
 
-Each instance sends its totals to the holder. An instance that stops hands all
-that it knows over; whoever receives it passes it on in the same way.
+Each instance sends its totals to the holder, and the holder sends its own to
+an heir. An instance that stops hands all that it knows over; whoever receives
+it passes it on in the same way.
 """
 
 from collections import abc
@@ -78,8 +79,8 @@
         # Final window and version of the counter in the own totals.
         self._own_state = (-1, -1)
         self._is_stopped = False
-        # Sequence of the totals of each process that the holder has got.
-        self._holder: duty_contention.Holder | None = None
+        # Sequence of the totals of each process that the receiver has got.
+        self._receiver: duty_contention.Holder | None = None
         self._delivered: dict[totals_lib.Source, int] = {}
 
     async def run(self) -> None:
@@ -159,31 +160,56 @@
         )
 
     async def _deliver(self) -> None:
-        """Send the holder what it has not got yet."""
+        """Send the holder, or its heir, what it has not got yet."""
         holder = self._contention.holder
-        if holder != self._holder:
-            # The next holder knows nothing.
-            self._holder = holder
+        receiver = holder
+        if holder is not None and self._is_me(holder):
+            receiver = self._first_heir()
+        if receiver != self._receiver:
+            # The next one knows nothing.
+            self._receiver = receiver
             self._delivered = {}
-        if holder is None:
+        if holder is None or receiver is None:
             return
-        if self._is_me(holder):
-            self._table.retain(self.sources())
-            return
-        me = self._members.me
-        self._table.retain({(me.instance, me.incarnation)})
         changed = [
             totals
-            for totals in self._table.all()
+            for totals in self._select_totals(holder)
             if self._delivered.get(totals.source, -1) < totals.sequence
         ]
         if not changed:
             return
-        if await self._send(holder.instance, holder.peer_address, changed):
+        if await self._send(receiver.instance, receiver.peer_address, changed):
             self._delivered |= {
                 totals.source: totals.sequence for totals in changed
             }
 
+    def _first_heir(self) -> duty_contention.Holder | None:
+        for heir in self._heirs():
+            return duty_contention.Holder(
+                heir.instance, heir.peer_address, heir.incarnation
+            )
+        return None
+
+    def _select_totals(
+        self, holder: duty_contention.Holder
+    ) -> list[totals_lib.Totals]:
+        """Return the totals that the receiver may not get from others."""
+        me = (self._members.me.instance, self._members.me.incarnation)
+        if self._is_me(holder):
+            # Processes that run send theirs to the next holder; those of the
+            # holder, and what it was entrusted with, must survive its end.
+            running = self.sources()
+            self._table.retain(running)
+            return [
+                totals
+                for totals in self._table.all()
+                if totals.source == me or totals.source not in running
+            ]
+        self._table.retain({me})
+        # The totals of the holder itself are here as its heir's.
+        own = (holder.instance, holder.incarnation)
+        return [t for t in self._table.all() if t.source != own]
+
     async def _send(
         self, instance: str, address: str, totals: list[totals_lib.Totals]
     ) -> bool:
--- a/tests/test_usage_service.py
+++ b/tests/test_usage_service.py
@@ -74,7 +74,7 @@
         counted = self.usage.counter.track(workspace)
         counted.record_send(now)
         counted.close()
-        return counter.window_at(now, WINDOW_SECONDS)
+        return counter.window_at(now, self.usage.counter.window_seconds)
 
     async def stop(self) -> None:
         """Stop as planned."""
@@ -89,7 +89,7 @@
 
 @contextlib.asynccontextmanager
 async def _run_pair(
-    control: control_standin.FakeControl,
+    control: control_standin.FakeControl, **changes: typing.Any
 ) -> abc.AsyncIterator[tuple[_Instance, _Instance]]:
     """Yield the holder of the duties and another instance."""
     store_app = store_standin.create_app(store_standin.Store())
@@ -99,7 +99,7 @@
         anyio.create_task_group() as tasks,
     ):
         instances = [
-            _Instance(_settings(number, store_url, control_url))
+            _Instance(_settings(number, store_url, control_url, **changes))
             for number in (1, 2)
         ]
         for instance in instances:
@@ -138,6 +138,35 @@
     assert control.calls[0].holder != control.calls[-1].holder
 
 
+def test_counts_of_a_killed_holder_are_reported() -> None:
+    """Fails when what the holder itself counted is lost with it."""
+    control = control_standin.FakeControl()
+
+    async def main() -> None:
+        async with _run_pair(control, usage_window_seconds=4.0) as (
+            holder,
+            other,
+        ):
+            # The window must not end before the holder does.
+            await anyio.sleep(4.0 - time.time() % 4.0)
+            window = holder.count("desk")
+            source = holder.components.presence.members.me.instance
+            await fleet.wait_until(
+                lambda: any(
+                    totals.instance == source and totals.windows
+                    for totals in other.usage.table.all()
+                ),
+                5,
+            )
+            holder.kill()
+            assert window not in control.reports()
+            await fleet.wait_until(lambda: window in control.reports(), 20)
+            assert control.reports()[window] == [{"desk": 1}]
+
+    anyio.run(main)
+    assert all(len(counts) == 1 for counts in control.reports().values())
+
+
 class _Lease(duty_lease.DutyLease):
     """Hold a lease without a store."""
 
