--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -25,6 +25,9 @@
 from hibiscussaddle.batches import text_cache
 from hibiscussaddle.batches import waiting_items
 from hibiscussaddle import containment
+from hibiscussaddle.duties import contention as duty_contention
+from hibiscussaddle.duties import control_client
+from hibiscussaddle.duties import lease as duty_lease
 from hibiscussaddle.fleet import change_log
 from hibiscussaddle.fleet import confirmation as confirmation_lib
 from hibiscussaddle.fleet import feed
@@ -48,9 +51,8 @@
 from hibiscussaddle.routes import suspect_spread
 from hibiscussaddle.routes import suspects
 from hibiscussaddle.scoring import scorer as scorer_lib
-from hibiscussaddle import weight_lease
+from hibiscussaddle.usage import service as usage_service
 from hibiscussaddle.weights import controller as weight_controller
-from hibiscussaddle.weights import lease_contention
 
 # Longest waits of watches, long since each store response counts as a call.
 # Connection probes detect a connection that loses packets silently sooner.
@@ -90,7 +92,8 @@
     batch_owners: owners.OwnedBatches
     waiting_items: waiting_items.WaitingItems
     engines: placement.Placement
-    weight_lease: weight_lease.WeightLease
+    duty_lease: duty_lease.DutyLease
+    contention: duty_contention.LeaseContention
     weight_controller: weight_controller.WeightController
     retirement: retirement.Retirement
     limiter: limiter_lib.Limiter
@@ -101,6 +104,10 @@
     metrics: gateway_metrics.GatewayMetrics
     memory_growth: process_memory.GrowthLog
     key_age: key_age_lib.KeyAge
+    # None where the settings name no control API.
+    control: control_client.ControlClient | None
+    # None where usage isn't reported.
+    usage: usage_service.Usage | None
 
     @property
     def background_loops(
@@ -116,15 +123,25 @@
             self.presence.run,
             self.batch_owners.run,
             self.waiting_items.run,
-            self.weight_lease.run,
+            self.duty_lease.run,
             self.weight_controller.run,
             self.retirement.run,
             self.limiter.run,
             self.suspect_spreader.run,
             self.memory_growth.run,
             self.key_age.run,
+            *self._usage_loops(),
         )
 
+    def _usage_loops(
+        self,
+    ) -> tuple[
+        abc.Callable[[], abc.Coroutine[typing.Any, typing.Any, None]], ...
+    ]:
+        if self.usage is None:
+            return ()
+        return (self.usage.collector.run, self.usage.reporter.run)
+
 
 def create_components(cfg: gateway_settings.GatewaySettings) -> Components:
     """Create and connect the components of an instance."""
@@ -154,16 +171,14 @@
         transport, _STORE_TIMEOUT_SECONDS, cfg.store_calls_per_second
     )
     presence = presence_lib.Presence(store_client, members)
-    # The address is included because a machine may be replaced by another one
-    # under the same name.
-    machine = f"{cfg.instance}/{cfg.peer_address}"
+    machine = duty_contention.machine_name(cfg.instance, cfg.peer_address)
     holder = f"{machine}/{incarnation}"
-    contention = lease_contention.LeaseContention(
-        members, weight_lease.FLEET_SCOPE, machine
+    contention = duty_contention.LeaseContention(
+        members, duty_lease.FLEET_SCOPE, machine
     )
-    lease = weight_lease.WeightLease(
+    lease = duty_lease.DutyLease(
         store_client,
-        weight_lease.FLEET_SCOPE,
+        duty_lease.FLEET_SCOPE,
         holder,
         weight_controller.LEASE,
         may_claim=contention.may_claim,
@@ -202,6 +217,21 @@
     forwarder = forward.Forwarder(
         client, view, balancer, limiter, known_suspects
     )
+    control = None
+    if cfg.control_address:
+        control = control_client.ControlClient(
+            client,
+            cfg.control_address,
+            cfg.instance,
+            lease,
+            cfg.control_calls_per_second,
+        )
+    usage = None
+    if control is not None and usage_service.is_configured(cfg):
+        usage = usage_service.create_usage(
+            cfg, client, store_client, members, contention, lease, control
+        )
+        forwarder.usage = usage.counter
     batch_reader = reader.BatchReader(
         batches, peer_reads.PeerReadClient(client, members, view)
     )
@@ -264,6 +294,8 @@
         tasks=lambda: len(anyio.get_running_tasks()),
         keys_age=key_age.seconds,
     )
+    if usage is not None:
+        gauges = {**gauges, **usage.gauges()}
     metrics = gateway_metrics.GatewayMetrics(
         gauges, dependencies.scorer.outcomes, limiter.outcomes
     )
@@ -281,7 +313,8 @@
         batch_owners=batch_owners,
         waiting_items=dependencies.waiting_items,
         engines=engines,
-        weight_lease=lease,
+        duty_lease=lease,
+        contention=contention,
         weight_controller=weight_controller.WeightController(
             client,
             view,
@@ -302,6 +335,8 @@
             lambda: gateway_metrics.create_memory_fields(gauges),
         ),
         key_age=key_age,
+        control=control,
+        usage=usage,
     )
 
 
@@ -333,7 +368,7 @@
     client: store.StoreClient,
     view: view_lib.View,
     members: presence_lib.Members,
-    contention: lease_contention.LeaseContention,
+    contention: duty_contention.LeaseContention,
     confirmation: confirmation_lib.Confirmation | None,
     operator_wait: float,
 ) -> tuple[feed.Feed, ...]:
@@ -366,7 +401,7 @@
         ),
         feed.Feed(
             client,
-            weight_lease.PREFIX,
+            duty_lease.PREFIX,
             apply_lease_listing,
             apply_lease_changes,
             _LEASE_WAIT_SECONDS,
