--- a/src/hibiscussaddle/gateway.py
+++ b/src/hibiscussaddle/gateway.py
@@ -74,8 +74,6 @@
         # Monotonic seconds at which SIGTERM arrived; None before it.
         self.stopped_at: float | None = None
         self.running_requests = 0
-        # Whether the known keys are recent enough to accept requests with one.
-        self.keys_are_fresh: abc.Callable[[], bool] = lambda: True
         self._view = view
         self._forwarder = forwarder
         self._batches = batches
