--- a/src/hibiscussaddle/platform/config_wire.py
+++ b/src/hibiscussaddle/platform/config_wire.py
@@ -66,7 +66,8 @@
     version: decoding.Int
     routes: list[_Route]
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Workspace] | None = None
+    # Callers need no keys without this field; null must not open all routes.
+    tenants: list[_Workspace] | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Version(msgspec.Struct):
@@ -85,7 +86,7 @@
     )
     routes = tuple(_to_route(route) for route in found.routes)
     workspaces = None
-    if found.tenants is not None:
+    if found.tenants is not msgspec.UNSET:
         workspaces = tuple(
             routing_config.Workspace(
                 workspace.name,
--- a/tests/test_decoder_fuzz.py
+++ b/tests/test_decoder_fuzz.py
@@ -22,6 +22,7 @@
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import peer_reads
 from hibiscussaddle.batches import reader
+from hibiscussaddle.customers import keys
 from hibiscussaddle import decoding
 from hibiscussaddle.fleet import feed_sharing
 from hibiscussaddle.fleet import member
@@ -52,7 +53,9 @@
     "service": "desk",
     "trafficSplit": [{"service": "desk", "weight": 1}],
     "maxAttempts": 2,
+    "public": False,
 }
+_WORKSPACE: typing.Final = {"name": "t", "apiKeys": ["k"], "priority": 1}
 _STORE_ITEM: typing.Final = {
     "key": "k",
     "value": "eA==",
@@ -86,6 +89,11 @@
     msgspec.msgpack.encode(cfg.version)
     for route in cfg.routes:
         route.service_for("r-1")
+    index = keys.create_index(cfg.workspaces or ())
+    keys.identify(index, False, ["Bearer k"], True, 0.0)
+    for workspace in index.workspaces.values():
+        headers = {endpoint_wire.WORKSPACE_HEADER: workspace.name}
+        _CLIENT.build_request("POST", "http://10.0.0.1:1", headers=headers)
 
 
 # Decoders with a document that they accept.
@@ -101,7 +109,10 @@
             "models": [{"name": "m", "version": 1}],
         },
     ),
-    "configuration": (_use_config, {"version": 3, "routes": [_ROUTE]}),
+    "configuration": (
+        _use_config,
+        {"version": 3, "routes": [_ROUTE], "tenants": [_WORKSPACE]},
+    ),
     "version": (
         lambda data: config_wire.decode_published_version(
             "op/version/m", data
--- a/tests/test_keyed_calls.py
+++ b/tests/test_keyed_calls.py
@@ -237,6 +237,27 @@
     key_builders.run_scenario(scenario)
 
 
+def test_deployment_without_workspaces_is_served_as_before() -> None:
+    """Fails when headers change, or a key is needed, without workspaces."""
+
+    async def scenario(instance: key_builders.Instance) -> None:
+        cfg = key_builders.config(workspaces=None)
+        instance.components.view.config = cfg
+        resp = await instance.call("POST", ORDERS, BEARER, x_tenant="portal")
+        assert resp.status_code == 200
+        [headers] = instance.received()
+        assert (b"authorization", BEARER.encode()) in headers
+        assert instance.workspaces() == {"r-1": ["portal"]}
+        spoofed = {"X-Tenant": "portal"}
+        resp = await instance.submit("b1", headers=spoofed)
+        assert resp.status_code == 202
+        assert await _wait_until_complete(instance, "b1") == "completed"
+        assert instance.workspaces()["b1-item"] == ["portal"]
+        assert instance.workspaces()["score-b1-item"] == []
+
+    key_builders.run_scenario(scenario)
+
+
 def test_batch_outlives_its_keys() -> None:
     """Fails when a batch ends or is lost with the key that submitted it."""
 
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -311,6 +311,40 @@
         batch_wire.decode_batch("b", "r", "h", json.dumps(value).encode(), 0.0)
 
 
+@pytest.mark.parametrize(
+    "workspaces",
+    [
+        None,
+        {},
+        ["secret-key"],
+        [{"apiKeys": ["secret-key"]}],
+        [{"name": 7, "apiKeys": ["secret-key"]}],
+        [{"name": "a", "apiKeys": "secret-key"}],
+        [{"name": "a", "apiKeys": ["secret-key", 7]}],
+        [{"name": "a", "apiKeys": ["secret-key"], "priority": HUGE}],
+    ],
+)
+def test_odd_workspaces_change_no_keys(
+    workspaces: object, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Fails when a malformed list opens every route, or its keys are logged.
+
+    The configuration before it stays in force.
+    """
+    view = view_lib.create_view()
+    for version, listed in ((1, [{"name": "a"}]), (2, workspaces)):
+        value = {"version": version, "routes": [], "tenants": listed}
+        entry = store.StoreEntry(
+            config_wire.CONFIG_KEY, json.dumps(value).encode(), version
+        )
+        view.apply_operator_entries([entry])
+    assert view.config is not None
+    assert view.config.version == 1
+    assert view.config.workspaces is not None
+    assert "store_entry_malformed" in caplog.text
+    assert "secret-key" not in caplog.text
+
+
 @pytest.mark.parametrize("position", [str(HUGE), "-1", "1.0", "x"])
 def test_odd_position_is_rejected(position: str) -> None:
     """Fails when a read at an odd position is not answered with 400."""
--- a/tests/test_peer_reads.py
+++ b/tests/test_peer_reads.py
@@ -1,5 +1,6 @@
 """Guard reads that the owner of a batch serves instead of the store."""
 
+import dataclasses
 import time
 
 import anyio
@@ -35,6 +36,33 @@
     peer_read_harness.run_scenario(scenario)
 
 
+def test_peers_tell_whose_batch_it_is() -> None:
+    """Fails when another workspace reads a batch through a peer.
+
+    Which workspace owns a batch must be known without a store call, too.
+    """
+
+    async def scenario(harness: peer_read_harness.ReadHarness) -> None:
+        harness.batch = dataclasses.replace(
+            harness.batch, id="batch-2", workspace="registar"
+        )
+        await harness.accept()
+        before = harness.calls()
+        for workspace in ("portal", "registar", "portal"):
+            is_own = workspace == "registar"
+            body = await harness.reader.item_body(
+                "batch-2", "item-2", workspace
+            )
+            assert body.is_ok() is is_own
+            page = await harness.reader.results(
+                "batch-2", 0, 0.0, peer_read_harness.MAX_BYTES, workspace
+            )
+            assert page.is_ok() is is_own
+        assert harness.calls() == before
+
+    peer_read_harness.run_scenario(scenario)
+
+
 def test_read_waits_at_the_owner() -> None:
     """Fails when a waiting read returns late or polls."""
 
