--- a/src/hibiscussaddle/batches/model.py
+++ b/src/hibiscussaddle/batches/model.py
@@ -172,6 +172,17 @@
     return workspace is None or head.workspace in ("", workspace)
 
 
+def is_repeat(batch: Batch, stored: Head) -> bool:
+    """Return whether a batch under the ID of a stored one is the same batch.
+
+    Routes may have begun or ceased to need keys since it was stored.
+    """
+    if batch.workspace == stored.workspace:
+        return True
+    is_keyless = "" in (batch.workspace, stored.workspace)
+    return is_keyless and batch.route == stored.route
+
+
 def create_head(batch: Batch) -> Head:
     """Return the head of a batch."""
     return Head(
--- a/src/hibiscussaddle/batches/owners.py
+++ b/src/hibiscussaddle/batches/owners.py
@@ -113,7 +113,10 @@
         failure = response.err_value.failure
         if failure is store.StoreFailure.CONFLICT:
             head = storage.conflicting_head(response.err_value)
-            if head is None or model.may_use(batch.workspace, head):
+            if head is None and batch.workspace:
+                error = store.StoreError(store.StoreFailure.UNKNOWN)
+                return result.Err(error)
+            if head is None or model.is_repeat(batch, head):
                 return result.Ok(None)
         if failure is store.StoreFailure.UNKNOWN:
             self._spawn(self._resolve_acceptance, batch.id)
--- a/src/hibiscussaddle/customers/keys.py
+++ b/src/hibiscussaddle/customers/keys.py
@@ -157,7 +157,7 @@
         self._index = None
         if cfg.workspaces is not None:
             self._index = create_index(cfg.workspaces)
-            _log_refused_workspaces(cfg.version, self._index)
+            _log_index(cfg, self._index)
         return self._index
 
 
@@ -170,7 +170,15 @@
     )
 
 
-def _log_refused_workspaces(version: int, index: KeyIndex) -> None:
+def _log_index(cfg: routing_config.RoutingConfig, index: KeyIndex) -> None:
+    version = cfg.version
+    logs.event(
+        _LOG,
+        "keys_in_force",
+        version=version,
+        workspaces=len(cfg.workspaces or ()),
+        keys=len(index.workspaces),
+    )
     for name in sorted(index.unusable_names):
         logs.event(
             _LOG,
--- a/tests/test_keyed_calls.py
+++ b/tests/test_keyed_calls.py
@@ -279,6 +279,31 @@
     key_builders.run_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    ("stored", "submitted", "route", "expected"),
+    [
+        ("", "", "rollouts", True),
+        ("registar", "registar", "rollouts", True),
+        ("registar", "portal", "rollouts", False),
+        # The configuration began or ceased to need keys meanwhile.
+        ("", "registar", "rollouts", True),
+        ("registar", "", "rollouts", True),
+        # Another batch, of a public route.
+        ("", "registar", "open-rollouts", False),
+        ("registar", "", "open-rollouts", False),
+    ],
+)
+def test_repeated_submission_is_told_from_another_batch(
+    stored: str, submitted: str, route: str, expected: bool
+) -> None:
+    """Fails when a batch counts as accepted that another one's ID hides."""
+    head = model.create_head(
+        batch_builders.batch(workspace=stored, route=route)
+    )
+    batch = batch_builders.batch(workspace=submitted)
+    assert model.is_repeat(batch, head) is expected
+
+
 def test_public_batch_needs_no_key() -> None:
     """Fails when a batch of a public route can't be read without a key."""
 
