--- a/src/hibiscussaddle/gateway.py
+++ b/src/hibiscussaddle/gateway.py
@@ -276,7 +276,7 @@
         )
 
     async def end_batch(
-        self, batch_id: str, workspace: str | None
+        self, batch_id: str, workspace: str | None = None
     ) -> codes.Refusal | None:
         """End a batch; return the refusal if it was not ended.
 
--- a/src/hibiscussaddle/platform/ingress.py
+++ b/src/hibiscussaddle/platform/ingress.py
@@ -112,7 +112,7 @@
         if call.has_body:
             early = self._early_refusal(call)
             if early is not None:
-                await self._refuse_unread(call, early, timeout, receive, send)
+                await self._refuse_unread(call, *early, timeout, receive, send)
                 return
         # Nobody waits for the response after the deadline, and a caller that
         # was cut off without a reset would keep its request forever.
@@ -148,8 +148,10 @@
             await _send_response(send, response, self._closes_connection)
             tasks.cancel_scope.cancel()
 
-    def _early_refusal(self, call: _Call) -> codes.Refusal | None:
-        """Return the refusal of a caller without a valid key.
+    def _early_refusal(
+        self, call: _Call
+    ) -> tuple[routing_config.Route, codes.Refusal] | None:
+        """Return the route and the refusal of a caller without a valid key.
 
         The keys are checked again once the body is complete, with the
         configuration that is in force then.
@@ -159,12 +161,16 @@
         found = self._gateway.find_route(call.header("host"), call.path)
         if isinstance(found, result.Err):
             return None
-        identity = self._gateway.identify(found.ok_value, call.authorization)
-        return identity.err()
+        route = found.ok_value
+        identity = self._gateway.identify(route, call.authorization)
+        if isinstance(identity, result.Ok):
+            return None
+        return route, identity.err_value
 
     async def _refuse_unread(
         self,
         call: _Call,
+        route: routing_config.Route,
         refusal: codes.Refusal,
         timeout: float,
         receive: Receive,
@@ -177,7 +183,7 @@
         """
         response = _refusal_response(refusal, call)
         self._gateway.on_response(
-            response.route, response.status, time.monotonic() - call.arrived_at
+            route.name, response.status, time.monotonic() - call.arrived_at
         )
         await _send_response(
             send, response, self._closes_connection, is_last=False
