--- a/tests/test_keyed_calls.py
+++ b/tests/test_keyed_calls.py
@@ -237,6 +237,27 @@
     key_builders.run_scenario(scenario)
 
 
+def test_deployment_without_workspaces_is_served_as_before() -> None:
+    """Fails when headers change, or a key is needed, without workspaces."""
+
+    async def scenario(instance: key_builders.Instance) -> None:
+        cfg = key_builders.config(workspaces=None)
+        instance.components.view.config = cfg
+        resp = await instance.call("POST", ORDERS, BEARER, x_tenant="portal")
+        assert resp.status_code == 200
+        [headers] = instance.received()
+        assert (b"authorization", BEARER.encode()) in headers
+        assert instance.workspaces() == {"r-1": ["portal"]}
+        spoofed = {"X-Tenant": "portal"}
+        resp = await instance.submit("b1", headers=spoofed)
+        assert resp.status_code == 202
+        assert await _wait_until_complete(instance, "b1") == "completed"
+        assert instance.workspaces()["b1-item"] == ["portal"]
+        assert instance.workspaces()["score-b1-item"] == []
+
+    key_builders.run_scenario(scenario)
+
+
 def test_batch_outlives_its_keys() -> None:
     """Fails when a batch ends or is lost with the key that submitted it."""
 
@@ -258,6 +279,31 @@
     key_builders.run_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    ("stored", "submitted", "route", "expected"),
+    [
+        ("", "", "rollouts", True),
+        ("registar", "registar", "rollouts", True),
+        ("registar", "portal", "rollouts", False),
+        # The configuration began or ceased to need keys meanwhile.
+        ("", "registar", "rollouts", True),
+        ("registar", "", "rollouts", True),
+        # Another batch, of a public route.
+        ("", "registar", "open-rollouts", False),
+        ("registar", "", "open-rollouts", False),
+    ],
+)
+def test_repeated_submission_is_told_from_another_batch(
+    stored: str, submitted: str, route: str, expected: bool
+) -> None:
+    """Fails when a batch counts as accepted that another one's ID hides."""
+    head = model.create_head(
+        batch_builders.batch(workspace=stored, route=route)
+    )
+    batch = batch_builders.batch(workspace=submitted)
+    assert model.is_repeat(batch, head) is expected
+
+
 def test_public_batch_needs_no_key() -> None:
     """Fails when a batch of a public route can't be read without a key."""
 
