--- a/src/hibiscussaddle/duties/contention.py
+++ b/src/hibiscussaddle/duties/contention.py
@@ -37,9 +37,13 @@
     """Return the holder of a lease's key, None if the name is malformed."""
     parts = name.rsplit("/", 3)
     # Instance, address, incarnation and the attempt to claim the lease.
-    if len(parts) != 4 or not parts[2].isdecimal():
+    if len(parts) != 4:
         return None
-    return Holder(parts[0], parts[1], int(parts[2]))
+    try:
+        incarnation = int(parts[2])
+    except ValueError:
+        return None
+    return Holder(parts[0], parts[1], incarnation)
 
 
 class LeaseContention:
--- a/src/hibiscussaddle/usage/collector.py
+++ b/src/hibiscussaddle/usage/collector.py
@@ -47,13 +47,13 @@
 
     totals: list[totals_lib.Totals]
     # Newest window whose report was accepted, as the sender knows.
-    reported_through: int = -1
+    reported_through: decoding.Int = -1
 
 
 class TotalsResponse(msgspec.Struct, frozen=True):
     """Confirm that the receiver keeps the totals."""
 
-    reported_through: int = -1
+    reported_through: decoding.Int = -1
 
 
 class Collector:
--- a/src/hibiscussaddle/usage/totals.py
+++ b/src/hibiscussaddle/usage/totals.py
@@ -1,13 +1,18 @@
 """The totals that instances send each other, and the table that keeps them."""
 
 from collections import abc
+import typing
 
 import msgspec
 
 from hibiscussaddle import decoding
 
 # Marks the totals of an instance that has stopped: no window changes any more.
-ALL_WINDOWS = 1 << 53
+ALL_WINDOWS: typing.Final = 1 << 53
+# Bounds a peer's count, so that sums can be encoded.
+_Requests: typing.TypeAlias = typing.Annotated[
+    int, msgspec.Meta(ge=0, le=1 << 40)
+]
 
 # Instance and incarnation.
 Source = tuple[str, int]
@@ -21,8 +26,8 @@
     # Increases with each change, since messages may arrive out of order.
     sequence: decoding.Count
     # Newest window whose counts are final.
-    final_through: int
-    windows: dict[decoding.Count, dict[str, decoding.Count]] = {}
+    final_through: decoding.Int
+    windows: dict[decoding.Count, dict[str, _Requests]] = {}
 
     @property
     def source(self) -> Source:
--- a/tests/test_decoder_fuzz.py
+++ b/tests/test_decoder_fuzz.py
@@ -28,10 +28,13 @@
 from hibiscussaddle import gateway_settings
 from hibiscussaddle.platform import batch_wire
 from hibiscussaddle.platform import config_wire
+from hibiscussaddle.platform import control_wire
 from hibiscussaddle.platform import endpoint_wire
 from hibiscussaddle.platform import store_wire
 from hibiscussaddle.rate_limits import permits
 from hibiscussaddle.routes import suspects
+from hibiscussaddle.usage import collector
+from hibiscussaddle.usage import totals
 
 import batch_builders
 import platform_builders
@@ -88,6 +91,22 @@
         route.service_for("r-1")
 
 
+def _use_usage(data: bytes) -> None:
+    window, counts = control_wire.decode_usage(data)
+    control_wire.encode_usage(window, counts)
+
+
+def _use_totals(data: bytes) -> None:
+    table = totals.Table()
+    message = decoding.decode_msgpack(data, collector.TotalsMessage)
+    table.record_reported(message.reported_through)
+    for received in message.totals:
+        table.merge(received)
+        for window in received.windows:
+            control_wire.encode_usage(window, table.sum(window))
+    msgspec.msgpack.encode(collector.TotalsMessage(table.all()))
+
+
 # Decoders with a document that they accept.
 JSON_DECODERS: typing.Final[
     dict[str, tuple[abc.Callable[[bytes], object], typing.Any]]
@@ -140,6 +159,7 @@
     "conflict": (store_wire.decode_conflict, {"items": [_STORE_ITEM]}),
     "revision": (store_wire.decode_revision, {"revision": 4}),
     "lease": (store_wire.decode_lease, {"lease": 4, "ttlMs": 1000}),
+    "usage report": (_use_usage, {"window": 3, "counts": {"desk": 2}}),
     "member": (
         lambda data: decoding.decode_json(data, member.Member),
         {"instance": "g", "zone": "z", "incarnation": 1},
@@ -162,6 +182,12 @@
         lambda data: model.decode_parts([data]),
         batch_builders.batch(batch_builders.scored_item()),
     ),
+    "totals": (
+        _use_totals,
+        collector.TotalsMessage(
+            [totals.Totals("g", 1, 2, 3, {4: {"desk": 5}})], 3
+        ),
+    ),
     "results": (
         model.decode_results,
         [model.Result("i", model.Outcome.COMPLETED, "text", (1,))],
@@ -191,6 +217,7 @@
                 feed_sharing.ChangesResponse,
                 feed_sharing.ChangesResponse({}, None),
             ),
+            (collector.TotalsResponse, collector.TotalsResponse(3)),
             (peer_reads.Query, peer_reads.Query("b", "", 0.5, True)),
             (
                 reader.PeerResponse,
