--- a/src/hibiscussaddle/usage/reporter.py
+++ b/src/hibiscussaddle/usage/reporter.py
@@ -2,7 +2,6 @@
 
 from collections import abc
 import logging
-import statistics
 import time
 import typing
 
@@ -110,9 +109,11 @@
 
     def _first_window(self) -> int:
         """Return the window in which the system first ran."""
-        started = statistics.median_low(
+        started_times = sorted(
             incarnation for _, incarnation in self._collector.sources()
         )
+        # The median, since the clock of one of them may be wrong.
+        started = started_times[len(started_times) // 2]
         seconds = self.reports.cfg.window_seconds
         # Incarnations are Unix milliseconds.
         return counter.window_at(started / 1000, seconds)
