--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -291,6 +291,9 @@
     fleet.wait_until(
         lambda: _run_command(fleet, capsys, "weights")[0]["newest"] == 2
     )
+    duties = _run_command(fleet, capsys, "duties")
+    assert len({row["holder"] for row in duties}) == 1
+    assert sum(row["fencing_number"] is not None for row in duties) == 1
     status = _run_command(fleet, capsys, "status")
     assert (status["store"], status["members"]) == ("direct", 2)
 
