Test crowds of clients outside the limits against one instance

Callers saw: in the operators' trial, clients outside the limits ended a process; it ran out of memory. Each new test runs one instance on loopback with lowered limits (120 MB, 400 descriptors, bodies of 4 MiB) and one crowd. Crowds and bounds are fixed here, before the product changes.

--- a/src/hibiscussaddle/platform/standins/endpoint.py
+++ b/src/hibiscussaddle/platform/standins/endpoint.py
@@ -45,6 +45,8 @@
     is_leaving: bool = False
     # Time until a plain service responds.
     response_seconds: float = 0.0
+    # Bytes of a request's body that the response of a plain service repeats.
+    echoed_bytes: int = 1 << 30
 
 
 class FakeEndpoint:
@@ -163,7 +165,8 @@
             await anyio.sleep(endpoint.cfg.response_seconds)
             if is_failure:
                 return responses.Response(b"", 500, headers)
-            return responses.Response(b"answer to " + body, 200, headers)
+            echo = b"answer to " + body[: endpoint.cfg.echoed_bytes]
+            return responses.Response(echo, 200, headers)
         headers["x-weight-versions"] = str(endpoint.version)
         after = int(req.headers.get("last-event-id", "0"))
         return responses.StreamingResponse(
--- a/src/hibiscussaddle/standins/run.py
+++ b/src/hibiscussaddle/standins/run.py
@@ -94,6 +94,7 @@
         event_seconds=float(options.get("event_seconds", 0.01)),
         rate_limit=float(options.get("rate_limit", -1.0)),
         response_seconds=float(options.get("response_seconds", 0.0)),
+        echoed_bytes=int(options.get("echoed_bytes", 1 << 30)),
     )
     return endpoint.create_registered_app(cfg, str(options["store_url"]))
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -50,6 +50,18 @@
         """Return whether the process is still running."""
         return self._popen.poll() is None
 
+    def peak_bytes(self) -> int:
+        """Return the highest resident memory so far."""
+        status = pathlib.Path(f"/proc/{self._popen.pid}/status").read_text()
+        line = next(
+            line for line in status.splitlines() if line.startswith("VmHWM:")
+        )
+        return int(line.split()[1]) * 1024
+
+    def open_descriptors(self) -> int:
+        """Return the number of open file descriptors."""
+        return len(os.listdir(f"/proc/{self._popen.pid}/fd"))
+
     def wait(self, seconds: float) -> int:
         """Wait for the process to end; return its exit status."""
         return self._popen.wait(seconds)
--- /dev/null
+++ b/tests/test_uncontrolled_callers.py
@@ -0,0 +1,209 @@
+"""Guard against callers that end an instance by what they send or keep.
+
+Each test runs one real instance with lowered limits and a crowd of clients on
+loopback. The bounds follow from the stated memory and descriptors.
+"""
+
+from collections import abc
+import contextlib
+import dataclasses
+import pathlib
+import typing
+
+import httpx
+import pytest
+
+import processes
+import uncontrolled_clients as clients
+
+pytestmark = pytest.mark.process
+
+HOST: typing.Final = "desk.example"
+MIB: typing.Final = 1 << 20
+MEMORY_MB: typing.Final = 120
+FILE_DESCRIPTORS: typing.Final = 400
+MAX_BODY_BYTES: typing.Final = 4 * MIB
+# Descriptors that the platform reserves for files.
+FILE_RESERVE: typing.Final = 200
+CROWD: typing.Final = 32
+CONFIG: typing.Final = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "rollouts",
+            "host": HOST,
+            "prefix": "/rollouts/",
+            "kind": "rollout",
+            "timeoutMs": 10000,
+            "targetLatencyMs": 500,
+            "service": "engines",
+            "maxAttempts": 3,
+            "retentionS": 40.0,
+            "resultDeadlineMs": 7500,
+            "resumable": True,
+        },
+        {
+            "name": "orders",
+            "host": HOST,
+            "prefix": "/orders/",
+            "kind": "idempotent",
+            "timeoutMs": 20000,
+            "targetLatencyMs": 5000,
+            "service": "desk",
+            "maxAttempts": 2,
+        },
+    ],
+    "services": [],
+    "limits": {"maxBodyBytes": MAX_BODY_BYTES},
+}
+# The smallest machine of the deployments and the largest legal body.
+SMALLEST_MEMORY_MB: typing.Final = 150
+LARGEST_BODY_BYTES: typing.Final = 33_554_432
+# Small requests, as they are sent in calm.
+SMALL_BODY: typing.Final = b"nets"
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """Describe one crowd."""
+
+    pieces: clients.Pieces
+    count: int = CROWD
+    port: str = "gateway-1"
+    reads: bool = False
+
+
+ORDERS: typing.Final = "/orders"
+ROLLOUTS: typing.Final = "/rollouts"
+SHORT: typing.Final = MAX_BODY_BYTES - 1
+CASES: typing.Final = {
+    "announced over the limit": Case(
+        clients.announced(ORDERS, 16 * MAX_BODY_BYTES, 2 * MAX_BODY_BYTES)
+    ),
+    "chunks over the limit": Case(
+        clients.chunked(ORDERS, 65_536, 4 * MAX_BODY_BYTES)
+    ),
+    "batch chunks over the limit": Case(
+        clients.chunked(ROLLOUTS, 65_536, 4 * MAX_BODY_BYTES)
+    ),
+    "legal bodies a byte short": Case(
+        clients.announced(ORDERS, MAX_BODY_BYTES, SHORT)
+    ),
+    "legal batches a byte short": Case(
+        clients.announced(ROLLOUTS, MAX_BODY_BYTES, SHORT)
+    ),
+    "legal bodies in tiny pieces": Case(
+        clients.chunked(ORDERS, 1_024, SHORT), count=24
+    ),
+    "requests sent ahead": Case(
+        clients.sent_ahead(ORDERS, 4_096, 4_000), count=8
+    ),
+    "large answers unread": Case(
+        clients.announced(ORDERS, 3 * MIB, 3 * MIB), reads=True
+    ),
+    "large answers unread from the start": Case(
+        clients.sent_ahead(ORDERS, 3 * MIB, 4), count=CROWD // 2
+    ),
+    "endless heads": Case(clients.endless_head(8 * MIB), count=128),
+    "silent connections": Case(clients.silent(), count=FILE_DESCRIPTORS + 100),
+    "peer bodies over the limit": Case(
+        clients.chunked("/v1/batches?crowd=", 65_536, 4 * MAX_BODY_BYTES),
+        port="gw-peers-1",
+    ),
+    "silent connections to the peer port": Case(
+        clients.silent(), count=FILE_DESCRIPTORS + 100, port="gw-peers-1"
+    ),
+}
+
+
+@contextlib.contextmanager
+def _run(
+    folder: pathlib.Path,
+    cfg: dict[str, object],
+    memory_mb: int,
+    **desk: object,
+) -> abc.Iterator[processes.Fleet]:
+    with processes.run_fleet(folder) as fleet:
+        fleet.put_key("op/config", cfg)
+        fleet.start_hosted("desk-1", "desk", **desk)
+        fleet.start_gateway(
+            1,
+            f"--memory_mb={memory_mb}",
+            f"--file_descriptors={FILE_DESCRIPTORS}",
+        )
+        fleet.wait_until(lambda: _order(fleet).status_code == 200)
+        yield fleet
+
+
+@pytest.fixture(name="fleet")
+def create_fleet(tmp_path: pathlib.Path) -> abc.Iterator[processes.Fleet]:
+    """Run one instance with low limits, and a plain service."""
+    with _run(tmp_path, CONFIG, MEMORY_MB) as fleet:
+        yield fleet
+
+
+def _order(fleet: processes.Fleet, body: bytes = SMALL_BODY) -> httpx.Response:
+    headers = {
+        "host": HOST,
+        "x-request-id": "r-1",
+        "x-deadline-ms": "20000",
+        "connection": "close",
+    }
+    return fleet.client.post(
+        f"http://127.0.0.1:{fleet.port('gateway-1')}/orders/7",
+        content=body,
+        headers=headers,
+    )
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_crowd_ends_no_instance(name: str, fleet: processes.Fleet) -> None:
+    """Fails when a crowd takes more than the machine has."""
+    case = CASES[name]
+    gateway = fleet.processes[-1]
+    calm_bytes = gateway.peak_bytes()
+    crowd = clients.Crowd(
+        fleet.port(case.port), case.count, case.pieces, case.reads
+    )
+    try:
+        crowd.press()
+        crowd.linger(3)
+        descriptors = gateway.open_descriptors()
+        # Ordinary callers still get responses beside the crowd.
+        fleet.wait_until(lambda: _order(fleet).status_code == 200)
+        peak_bytes = gateway.peak_bytes()
+    finally:
+        crowd.close()
+    print(
+        f"{name}: calm {calm_bytes / 1e6:.0f} MB, peak "
+        f"{peak_bytes / 1e6:.0f} MB, {descriptors} descriptors, "
+        f"{crowd.sent_bytes / 1e6:.0f} MB sent"
+    )
+    assert gateway.is_running()
+    # The crowd is gone; the instance may still notice that.
+    fleet.wait_until(lambda: _order(fleet).status_code == 200)
+    peak_bytes = max(peak_bytes, gateway.peak_bytes())
+    print(f"{name}: peak at the end {peak_bytes / 1e6:.0f} MB")
+    assert peak_bytes <= MEMORY_MB * 1_000_000
+    assert descriptors <= FILE_DESCRIPTORS - FILE_RESERVE
+    # What the crowd sent is no longer held.
+    fleet.wait_until(
+        lambda: gateway.open_descriptors() <= FILE_DESCRIPTORS // 4
+    )
+
+
+def test_largest_body_is_served_on_the_smallest_machine(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Fails when a legal body is refused in calm or needs copies of itself.
+
+    Twice, since pages of the first body may stay with the allocator.
+    """
+    cfg = {**CONFIG, "limits": {"maxBodyBytes": LARGEST_BODY_BYTES}}
+    with _run(tmp_path, cfg, SMALLEST_MEMORY_MB, echoed_bytes=16) as fleet:
+        gateway = fleet.processes[-1]
+        body = b"x" * LARGEST_BODY_BYTES
+        for _ in range(2):
+            assert _order(fleet, body).status_code == 200
+            print(f"largest body: peak {gateway.peak_bytes() / 1e6:.0f} MB")
+        assert gateway.peak_bytes() <= SMALLEST_MEMORY_MB * 1_000_000
