--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -22,13 +22,17 @@
     """Yield the URL of a server that sends each response once, in turn.
 
     The last one repeats. Each connection is closed or reset after it. Requests
-    are added to the list of received ones.
+    are added to the list of received ones. A connection that is closed without
+    a request is a check whether the server has ended.
     """
     rest = list(responses)
 
     async def handle(stream: anyio_abc.SocketStream) -> None:
         async with stream:
-            data = await stream.receive(65536)
+            try:
+                data = await stream.receive(65536)
+            except anyio.EndOfStream:
+                return
             if received is not None:
                 received.append(data)
             await stream.send(rest.pop(0) if len(rest) > 1 else rest[0])
