Account accepted batches; add gauges and pure tests of the account

Callers saw: nothing yet; 32 complete batches of 2 MiB, added as a crowd, took an instance to 293 MB of 120 MB on (the batches are kept until they end).

--- a/src/hibiscussaddle/batches/model.py
+++ b/src/hibiscussaddle/batches/model.py
@@ -120,6 +120,14 @@
     return sum(map(sys.getsizeof, texts))
 
 
+def submitted_bytes(batch: Batch) -> int:
+    """Return the bytes of all bodies that a batch brought along."""
+    return sum(
+        len(item.body) + (len(item.scoring.body) if item.scoring else 0)
+        for item in batch.items
+    )
+
+
 def head_key(batch_id: str) -> str:
     """Return the key of a batch's head."""
     return f"batch/{batch_id}/head"
--- a/src/hibiscussaddle/batches/owners.py
+++ b/src/hibiscussaddle/batches/owners.py
@@ -70,6 +70,9 @@
         self._is_stopping = False
         # Called with a model and by how many weight versions a batch may lag
         # behind the newest.
+        # Called with the bytes that all batches brought along.
+        self.on_held: typing.Callable[[int], None] = lambda _: None
+        self._held_bytes = 0
         self.on_lag: typing.Callable[[str, int], None] = lambda *_: None
         members.on_removed = self._record_member_removal
         members.on_changed = self._request_takeover
@@ -216,7 +219,7 @@
         if previous is not None:
             previous.stop("restarted")
         self.runners[batch.id] = owned
-        self._spawn(self._run, owned)
+        self._spawn(self._run, owned, model.submitted_bytes(batch))
 
     def _is_running_here(self, record: storage.OwnerRecord) -> bool:
         """Return whether a runner has this owner record or a newer one.
@@ -226,13 +229,19 @@
         owned = self.runners.get(record.batch_id)
         return owned is not None and owned.record.revision >= record.revision
 
-    async def _run(self, owned: runner.BatchRunner) -> None:
+    async def _run(self, owned: runner.BatchRunner, size: int) -> None:
+        self._hold(size)
         try:
             await owned.run()
         finally:
+            self._hold(-size)
             if self.runners.get(owned.batch.id) is owned:
                 del self.runners[owned.batch.id]
 
+    def _hold(self, count: int) -> None:
+        self._held_bytes += count
+        self.on_held(self._held_bytes)
+
     async def _resolve_acceptance(self, batch_id: str) -> None:
         """Start a batch whose acceptance took effect without a response."""
         for delay in _RECHECK_DELAYS_SECONDS:
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -213,6 +213,7 @@
         dependencies, members, handoff.HandoffClient(client)
     )
     transport.on_recover = batch_owners.scan_soon
+    batch_owners.on_held = account.open("batches").force
     batch_owners.on_lag = presence.publish_allowed_lag
     presence.has_work = lambda: bool(batch_owners.runners)
     gateway = gateway_lib.Gateway(
@@ -226,6 +227,13 @@
         random.Random(),
         cfg.grace_seconds,
     )
+    caller_connections = callers_connections.ConnectionTable(
+        callers_connections.caller_limit(cfg.file_descriptors),
+        lambda: account.evict_slowest("descriptors"),
+    )
+    peer_connections = callers_connections.ConnectionTable(
+        callers_connections.peer_limit(cfg.file_descriptors)
+    )
     resident = process_memory.ResidentMemory()
     gauges = gateway_metrics.create_gauges(
         running=lambda: gateway.running_requests,
@@ -252,19 +260,18 @@
         tasks=lambda: len(anyio.get_running_tasks()),
     )
     metrics = gateway_metrics.GatewayMetrics(
-        gauges, dependencies.scorer.outcomes, limiter.outcomes
+        gauges,
+        dependencies.scorer.outcomes,
+        limiter.outcomes,
+        account,
+        {"callers": caller_connections, "peers": peer_connections},
     )
     gateway.on_response = metrics.count_response
     return Components(
         cfg=cfg,
         account=account,
-        caller_connections=callers_connections.ConnectionTable(
-            callers_connections.caller_limit(cfg.file_descriptors),
-            lambda: account.evict_slowest("descriptors"),
-        ),
-        peer_connections=callers_connections.ConnectionTable(
-            callers_connections.peer_limit(cfg.file_descriptors)
-        ),
+        caller_connections=caller_connections,
+        peer_connections=peer_connections,
         client=client,
         store_transport=transport,
         store=store_client,
--- a/src/hibiscussaddle/gateway_metrics.py
+++ b/src/hibiscussaddle/gateway_metrics.py
@@ -6,6 +6,8 @@
 from aioprometheus import collectors
 from aioprometheus import renderer
 
+from hibiscussaddle.callers import connections
+from hibiscussaddle.callers import memory
 from hibiscussaddle import logs
 
 # Upper bounds of the histogram around the latency targets of plain requests.
@@ -32,6 +34,8 @@
         gauges: Gauges,
         score_attempts: abc.Mapping[str, int],
         permits: abc.Mapping[tuple[str, str], int],
+        account: memory.Account,
+        tables: abc.Mapping[str, connections.ConnectionTable],
     ) -> None:
         """Register the metrics; the arguments are read on each scrape."""
         self.registry = collectors.Registry()
@@ -62,6 +66,28 @@
             registry=self.registry,
         )
         self._permits = permits
+        self._caller_bytes = collectors.Gauge(
+            "hibiscussaddle_caller_bytes",
+            "Bytes that are held for callers by holder.",
+            registry=self.registry,
+        )
+        self._caller_refusals = collectors.Counter(
+            "hibiscussaddle_caller_refusals_total",
+            "Holds of callers that ended early by holder and reason.",
+            registry=self.registry,
+        )
+        self._account = account
+        self._connections_open = collectors.Gauge(
+            "hibiscussaddle_connections_open",
+            "Open connections by port.",
+            registry=self.registry,
+        )
+        self._connections_closed = collectors.Counter(
+            "hibiscussaddle_connections_closed_total",
+            "Connections closed by this instance by port and reason.",
+            registry=self.registry,
+        )
+        self._tables = tables
         self._response_seconds = collectors.Histogram(
             "hibiscussaddle_answer_seconds",
             "Seconds from the arrival of a request to its answer, by route.",
@@ -101,6 +127,7 @@
             self._permits_total.set(
                 {"purpose": purpose, "outcome": outcome}, total
             )
+        self._render_callers()
         for name, read_value in self._gauge_readers.items():
             self._gauges[name].set({}, read_value())
         return typing.cast(
@@ -108,6 +135,20 @@
             renderer.render(self.registry, accept),
         )
 
+    def _render_callers(self) -> None:
+        for holder, held in self._account.by_holder.items():
+            self._caller_bytes.set({"holder": holder}, held)
+        for (holder, reason), total in self._account.refusals.items():
+            self._caller_refusals.set(
+                {"holder": holder, "reason": reason}, total
+            )
+        for port, table in self._tables.items():
+            self._connections_open.set({"port": port}, table.open_count)
+            for reason, total in table.closed.items():
+                self._connections_closed.set(
+                    {"port": port, "reason": reason}, total
+                )
+
 
 def create_gauges(
     running: abc.Callable[[], float],
--- /dev/null
+++ b/tests/test_caller_memory.py
@@ -0,0 +1,192 @@
+"""Test the account of the bytes that an instance holds for callers."""
+
+import typing
+
+import hypothesis
+from hypothesis import strategies
+
+from hibiscussaddle.callers import connections
+from hibiscussaddle.callers import memory
+
+MIB: typing.Final = 1 << 20
+BUDGET: typing.Final = 20 * MIB
+# Steps: caller, bytes of its next piece, seconds before it.
+STEPS: typing.Final = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 7),
+        strategies.sampled_from([1, 1_000, 65_536, MIB, 5 * MIB]),
+        strategies.sampled_from([0.0, 0.3, 2.0]),
+    ),
+    max_size=60,
+)
+
+
+class Bodies:
+    """Hold an account with a clock of its own and the bodies being read."""
+
+    def __init__(self, budget: int = BUDGET) -> None:
+        """Create an account without bodies."""
+        self.now = 0.0
+        self.account = memory.Account(budget, lambda: self.now)
+        self.evicted: list[memory.Hold] = []
+
+    def open(self, is_evictable: bool = True) -> memory.Hold:
+        """Start a body."""
+        hold = self.account.open("bodies")
+        if is_evictable:
+            hold.on_evict = lambda: self.evicted.append(hold)
+        return hold
+
+    def add(self, hold: memory.Hold, count: int) -> bool:
+        """Receive a piece; return whether the body may go on."""
+        hold.moved_bytes += count
+        return hold.resize(hold.size + count)
+
+
+@hypothesis.given(steps=STEPS)
+def test_budget_is_never_exceeded(
+    steps: list[tuple[int, int, float]],
+) -> None:
+    """Fails when bodies together exceed the budget, or bytes leak."""
+    bodies = Bodies()
+    holds = {number: bodies.open() for number in range(8)}
+    for number, count, seconds in steps:
+        bodies.now += seconds
+        if not bodies.add(holds[number], count):
+            holds[number].close()
+            holds[number] = bodies.open()
+        assert 0 <= bodies.account.held_bytes <= BUDGET
+        # Two callers of one body must not end each other by turns.
+        assert len(set(bodies.evicted)) == len(bodies.evicted)
+    for hold in holds.values():
+        hold.close()
+        hold.close()
+    for hold in bodies.evicted:
+        hold.close()
+    assert bodies.account.held_bytes == 0
+    assert not any(bodies.account.by_holder.values())
+
+
+@hypothesis.given(steps=STEPS)
+def test_small_requests_are_admitted(
+    steps: list[tuple[int, int, float]],
+) -> None:
+    """Fails when large bodies leave no room for an ordinary request."""
+    bodies = Bodies()
+    holds = {number: bodies.open() for number in range(8)}
+    for number, count, seconds in steps:
+        bodies.now += seconds
+        bodies.add(holds[number], count)
+        small = bodies.open()
+        assert bodies.add(small, memory.SMALL_BYTES)
+        small.close()
+
+
+def test_slowest_body_is_refused_first() -> None:
+    """Fails when a stalled body keeps the memory that others ask for."""
+    bodies = Bodies()
+    stalled, moving = bodies.open(), bodies.open()
+    assert bodies.add(stalled, 8 * MIB)
+    bodies.now = 4.0
+    assert bodies.add(moving, 8 * MIB)
+    bodies.now = 5.0
+    newcomer = bodies.open()
+    assert bodies.add(newcomer, 4 * MIB)
+    assert bodies.evicted == [stalled]
+    assert not stalled.resize(1)
+
+
+def test_complete_body_is_not_refused() -> None:
+    """Fails when a request that is under way loses its body."""
+    bodies = Bodies()
+    complete = bodies.open(is_evictable=False)
+    assert bodies.add(complete, 17 * MIB)
+    bodies.now = 60.0
+    newcomer = bodies.open()
+    assert not bodies.add(newcomer, 4 * MIB)
+    assert complete.size == 17 * MIB
+
+
+def test_refused_body_holds_nothing() -> None:
+    """Fails when the bytes of a refused body stay in the account."""
+    bodies = Bodies()
+    hold = bodies.open()
+    assert bodies.add(hold, 10 * MIB)
+    assert not bodies.add(hold, 10 * MIB)
+    assert bodies.account.held_bytes == 0
+    assert bodies.account.refusals["bodies", "refused"] == 1
+
+
+def test_response_is_kept_at_the_expense_of_a_slow_one() -> None:
+    """Fails when responses that nobody reads keep out a ready one."""
+    bodies = Bodies()
+    unread, read, ready = (bodies.open() for _ in range(3))
+    unread.force(9 * MIB)
+    read.force(9 * MIB)
+    read.moved_bytes = MIB
+    ready.force(9 * MIB)
+    assert bodies.evicted == [unread]
+    assert ready.size == 9 * MIB
+
+
+def test_largest_legal_body_fits_into_the_smallest_machine() -> None:
+    """Fails when a single legal body is refused in calm on 150 MB."""
+    bodies = Bodies(memory.budget_bytes(150))
+    assert bodies.add(bodies.open(), 33_554_432)
+
+
+def test_unknown_memory_refuses_nothing() -> None:
+    """Fails when an instance that doesn't know its memory refuses bodies."""
+    bodies = Bodies(memory.budget_bytes(0))
+    assert bodies.add(bodies.open(), 1 << 36)
+
+
+class _Connection:
+    def __init__(self) -> None:
+        self.is_closed = False
+
+    def close_idle(self) -> None:
+        """Record the end."""
+        self.is_closed = True
+
+
+def test_unused_connections_close_before_idle_ones() -> None:
+    """Fails when a crowd that sends nothing takes over kept connections."""
+    table = connections.ConnectionTable(3)
+    kept, busy, unused, newcomer = (_Connection() for _ in range(4))
+    for conn in (kept, busy, unused):
+        assert table.admit(conn)
+    table.mark_busy(kept)
+    table.mark_idle(kept)
+    table.mark_busy(busy)
+    assert table.admit(newcomer)
+    assert unused.is_closed
+    table.mark_busy(newcomer)
+    last = _Connection()
+    assert table.admit(last)
+    assert kept.is_closed
+    table.mark_busy(last)
+    assert not table.admit(_Connection())
+    assert table.open_count == 3
+    assert not busy.is_closed
+    assert table.closed == {"unused": 1, "idle": 1, "refused": 1}
+
+
+def test_closed_connection_is_not_idle() -> None:
+    """Fails when a response after the close brings a connection back."""
+    table = connections.ConnectionTable(1)
+    conn = _Connection()
+    assert table.admit(conn)
+    table.remove(conn)
+    table.mark_idle(conn)
+    assert table.admit(_Connection())
+    assert not conn.is_closed
+
+
+def test_connection_limits_follow_from_the_descriptors() -> None:
+    """Fails when connections of callers leave none for endpoints."""
+    callers = connections.caller_limit(1_638)
+    peers = connections.peer_limit(1_638)
+    assert 2 * callers + peers <= 1_638 - 200
+    assert callers > 500
+    assert connections.caller_limit(0) == connections.UNLIMITED
--- a/tests/test_uncontrolled_callers.py
+++ b/tests/test_uncontrolled_callers.py
@@ -92,6 +92,7 @@
     "legal batches a byte short": Case(
         clients.announced(ROLLOUTS, MAX_BODY_BYTES, SHORT)
     ),
+    "complete legal batches": Case(clients.batches(ROLLOUTS, 2 * MIB, 8)),
     "legal bodies in tiny pieces": Case(
         clients.chunked(ORDERS, 1_024, SHORT), count=24
     ),
--- a/tests/uncontrolled_clients.py
+++ b/tests/uncontrolled_clients.py
@@ -1,8 +1,10 @@
 """Crowds of raw clients that stay outside the limits of the protocol."""
 
+import base64
 from collections import abc
 import contextlib
 import dataclasses
+import json
 import selectors
 import socket
 import time
@@ -164,6 +166,35 @@
     return send
 
 
+def batches(path: str, body_bytes: int, items: int) -> Pieces:
+    """Return complete batches with large items."""
+    data = base64.b64encode(b"x" * (body_bytes // items)).decode()
+
+    def send(number: int) -> abc.Iterator[bytes]:
+        body = json.dumps(
+            {
+                "step": number,
+                "model": "base",
+                "minVersion": 1,
+                "groupCount": 1,
+                "items": [
+                    {
+                        "id": f"u-{number}-{index}",
+                        "path": f"{path}/{index}",
+                        "headers": {"X-Model": "base"},
+                        "body": data,
+                        "tokens": 10,
+                        "group": "g",
+                    }
+                    for index in range(items)
+                ],
+            }
+        ).encode()
+        yield head(path, number, f"Content-Length: {len(body)}") + body
+
+    return send
+
+
 def endless_head(sent_bytes: int) -> Pieces:
     """Return heads that never end."""
     line = b"X-More: " + b"x" * 1_000 + b"\r\n"
