--- a/src/hibiscussaddle/callers/memory.py
+++ b/src/hibiscussaddle/callers/memory.py
@@ -117,10 +117,14 @@
         hold.size = size
         return True
 
-    def evict_slowest(self, reason: str) -> bool:
-        """End the hold of the slowest caller; return whether there is one."""
+    def evict_slowest(self, holders: abc.Collection[str], reason: str) -> bool:
+        """End the slowest hold of some holders; return whether one is left."""
         now = self.clock()
-        found = [hold for hold in self._holds if hold.on_evict]
+        found = [
+            hold
+            for hold in self._holds
+            if hold.on_evict and hold.holder in holders
+        ]
         if not found:
             return False
         self._end(min(found, key=lambda hold: hold.rate(now)), reason)
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -23,8 +23,10 @@
 from hibiscussaddle.batches import storage
 from hibiscussaddle.batches import text_cache
 from hibiscussaddle.batches import waiting_items
+from hibiscussaddle.callers import bodies
 from hibiscussaddle.callers import connections as callers_connections
 from hibiscussaddle.callers import memory
+from hibiscussaddle.callers import writing
 from hibiscussaddle import containment
 from hibiscussaddle.fleet import change_log
 from hibiscussaddle.fleet import feed
@@ -229,7 +231,9 @@
     )
     caller_connections = callers_connections.ConnectionTable(
         callers_connections.caller_limit(cfg.file_descriptors),
-        lambda: account.evict_slowest("descriptors"),
+        lambda: account.evict_slowest(
+            (bodies.HOLDER, writing.HOLDER), "descriptors"
+        ),
     )
     peer_connections = callers_connections.ConnectionTable(
         callers_connections.peer_limit(cfg.file_descriptors)
--- a/src/hibiscussaddle/platform/ingress.py
+++ b/src/hibiscussaddle/platform/ingress.py
@@ -36,8 +36,10 @@
 # Upper limit of the time that a read waits for its first result.
 _MAX_READ_WAIT_SECONDS: typing.Final = 1.0
 
-# The text of a batch, its decoded items and what is written to the store.
-_BATCH_COPIES: typing.Final = 3
+# Bytes accounted for each byte of a batch while it is accepted: it is held as
+# text, as decoded items and in the encodings that are written to the store,
+# 6.4 bytes resident for each one. The budget leaves 0.6 of the memory.
+_BATCH_COPIES: typing.Final = 4
 
 _JSON_HEADERS: typing.Final = (("content-type", "application/json"),)
 
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -141,6 +141,19 @@
     assert bodies.add(bodies.open(), 1 << 36)
 
 
+def test_descriptors_are_freed_by_a_caller_of_that_port() -> None:
+    """Fails when a crowd of callers closes the connections of peers."""
+    bodies = Bodies()
+    peer = bodies.account.open("input")
+    peer.on_evict = lambda: bodies.evicted.append(peer)
+    caller = bodies.open()
+    bodies.now = 5.0
+    assert bodies.add(caller, MIB)
+    assert bodies.account.evict_slowest(("bodies",), "descriptors")
+    assert bodies.evicted == [caller]
+    assert not bodies.account.evict_slowest(("bodies",), "descriptors")
+
+
 class _Connection:
     def __init__(self) -> None:
         self.is_closed = False
