--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -24,8 +24,10 @@
 from hibiscussaddle.batches import suspect_items as suspect_items_lib
 from hibiscussaddle.batches import text_cache
 from hibiscussaddle.batches import waiting_items
+from hibiscussaddle.callers import bodies
 from hibiscussaddle.callers import connections as callers_connections
 from hibiscussaddle.callers import memory
+from hibiscussaddle.callers import writing
 from hibiscussaddle import containment
 from hibiscussaddle.duties import contention as duty_contention
 from hibiscussaddle.duties import control_client
@@ -263,6 +265,7 @@
         dependencies, members, handoff.HandoffClient(client)
     )
     transport.on_recover = batch_owners.scan_soon
+    batch_owners.on_held = account.open("batches").force
     batch_owners.on_lag = presence.publish_allowed_lag
     presence.has_work = lambda: bool(batch_owners.runners)
     gateway = gateway_lib.Gateway(
@@ -277,6 +280,15 @@
         cfg.grace_seconds,
     )
     gateway.keys_are_fresh = key_age.is_fresh
+    caller_connections = callers_connections.ConnectionTable(
+        callers_connections.caller_limit(cfg.file_descriptors),
+        lambda: account.evict_slowest(
+            (bodies.HOLDER, writing.HOLDER), "descriptors"
+        ),
+    )
+    peer_connections = callers_connections.ConnectionTable(
+        callers_connections.peer_limit(cfg.file_descriptors)
+    )
     resident = process_memory.ResidentMemory()
     gauges = gateway_metrics.create_gauges(
         running=lambda: gateway.running_requests,
@@ -306,19 +318,18 @@
     if usage is not None:
         gauges = {**gauges, **usage.gauges()}
     metrics = gateway_metrics.GatewayMetrics(
-        gauges, dependencies.scorer.outcomes, limiter.outcomes
+        gauges,
+        dependencies.scorer.outcomes,
+        limiter.outcomes,
+        account,
+        {"callers": caller_connections, "peers": peer_connections},
     )
     gateway.on_response = metrics.count_response
     return Components(
         cfg=cfg,
         account=account,
-        caller_connections=callers_connections.ConnectionTable(
-            callers_connections.caller_limit(cfg.file_descriptors),
-            lambda: account.evict_slowest("descriptors"),
-        ),
-        peer_connections=callers_connections.ConnectionTable(
-            callers_connections.peer_limit(cfg.file_descriptors)
-        ),
+        caller_connections=caller_connections,
+        peer_connections=peer_connections,
         client=client,
         store_transport=transport,
         store=store_client,
