Read what a watch of the keys missed; keep revoked keys out

With a confirmation an empty response no longer advances a watch, and a listing replaces a watch every 3 s.

A workspace whose keys are null has none, where the whole configuration was malformed and its older keys worked on. Keys that differ in a byte that Latin-1 counts as white space are no longer equal.

--- a/src/hibiscussaddle/auth.py
+++ b/src/hibiscussaddle/auth.py
@@ -26,5 +26,7 @@
 
 def bearer_token(header: str) -> str:
     """Return the token of an Authorization header, or an empty string."""
-    scheme, *token = header.split(maxsplit=1) or [""]
-    return token[0].strip() if token and scheme.lower() == "bearer" else ""
+    # Only blanks separate: other white space may be part of a key whose bytes
+    # were decoded as Latin-1.
+    scheme, _, token = header.strip(" \t").replace("\t", " ").partition(" ")
+    return token.strip(" ") if scheme.lower() == "bearer" else ""
--- a/src/hibiscussaddle/fleet/change_log.py
+++ b/src/hibiscussaddle/fleet/change_log.py
@@ -87,6 +87,17 @@
             del self._contents[entry.key]
             self._changes.append(entry)
 
+    def removals(
+        self, listing: abc.Iterable[store.StoreEntry], revision: int
+    ) -> list[store.StoreEntry]:
+        """Return the removals of the known keys that a listing lacks."""
+        listed = {entry.key for entry in listing}
+        return [
+            store.StoreEntry(key, None, revision, 0)
+            for key in self._entries
+            if key not in listed
+        ]
+
     def _drop_oldest(self) -> None:
         while len(self._changes) > _MAX_CHANGES:
             dropped = self._changes.popleft()
--- a/src/hibiscussaddle/fleet/feed.py
+++ b/src/hibiscussaddle/fleet/feed.py
@@ -23,6 +23,11 @@
 # seconds within which a configuration must be in force.
 FIRST_RETRY_SECONDS: typing.Final = 0.1
 _LONGEST_RETRY_SECONDS: typing.Final = 0.6
+# With a confirmation, a listing replaces a watch at this interval. A watch may
+# miss changes while the store drops its history, and a listing misses none.
+# Shorter than the time within which a revoked key must stop working, and than
+# the history of the store, so that no watch starts before it.
+_RELIST_SECONDS: typing.Final = 3.0
 
 
 class Feed:
@@ -67,6 +72,10 @@
         self._pause_seconds = pause
         self._on_failure = on_failure
         self._revision: int | None = None
+        # Revision after which watches start with a confirmation, and the time
+        # of the newest listing in seconds of clocks.boot_seconds().
+        self._watched_after = 0
+        self._listed_at = float("-inf")
         self._backoff = store.Backoff(
             random.Random(), FIRST_RETRY_SECONDS, _LONGEST_RETRY_SECONDS
         )
@@ -115,7 +124,8 @@
         """Make one store call; return the failure, if any."""
         is_listing = self._revision is None
         sent_at = clocks.boot_seconds()
-        if self._revision is None:
+        is_check = self._is_check_due(sent_at)
+        if self._revision is None or is_check:
             response = await self._client.scan(self.prefix)
         else:
             # A call on a connection that loses packets silently hangs for its
@@ -124,9 +134,12 @@
             wait = 0.0
             if not self.is_failing() and not self._is_stale(sent_at):
                 wait = self._wait_seconds
-            response = await self._client.watch(
-                self.prefix, self._revision, wait
-            )
+            # An empty response may come from a watch that missed changes, so
+            # it doesn't advance the revision after which the next one starts.
+            after = self._revision
+            if self.confirmation is not None:
+                after = self._watched_after
+            response = await self._client.watch(self.prefix, after, wait)
         if isinstance(response, result.Err):
             return self._record_failure(response.err_value.failure)
         entries, revision = response.ok_value
@@ -134,10 +147,22 @@
             # A response older than the known revision is not the newest state.
             # It may also be a listing that a page of the reader has overtaken.
             return self._record_failure(store.StoreFailure.UNKNOWN)
+        if is_check and not is_listing:
+            entries = entries + self.change_log.removals(entries, revision)
+        if is_listing or is_check:
+            self._listed_at = sent_at
+        if is_listing or is_check or entries:
+            self._watched_after = revision
         page = change_log.Page(tuple(entries), revision, is_listing)
         self.apply(page, time.monotonic(), sent_at)
         return None
 
+    def _is_check_due(self, now: float) -> bool:
+        return (
+            self.confirmation is not None
+            and now - self._listed_at >= _RELIST_SECONDS
+        )
+
     def _newest_known_revision(self) -> int:
         known = self._revision or 0
         if self.confirmation is None:
--- a/src/hibiscussaddle/platform/config_wire.py
+++ b/src/hibiscussaddle/platform/config_wire.py
@@ -51,7 +51,8 @@
     """Describe a "tenant" of the protocol."""
 
     name: str
-    api_keys: list[str] = []
+    # Null as well once the last key was taken away.
+    api_keys: list[str] | None = None
     priority: decoding.Int | None = None
 
 
@@ -90,7 +91,7 @@
         workspaces = tuple(
             routing_config.Workspace(
                 workspace.name,
-                frozenset(workspace.api_keys),
+                frozenset(workspace.api_keys or ()),
                 workspace.priority,
             )
             for workspace in found.tenants
--- a/tests/test_caller_keys.py
+++ b/tests/test_caller_keys.py
@@ -13,6 +13,7 @@
 from hibiscussaddle.customers import headers as customer_headers
 from hibiscussaddle.customers import keys
 from hibiscussaddle.customers import priority
+from hibiscussaddle.platform import config_wire
 from hibiscussaddle.routes import routing_config
 
 import batch_builders
@@ -123,6 +124,27 @@
         assert found.is_ok() is expected
 
 
+def test_only_blanks_separate_a_key() -> None:
+    """Fails when keys that end in different bytes are taken for equal.
+
+    The second byte of both, as Latin-1, counts as white space elsewhere.
+    """
+    sent = "Bearer  k\u00c3\u00a0\t"
+    assert auth.bearer_token(sent) == "k\u00c3\u00a0"
+
+
+def test_workspace_without_keys_is_read() -> None:
+    """Fails when taking the last key away makes a configuration malformed.
+
+    Its keys of before would work on.
+    """
+    cfg = config_wire.decode_config(
+        b'{"version":3,"routes":[],"tenants":[{"name":"a","apiKeys":null}]}'
+    )
+    assert cfg.workspaces is not None
+    assert cfg.workspaces[0].keys == frozenset()
+
+
 _KEYS = strategies.text(max_size=40)
 
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1,9 +1,12 @@
 """Test how an instance watches keys of the store."""
 
 import anyio
+import pytest
 import result
 
 from hibiscussaddle.adapters import store
+from hibiscussaddle import clocks
+from hibiscussaddle.fleet import confirmation
 from hibiscussaddle.fleet import feed
 from hibiscussaddle import gateway_components
 
@@ -155,3 +158,99 @@
         assert len(outages) == 2
 
     anyio.run(main)
+
+
+class MissingClient(FakeClient):
+    """Return watches that miss a change, as while the history is dropped."""
+
+    def __init__(self) -> None:
+        """Start with one document."""
+        super().__init__()
+        self.document = store.StoreEntry("op/config", b"old", 1)
+        self.is_silent = False
+
+    async def scan(self, prefix: str) -> object:
+        """Return the document."""
+        self.scans += 1
+        return result.Ok(([self.document], self.revision))
+
+    async def watch(self, prefix: str, after: int, wait: float) -> object:
+        """Return the document if it is newer, unless watches miss it."""
+        found = []
+        if not self.is_silent and self.document.revision > after:
+            found = [self.document]
+        return result.Ok((found, self.revision))
+
+
+def test_change_missed_by_a_watch_is_read_later() -> None:
+    """Fails when a revoked key works on after one response without it.
+
+    While the store drops its history, its watches return no changes for a
+    second, and yet a revision after them.
+    """
+    client = MissingClient()
+    seen: list[bytes | None] = []
+
+    def record(entries: list[store.StoreEntry]) -> None:
+        seen.extend(entry.data for entry in entries)
+
+    prefix_feed = feed.Feed(
+        client,
+        "op/",
+        record,
+        record,
+        1.5,
+        confirmation=confirmation.Confirmation(5.0),
+    )
+
+    async def main() -> None:
+        await prefix_feed.poll_once()
+        client.document = store.StoreEntry("op/config", b"new", 2)
+        client.revision, client.is_silent = 3, True
+        await prefix_feed.poll_once()
+        assert seen == [b"old"]
+        client.is_silent = False
+        await prefix_feed.poll_once()
+
+    anyio.run(main)
+    assert seen == [b"old", b"new"]
+
+
+def test_listing_finds_what_no_watch_returns(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Fails when a change that all watches miss is never read.
+
+    Fails as well when a key that is gone from the listing stays known.
+    """
+    client = MissingClient()
+    client.is_silent = True
+    now = 100.0
+    monkeypatch.setattr(clocks, "boot_seconds", lambda: now)
+    seen: list[tuple[str, bytes | None]] = []
+
+    def record(entries: list[store.StoreEntry]) -> None:
+        seen.extend((entry.key, entry.data) for entry in entries)
+
+    prefix_feed = feed.Feed(
+        client,
+        "op/",
+        record,
+        record,
+        1.5,
+        confirmation=confirmation.Confirmation(5.0),
+    )
+
+    async def main() -> None:
+        nonlocal now
+        await prefix_feed.poll_once()
+        client.document = store.StoreEntry("op/other", b"new", 2)
+        client.revision = 3
+        for _ in range(3):
+            now += 1.5
+            await prefix_feed.poll_once()
+
+    anyio.run(main)
+    assert ("op/other", b"new") in seen
+    assert ("op/config", None) in seen
+    assert client.scans == 2
