--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -323,6 +323,8 @@
         limiter.outcomes,
         account,
         {"callers": caller_connections, "peers": peer_connections},
+        dependencies.competition.waiting_seconds,
+        dependencies.competition.events,
     )
     gateway.on_response = metrics.count_response
     return Components(
