Divide engines among models by demand

The holder of the weight lease now divides engines by the demand that owners of batches publish with their member keys; owners follow, since they choose engines by the versions that these hold. Not measured yet.

--- a/src/hibiscussaddle/batches/owners.py
+++ b/src/hibiscussaddle/batches/owners.py
@@ -71,6 +71,8 @@
         # Called with a model and by how many weight versions a batch may lag
         # behind the newest.
         self.on_lag: typing.Callable[[str, int], None] = lambda *_: None
+        # Called with each batch that begins to run here.
+        self.on_step: typing.Callable[[model.Batch], None] = lambda _: None
         members.on_removed = self._record_member_removal
         members.on_changed = self._request_takeover
 
@@ -215,6 +217,8 @@
         previous = self.runners.get(batch.id)
         if previous is not None:
             previous.stop("restarted")
+        elif not log:
+            self.on_step(batch)
         self.runners[batch.id] = owned
         self._spawn(self._run, owned)
 
--- a/src/hibiscussaddle/fleet/member.py
+++ b/src/hibiscussaddle/fleet/member.py
@@ -17,6 +17,9 @@
     # How many versions older than the newest one the weights of each model may
     # be: the smallest lag that any batch accepted by this instance allows.
     allowed_lags: dict[str, int] = {}
+    # Output tokens per second that the steps of each model ask for, by model
+    # and route, as far as this instance owns their batches.
+    demands: dict[str, dict[str, int]] | msgspec.UnsetType = msgspec.UNSET
     # Processor capacity that it may use, in reference cores; the members of a
     # zone with the largest capacity are leader-eligible.
     cores: float = 0.0
--- a/src/hibiscussaddle/fleet/presence.py
+++ b/src/hibiscussaddle/fleet/presence.py
@@ -19,6 +19,7 @@
 from hibiscussaddle.fleet import member as member_lib
 from hibiscussaddle.fleet import roles
 from hibiscussaddle import logs
+from hibiscussaddle.policy import engine_demand
 
 _LOG = logging.getLogger(__name__)
 
@@ -65,6 +66,9 @@
         # members.
         self._owners: dict[str, Member] = {}
         self._owned_routes: tuple[str, ...] | None = None
+        # Newest demand by model and route. It outlives the member that
+        # published it, until the next owner of the route knows a new one.
+        self._demands: dict[tuple[str, str], int] = {}
 
     def peer_addresses(self) -> list[str]:
         """Return the addresses of peers, those of the own zone first."""
@@ -117,6 +121,21 @@
             default=0,
         )
 
+    def model_demands(self) -> dict[str, int]:
+        """Return the output tokens per second that each model asks for."""
+        demands: dict[str, int] = {}
+        for (model, _), demand in self._demands.items():
+            demands[model] = demands.get(model, 0) + demand
+        return demands
+
+    def _record_demands(self, member: Member) -> None:
+        """Record the demands that a member has changed."""
+        known = self.all.get(member.instance)
+        before = _flatten(known.demands) if known is not None else {}
+        for key, demand in _flatten(member.demands).items():
+            if before.get(key) != demand:
+                self._demands[key] = demand
+
     def zone_reader(self) -> Member | None:
         """Return the peer that reads the store on behalf of this zone.
 
@@ -191,6 +210,7 @@
             self.me = msgspec.structs.replace(
                 self.me, allowed_lags=member.allowed_lags
             )
+        self._record_demands(member)
         self.all[member.instance] = member
         self._owned_routes = None
         logs.event(
@@ -208,6 +228,19 @@
             self.on_removed(instance)
 
 
+def _flatten(
+    demands: dict[str, dict[str, int]] | msgspec.UnsetType,
+) -> dict[tuple[str, str], int]:
+    if demands is msgspec.UNSET:
+        return {}
+    return {
+        (model, route): demand
+        for model, by_route in demands.items()
+        for route, demand in by_route.items()
+        if demand >= 0
+    }
+
+
 class Presence:
     """Register this instance and keep its lease alive."""
 
@@ -223,6 +256,8 @@
         self._registered_at = float("inf")
         # Value of this instance's key in the store.
         self._published: Member | None = None
+        # Monotonic seconds of the latest change of a published demand.
+        self._demand_changed_at = float("-inf")
         self._wake = anyio.Event()
 
     async def run(self) -> None:
@@ -287,6 +322,29 @@
         logs.event(_LOG, "allowed_lag", model=model, versions=lag)
         self._wake.set()
 
+    def publish_demand(self, model: str, route: str, demand: int) -> None:
+        """Publish the demand of a model if it has changed much."""
+        me = self.members.me
+        demands = {} if me.demands is msgspec.UNSET else me.demands
+        by_route = demands.get(model, {})
+        now = time.monotonic()
+        if not engine_demand.must_publish(
+            by_route.get(route), demand, now - self._demand_changed_at
+        ):
+            return
+        self._demand_changed_at = now
+        self.members.me = msgspec.structs.replace(
+            me, demands={**demands, model: {**by_route, route: demand}}
+        )
+        logs.event(
+            _LOG,
+            "model_demand",
+            model=model,
+            route=route,
+            tokens_per_second=demand,
+        )
+        self._wake.set()
+
     def announce_leaving(self) -> None:
         """Announce that this instance is draining and takes no more work."""
         members = self.members
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -20,6 +20,7 @@
 from hibiscussaddle.batches import reader
 from hibiscussaddle.batches import runner
 from hibiscussaddle.batches import runs
+from hibiscussaddle.batches import step_demand
 from hibiscussaddle.batches import storage
 from hibiscussaddle.batches import text_cache
 from hibiscussaddle.batches import waiting_items
@@ -222,6 +223,9 @@
     )
     transport.on_recover = batch_owners.scan_soon
     batch_owners.on_lag = presence.publish_allowed_lag
+    batch_owners.on_step = step_demand.StepDemand(
+        view.directory, presence.publish_demand
+    ).record
     presence.has_work = lambda: bool(batch_owners.runners)
     gateway = gateway_lib.Gateway(
         view,
@@ -286,6 +290,7 @@
             cfg.instance,
             members.allowed_lag,
             limiter,
+            members.model_demands,
         ),
         retirement=retirement.Retirement(store_client, view, lease),
         limiter=limiter,
--- a/src/hibiscussaddle/platform/endpoint_wire.py
+++ b/src/hibiscussaddle/platform/endpoint_wire.py
@@ -147,6 +147,16 @@
     return any(value.strip() == "1" for value in ",".join(values).split(","))
 
 
+def decode_prompt_tokens(headers: abc.Mapping[str, str]) -> int:
+    """Return the prompt tokens that an item names; 0 if it names none."""
+    value = headers.get(PROMPT_AND_OUTPUT_TOKENS_HEADER, "")
+    try:
+        return decoding.parse_count(value.partition(",")[0].strip())
+    except ValueError:
+        # They affect only how engines are divided.
+        return 0
+
+
 def encode_weight_order(
     model: str,
     version: int,
--- a/src/hibiscussaddle/policy/rollout.py
+++ b/src/hibiscussaddle/policy/rollout.py
@@ -100,6 +100,10 @@
             state.failures, state.retry_at = 0, 0.0
         return True
 
+    def newest_age(self, now: float) -> float:
+        """Return for how many seconds the newest version has been known."""
+        return now - self._newest_seen[1]
+
     def retain_engines(self, endpoint_ids: abc.Collection[str]) -> None:
         """Remove the engines that are not in the collection."""
         for endpoint_id in self.engines.keys() - set(endpoint_ids):
@@ -159,7 +163,7 @@
         """
         if self._newest_seen[0] != self.newest_version:
             self._newest_seen = (self.newest_version, now)
-        age_seconds = now - self._newest_seen[1]
+        age_seconds = self.newest_age(now)
         is_settled = age_seconds >= SETTLE_SECONDS
         include_outside = age_seconds >= OUTSIDE_SHARD_SECONDS
         refill = (
--- a/src/hibiscussaddle/weights/controller.py
+++ b/src/hibiscussaddle/weights/controller.py
@@ -20,6 +20,7 @@
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import logs
 from hibiscussaddle.platform import endpoint_wire
+from hibiscussaddle.policy import engine_demand
 from hibiscussaddle.policy import lease
 from hibiscussaddle.policy import model_shards
 from hibiscussaddle.policy import rollout
@@ -47,6 +48,9 @@
 _PERMIT_DELAY_SECONDS: typing.Final = 2.0
 # An order whose version no report shows within this time is sent again.
 _MAX_ORDER_SECONDS: typing.Final = 4.0
+# A model without a new version for this time isn't trained, and its shard is
+# one engine.
+_UNTRAINED_SECONDS: typing.Final = 60.0
 # How often the controller checks for due orders without a change of the view.
 _CHECK_SECONDS: typing.Final = 0.2
 
@@ -85,12 +89,14 @@
         instance: str,
         allowed_lag: abc.Callable[[str], int],
         limiter: limiter_lib.Limiter,
+        model_demands: abc.Callable[[], abc.Mapping[str, int]],
     ) -> None:
         """Send orders in the name of the instance.
 
-        The callable returns how many versions behind the newest one the
-        batches of a model still accept.
+        The callables return how many versions behind the newest one the
+        batches of a model still accept, and the known demand of each model.
         """
+        self._model_demands = model_demands
         self._client = client
         self._view = view
         self._lease = lease_client
@@ -98,6 +104,8 @@
         self._allowed_lag = allowed_lag
         self._limiter = limiter
         self._plans: dict[str, rollout.Rollout] = {}
+        # How models that the same engines hold share them, by these models.
+        self._divisions: dict[frozenset[str], engine_demand.Division] = {}
         # Number of orders that each engine had accepted at its last report.
         self._accepted = observations.Observations(_AcceptedOrders)
 
@@ -107,6 +115,7 @@
             while True:
                 if self._fencing_number() is None:
                     self._plans.clear()
+                    self._divisions.clear()
                 else:
                     self._send_due_orders(tasks)
                 with anyio.move_on_after(_CHECK_SECONDS):
@@ -144,7 +153,7 @@
     ) -> None:
         engines = self._view.directory.engines(model)
         plan.retain_engines([endpoint.id for endpoint in engines])
-        plan.shard_engine_ids = self._shard_engine_ids(model, engines)
+        plan.shard_engine_ids = self._shard_engine_ids(model, engines, now)
         for endpoint in engines:
             listed = endpoint.weight_version(model)
             known = plan.engines.get(endpoint.id)
@@ -156,14 +165,40 @@
                 rollout.Report(endpoint.id, endpoint.incarnation, listed, now)
             )
 
-    @staticmethod
     def _shard_engine_ids(
-        model: str, engines: abc.Collection[endpoints.Endpoint]
+        self,
+        model: str,
+        engines: abc.Collection[endpoints.Endpoint],
+        now: float,
     ) -> frozenset[str]:
         """Return the model's shard among the engines that hold the model."""
         models = {name for endpoint in engines for name in endpoint.models}
+        weights = self._weights(frozenset(models | {model}), len(engines), now)
         names = [endpoint.id for endpoint in engines]
-        return model_shards.shard_engines(model, models | {model}, names)
+        return model_shards.shard_engines(model, weights, names)
+
+    def _weights(
+        self, models: frozenset[str], engine_count: int, now: float
+    ) -> abc.Mapping[str, int]:
+        """Return the weights by which models share their engines."""
+        division = self._divisions.get(models)
+        if division is None:
+            division = self._divisions[models] = engine_demand.Division()
+        demands = dict(self._model_demands())
+        for name, plan in self._plans.items():
+            if name in demands and plan.newest_age(now) > _UNTRAINED_SECONDS:
+                demands[name] = 0
+        if division.update(models, demands, engine_count, now):
+            logs.event(
+                _LOG,
+                "engines_divided",
+                engines=engine_count,
+                demands=",".join(
+                    f"{name}:{weight}"
+                    for name, weight in sorted(division.weights.items())
+                ),
+            )
+        return division.weights
 
     async def _run_order(
         self,
--- a/tests/test_model_shards.py
+++ b/tests/test_model_shards.py
@@ -6,6 +6,7 @@
 from hibiscussaddle.policy import model_shards
 
 MODELS = ("advice", "layout", "returns")
+EVEN = dict.fromkeys(MODELS, 1)
 
 
 @hypothesis.given(
@@ -14,7 +15,7 @@
 )
 def test_each_engine_is_in_one_shard(engines: set[str], count: int) -> None:
     """Guard against engines that load versions of several models or none."""
-    models = MODELS[:count]
+    models = dict.fromkeys(MODELS[:count], 1)
     shards = [
         model_shards.shard_engines(model, models, engines) for model in models
     ]
@@ -30,14 +31,14 @@
     """Guard against a removed engine making half the fleet load weights."""
     engines = [f"engine-{number}" for number in range(23)]
     before = {
-        model: model_shards.shard_engines(model, MODELS, engines)
+        model: model_shards.shard_engines(model, EVEN, engines)
         for model in MODELS
     }
     for removed in engines:
         remaining = [engine for engine in engines if engine != removed]
         moved = sum(
             len(
-                model_shards.shard_engines(model, MODELS, remaining)
+                model_shards.shard_engines(model, EVEN, remaining)
                 - before[model]
             )
             for model in MODELS
