--- a/tests/test_engine_demand.py
+++ b/tests/test_engine_demand.py
@@ -1,6 +1,7 @@
 """Test how engines are divided among models by their demand."""
 
 import time
+import typing
 
 import hypothesis
 from hypothesis import strategies
@@ -12,6 +13,8 @@
 from hibiscussaddle.fleet import presence
 from hibiscussaddle.policy import engine_demand
 from hibiscussaddle.policy import model_shards
+from hibiscussaddle.policy import rollout
+from hibiscussaddle.weights import controller
 
 ENGINES = [f"engine-{number}" for number in range(22)]
 # Four trainers, two of which ask for twice the tokens of the others, as on
@@ -177,3 +180,23 @@
     # The value of the member's key is the same as before.
     me = presence.Member("me", "zone-a", 1)
     assert b"demands" not in msgspec.json.encode(me)
+
+
+def test_holder_divides_engines_by_the_demand_of_trained_models() -> None:
+    """Guard against engines that wait for a model without a trainer."""
+    engine = endpoints.EndpointKind.ENGINE
+    models = ("deep", "fast")
+    engines = [
+        endpoints.Endpoint(name, engine, "z", "", models=models)
+        for name in ENGINES
+    ]
+    unused: typing.Any = None
+    holder = controller.WeightController(
+        *(unused, unused, unused, "me", lambda _: 0, unused),
+        lambda: {"deep": 3000, "fast": 1000},
+    )
+    assert len(holder._shard_engine_ids("deep", engines, 0.0)) == 16
+    holder._plans["deep"] = rollout.Rollout(rollout.RolloutConfig(), 0.0)
+    for now in (61.0, 66.0):
+        shard = holder._shard_engine_ids("deep", engines, now)
+    assert len(shard) == 1
