--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -20,6 +20,7 @@
 from hibiscussaddle.batches import reader
 from hibiscussaddle.batches import runner
 from hibiscussaddle.batches import runs
+from hibiscussaddle.batches import step_demand
 from hibiscussaddle.batches import storage
 from hibiscussaddle.batches import suspect_items as suspect_items_lib
 from hibiscussaddle.batches import text_cache
@@ -267,6 +268,9 @@
     transport.on_recover = batch_owners.scan_soon
     batch_owners.on_held = account.open("batches").force
     batch_owners.on_lag = presence.publish_allowed_lag
+    batch_owners.on_step = step_demand.StepDemand(
+        view.directory, presence.publish_demand
+    ).record
     presence.has_work = lambda: bool(batch_owners.runners)
     gateway = gateway_lib.Gateway(
         view,
@@ -352,6 +356,7 @@
             cfg.instance,
             members.allowed_lag,
             limiter,
+            members.model_demands,
         ),
         retirement=retirement.Retirement(store_client, view, lease),
         limiter=limiter,
