Send the rest of a response when its connection closes

Aborting a transport that was closed raised as well.

A timer now ends a closed connection of which nothing is taken.

--- a/src/hibiscussaddle/serving.py
+++ b/src/hibiscussaddle/serving.py
@@ -102,7 +102,10 @@
 
     def abort(self) -> None:
         """Close the connection without sending what is buffered."""
-        self.writer.transport.abort()
+        transport = self.writer.transport
+        # A transport that has closed raises.
+        if not transport.is_closing() or transport.get_write_buffer_size():
+            transport.abort()
 
     def close_idle(self) -> None:
         """Close the connection, on which no request is under way."""
@@ -154,12 +157,23 @@
             asyncio.current_task() is not self._reading_task
         ):
             self._reading.cancel()
-        if self.writer.transport.get_write_buffer_size():
-            with anyio.move_on_after(WRITE_TIMEOUT_SECONDS):
-                await super()._close()
+        # The base class ends its wait early when the task is cancelled, and
+        # the transport still sends what it holds.
+        self._limit_unsent()
+        await super()._close()
+
+    def _limit_unsent(self, before: int | None = None) -> None:
+        """Abort the connection once none of the unsent bytes is taken."""
+        unsent = self.writer.transport.get_write_buffer_size()
+        if not unsent:
+            return
+        if before is not None and unsent >= before:
+            self._bounds.connections.closed["unread"] += 1
             self.abort()
-        else:
-            await super()._close()
+            return
+        asyncio.get_running_loop().call_later(
+            WRITE_TIMEOUT_SECONDS, self._limit_unsent, unsent
+        )
 
     async def _read_until_closed(self) -> None:
         while not self.reader.at_eof():
