Wait for members whose leases ended before fixing a window

Operators saw usage reports that left out most instances after an outage of the store: the leases of members had ended, a new holder saw 2 of 30, both final, and fixed every waiting window at once. The others sent their totals 1 to 2 s later, and a fixed report can't be corrected.

Cause: only the members listed at that moment were required, and a window counted as complete with no required member at all.

Members now count while they are listed and late_seconds longer, except those that stopped as planned, whose totals are final. Before 0.7 of late_seconds a window also waits for every process in the table that isn't final, for at least one required member, and until the listing of members has been complete for 3 s. The late fix needs more than half of the members as before; unlisted processes in the table don't count there, so killed instances can't block reports for good. A holder whose only heir is gone now drops idle processes from its table too, as they would hold back each early fix.

--- a/src/hibiscussaddle/fleet/feed.py
+++ b/src/hibiscussaddle/fleet/feed.py
@@ -53,6 +53,8 @@
         # Monotonic time of the latest failure of the store, in seconds. One
         # watch that breaks off is none.
         self.last_outage_at = float("-inf")
+        # Monotonic time of the latest complete listing, in seconds.
+        self.last_listing_at = float("-inf")
         # Changes that followers of this instance read.
         self.change_log = changes or change_log.ChangeLog()
         # Records which responses confirmed the keys; None if their age doesn't
@@ -165,6 +167,8 @@
         self._revision = page.revision
         self.last_success_at = now
         changed = self.change_log.apply(page)
+        if page.is_listing:
+            self.last_listing_at = now
         handler = self._on_listing if page.is_listing else self._on_changes
         handler(list(page.entries))
         if self.confirmation is not None and confirmed_at is not None:
@@ -178,6 +182,15 @@
             or self.last_failure_at > self.last_success_at
         )
 
+    def steady_seconds(self, now: float) -> float:
+        """Return the seconds since the latest failure or new listing.
+
+        The result is 0 while the newest state isn't known.
+        """
+        if self._revision is None or self.is_failing():
+            return 0.0
+        return now - max(self.last_failure_at, self.last_listing_at)
+
     def overdue_seconds(self, now: float) -> float:
         """Return how many seconds the next response is overdue.
 
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -239,8 +239,20 @@
         )
     usage = None
     if control is not None and usage_service.is_configured(cfg):
+        member_feed = next(
+            found
+            for found in feeds
+            if presence_lib.PREFIX.startswith(found.prefix)
+        )
         usage = usage_service.create_usage(
-            cfg, client, store_client, members, contention, lease, control
+            cfg,
+            client,
+            store_client,
+            members,
+            contention,
+            lease,
+            control,
+            lambda: member_feed.steady_seconds(time.monotonic()),
         )
         forwarder.usage = usage.counter
     batch_reader = reader.BatchReader(
--- a/src/hibiscussaddle/usage/collector.py
+++ b/src/hibiscussaddle/usage/collector.py
@@ -66,9 +66,15 @@
         contention: duty_contention.LeaseContention,
         counter: counter_lib.UsageCounter,
         table: totals_lib.Table,
+        late_seconds: float,
         wall_clock: abc.Callable[[], float] = time.time,
+        clock: abc.Callable[[], float] = time.monotonic,
     ) -> None:
         """Send what the counter and the table hold."""
+        self._late_seconds = late_seconds
+        self._clock = clock
+        # When each process was last listed, in seconds of the clock.
+        self._listed_at: dict[totals_lib.Source, float] = {}
         self._client = client
         self._members = members
         self._contention = contention
@@ -93,6 +99,7 @@
 
     def update_own_totals(self) -> None:
         """Bring the totals of this instance in the table up to date."""
+        self._record_listed()
         self._counter.forget(self._table.reported_through)
         final_through = totals_lib.ALL_WINDOWS
         if not self._is_stopped:
@@ -122,6 +129,29 @@
             for member in members.values()
         )
 
+    def recent_sources(self) -> frozenset[totals_lib.Source]:
+        """Return the processes that ran at any time in the late seconds.
+
+        The leases of members end in an outage of the store, and those members
+        send their totals once they have registered again.
+        """
+        self._record_listed()
+        return frozenset(self._listed_at)
+
+    def _record_listed(self) -> None:
+        now = self._clock()
+        oldest = now - self._late_seconds
+        for source, at in list(self._listed_at.items()):
+            if at < oldest:
+                del self._listed_at[source]
+        running = self.sources()
+        self._listed_at |= dict.fromkeys(running, now)
+        for totals in self._table.all():
+            # A process that stopped as planned has handed over all counts.
+            is_stopped = totals.final_through >= totals_lib.ALL_WINDOWS
+            if is_stopped and totals.source not in running:
+                self._listed_at.pop(totals.source, None)
+
     async def stop(self) -> None:
         """Hand over all that this instance knows; nothing may count later."""
         self._is_stopped = True
@@ -169,14 +199,14 @@
             # The next one knows nothing.
             self._receiver = receiver
             self._delivered = {}
-        if holder is None or receiver is None:
+        if holder is None:
             return
         changed = [
             totals
             for totals in self._select_totals(holder)
             if self._delivered.get(totals.source, -1) < totals.sequence
         ]
-        if not changed:
+        if receiver is None or not changed:
             return
         if await self._send(receiver.instance, receiver.peer_address, changed):
             self._delivered |= {
--- a/src/hibiscussaddle/usage/reporter.py
+++ b/src/hibiscussaddle/usage/reporter.py
@@ -38,8 +38,14 @@
         collector: collector_lib.Collector,
         reports: reports_lib.Reports,
         wall_clock: abc.Callable[[], float] = time.time,
+        steady_seconds: abc.Callable[[], float] = lambda: float("inf"),
     ) -> None:
-        """Report what the collector brings together."""
+        """Report what the collector brings together.
+
+        The last function returns for how long the listing of members has been
+        complete.
+        """
+        self._steady_seconds = steady_seconds
         self._client = client
         self._control = control
         self._lease = lease
@@ -84,7 +90,9 @@
                 return False
             self._collector.update_own_totals()
             step = self.reports.next_step(
-                self._wall_clock(), self._collector.sources()
+                self._wall_clock(),
+                self._collector.recent_sources(),
+                self._steady_seconds(),
             )
             if step is None:
                 return False
--- a/src/hibiscussaddle/usage/reports.py
+++ b/src/hibiscussaddle/usage/reports.py
@@ -21,6 +21,9 @@
 # Fraction of the time until a report is due for which the totals of instances
 # are waited for. The rest is left for a change of the holder or a slow API.
 _COLLECT_FRACTION: typing.Final = 0.7
+# Instances register again within a second after an outage of the store and
+# send their totals each second; until then the members listed may be few.
+_LISTING_SETTLE_SECONDS: typing.Final = 3.0
 # Bounds of the wait before a call that failed is repeated.
 _RETRY_SECONDS: typing.Final = (0.2, 2.0)
 # Windows before the present one that are still reported after an outage of the
@@ -107,9 +110,16 @@
         return max(0, due - self._next_window)
 
     def next_step(
-        self, now: float, sources: frozenset[totals_lib.Source]
+        self,
+        now: float,
+        sources: frozenset[totals_lib.Source],
+        steady_seconds: float = float("inf"),
     ) -> Step | None:
-        """Return the step that is due, given the processes that run."""
+        """Return the step that is due.
+
+        The sources are the processes that ran in the last late_seconds. Their
+        listing has been complete, without a failure, for steady_seconds.
+        """
         if now < self._retry_at:
             return None
         if not self._is_loaded:
@@ -118,13 +128,18 @@
             window, body = self._fixed
             return Step(StepKind.SEND, window, body)
         window = self._next_window
-        if not self._is_complete(window, now, sources):
+        is_steady = steady_seconds >= _LISTING_SETTLE_SECONDS
+        if not self._is_complete(window, now, sources, is_steady):
             return None
         body = control_wire.encode_usage(window, self._table.sum(window))
         return Step(StepKind.FIX, window, body, self._revision)
 
     def _is_complete(
-        self, window: int, now: float, sources: frozenset[totals_lib.Source]
+        self,
+        window: int,
+        now: float,
+        sources: frozenset[totals_lib.Source],
+        is_steady: bool,
     ) -> bool:
         seconds = self.cfg.window_seconds
         end = counter.window_end(window, seconds)
@@ -134,12 +149,20 @@
         # Incarnations are Unix milliseconds.
         required = [source for source in sources if source[1] / 1000 < end]
         final = self._table.final_count(window, required)
-        if final == len(required):
-            return True
-        # A holder whose clock is ahead must not report windows early, nor one
-        # that reaches hardly any instance report empty ones.
         is_late = now >= end + _COLLECT_FRACTION * self.cfg.late_seconds
-        return is_late and 2 * final > len(required)
+        if not is_late:
+            # Without a required process, or right after an outage, the members
+            # listed may be a few of those that ran. A process that is known
+            # to have counts to come is waited for even if it isn't listed.
+            return (
+                is_steady
+                and 0 < len(required) == final
+                and not self._table.has_unfinished(window)
+            )
+        # A holder whose clock is ahead must not report windows early, nor one
+        # that reaches hardly any instance report empty ones. Processes that
+        # aren't listed any more don't count here: they may never answer.
+        return not required or 2 * final > len(required)
 
     def on_loaded(
         self, body: bytes | None, revision: int, first_window: int, now: float
--- a/src/hibiscussaddle/usage/service.py
+++ b/src/hibiscussaddle/usage/service.py
@@ -84,12 +84,13 @@
     contention: duty_contention.LeaseContention,
     lease: duty_lease.DutyLease,
     control: control_client.ControlClient,
+    steady_seconds: abc.Callable[[], float],
 ) -> Usage:
     """Create the components of an instance."""
     counter = counter_lib.UsageCounter(cfg.usage_window_seconds)
     table = totals.Table()
     collector = collector_lib.Collector(
-        client, members, contention, counter, table
+        client, members, contention, counter, table, cfg.usage_late_seconds
     )
     report_cfg = reports.ReportConfig(
         cfg.usage_window_seconds, cfg.usage_late_seconds
@@ -100,5 +101,6 @@
         lease,
         collector,
         reports.Reports(report_cfg, table, random.Random()),
+        steady_seconds=steady_seconds,
     )
     return Usage(counter, collector, reporter, table)
--- a/src/hibiscussaddle/usage/totals.py
+++ b/src/hibiscussaddle/usage/totals.py
@@ -89,6 +89,10 @@
                 counts[name] = counts.get(name, 0) + number
         return {name: number for name, number in counts.items() if number}
 
+    def has_unfinished(self, window: int) -> bool:
+        """Return whether any known process may still count in a window."""
+        return any(t.final_through < window for t in self._totals.values())
+
     def final_count(self, window: int, sources: abc.Collection[Source]) -> int:
         """Return how many of some processes have final counts of a window."""
         return sum(
--- /dev/null
+++ b/tests/test_usage_collector.py
@@ -0,0 +1,81 @@
+"""Test from which processes a holder waits for totals."""
+
+import typing
+
+import httpx
+
+from hibiscussaddle.duties import contention as duty_contention
+from hibiscussaddle.fleet import feed as feed_lib
+from hibiscussaddle.fleet import presence
+from hibiscussaddle.usage import collector as collector_lib
+from hibiscussaddle.usage import counter as counter_lib
+from hibiscussaddle.usage import totals as totals_lib
+
+LATE_SECONDS: typing.Final = 10.0
+
+
+class _Setup:
+    """Hold a collector with clocks that the test sets."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.members = presence.Members(
+            presence.Member("gateway-1", "zone-a", 1, "127.0.0.1:1")
+        )
+        self.counter = counter_lib.UsageCounter(5.0)
+        self.table = totals_lib.Table()
+        self.collector = collector_lib.Collector(
+            httpx.AsyncClient(),
+            self.members,
+            duty_contention.LeaseContention(self.members, "fleet", "m"),
+            self.counter,
+            self.table,
+            LATE_SECONDS,
+            wall_clock=lambda: self.now,
+            clock=lambda: self.now,
+        )
+
+    def add(self, name: str) -> None:
+        """List a member."""
+        member = presence.Member(name, "zone-a", 1, "127.0.0.1:1")
+        self.members.all[name] = member
+
+
+def test_process_whose_lease_ended_is_required_for_a_while() -> None:
+    """Fails when an outage of the store makes a holder forget instances."""
+    setup = _Setup()
+    setup.add("gateway-2")
+    setup.collector.update_own_totals()
+    setup.members.all.clear()
+    setup.now += LATE_SECONDS - 1
+    assert ("gateway-2", 1) in setup.collector.recent_sources()
+    setup.now += 2
+    assert setup.collector.recent_sources() == {("gateway-1", 1)}
+
+
+def test_process_that_stopped_as_planned_is_not_required() -> None:
+    """Fails when each planned stop delays the reports."""
+    setup = _Setup()
+    setup.add("gateway-2")
+    setup.collector.update_own_totals()
+    setup.members.all.clear()
+    setup.table.merge(
+        totals_lib.Totals("gateway-2", 1, 1, totals_lib.ALL_WINDOWS)
+    )
+    assert setup.collector.recent_sources() == {("gateway-1", 1)}
+
+
+def test_listing_is_steady_only_some_time_after_a_failure() -> None:
+    """Fails when a listing right after an outage passes for complete."""
+    feed = feed_lib.Feed(
+        typing.cast(typing.Any, None), "lease/", print, print, 1.0
+    )
+    assert feed.steady_seconds(0.0) == 0.0
+    page: typing.Any = feed_lib.change_log.Page
+    feed.apply(page((), 1, True), 10.0)
+    feed.apply(page((), 2, False), 12.0)
+    assert feed.steady_seconds(12.0) == 2.0
+    feed.last_failure_at = 13.0
+    assert feed.steady_seconds(14.0) == 0.0
+    feed.apply(page((), 3, False), 14.0)
+    assert feed.steady_seconds(15.0) == 2.0
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -114,6 +114,51 @@
     assert found is not None and found.kind is Kind.FIX
 
 
+def test_process_that_is_no_longer_listed_is_waited_for() -> None:
+    """Fails when a window is fixed without a process known to be unfinished.
+
+    After an outage of the store its lease had ended, and the few members
+    listed were final.
+    """
+    holder = _loaded()
+    holder.put(A, 0)
+    holder.put(B, 0)
+    holder.put(("c", 0), -1, {0: {"desk": 1}})
+    assert holder.idle(5.5)
+    holder.put(("c", 0), 0, {0: {"desk": 2}})
+    assert _decoded(holder.fix(5.6)) == (0, {"desk": 2})
+
+
+def test_process_that_is_gone_for_good_blocks_no_report() -> None:
+    """Fails when killed instances outweigh those that run in late windows."""
+    holder = _loaded()
+    holder.put(A, 0)
+    holder.put(B, 0)
+    for name in "cdefg":
+        holder.put((name, 0), -1, {0: {"desk": 1}})
+    assert holder.idle(11.9)
+    assert _decoded(holder.fix(12.1)) == (0, {"desk": 5})
+
+
+def test_new_listing_of_members_delays_reports() -> None:
+    """Fails when a window is fixed before the members are listed again."""
+    holder = _loaded()
+    holder.put(A, 0)
+    holder.put(B, 0)
+    assert holder.reports.next_step(5.5, SOURCES, 1.0) is None
+    assert holder.reports.next_step(5.5, SOURCES, 4.0) is not None
+    # The report is due soon.
+    assert holder.reports.next_step(12.1, SOURCES, 0.0) is not None
+
+
+def test_window_without_a_known_process_waits_until_it_is_late() -> None:
+    """Fails when a holder that knows no process reports a window at once."""
+    holder = _loaded()
+    none = frozenset[totals_lib.Source]()
+    assert holder.reports.next_step(11.9, none) is None
+    assert holder.reports.next_step(12.1, none) is not None
+
+
 def test_lost_answer_repeats_the_same_bytes() -> None:
     """Fails when late totals change a report whose answer was lost."""
     holder = _loaded()
