Give each part of a planned stop its own time

With a slow store a stopping instance lost its counts of the last second, stayed listed until its lease ended, and kept the duties until then: peers waited for its totals and nobody reported usage meanwhile.

Cause: the release of the batches, one store call each, came first in one scope of 1 s, which it used up. The totals also waited for a usage call in flight.

The totals are now sent at once, beside the release of the batches and before the wait for a call in flight, and again as final after it; these have 0.8 s. Deregistration and the release of the duties then have 0.6 s of their own, side by side. Both together leave the 0.6 s for the last responses in the reserve of 2 s, which stays. The duties are not released while a call is in flight, as before: the lease then ends by itself. A batch whose release is cut off is taken over once the instance is deregistered, as after a kill; its owner record fences the former owner.

--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -42,9 +42,14 @@
 # After SIGTERM the load balancer sends new connections until two checks have
 # failed, at one check a second.
 _MIN_DRAIN_SECONDS: typing.Final = 2.5
-# Time of the grace period that is reserved for handing batches over and
-# closing connections.
+# Time of the grace period that is reserved for handing work over and closing
+# connections.
 _CLOSE_RESERVE_SECONDS: typing.Final = 2.0
+# Parts of the reserve. The rest is that in which the last responses are sent.
+# With a store sixty times slower than usual a call takes 0.24 s, and the
+# release of the duties takes two calls.
+_HAND_OVER_SECONDS: typing.Final = 0.8
+_LEAVE_SECONDS: typing.Final = 0.6
 _IDLE_CHECK_INTERVAL_SECONDS: typing.Final = 0.05
 _EXPIRY_CHECK_INTERVAL_SECONDS: typing.Final = 0.5
 # Longer than peers wait for the response to a call that they have sent.
@@ -216,12 +221,16 @@
         busy = gateway.running_requests or components.batch_owners.runners
         if elapsed >= limit or (elapsed >= _MIN_DRAIN_SECONDS and not busy):
             break
-    with anyio.move_on_after(_CLOSE_RESERVE_SECONDS / 2):
-        await components.batch_owners.release()
-        if components.usage is not None:
-            await components.usage.stop()
-        await components.presence.deregister()
-        await components.duty_lease.release()
+    with anyio.move_on_after(_HAND_OVER_SECONDS):
+        async with anyio.create_task_group() as tasks:
+            if components.usage is not None:
+                tasks.start_soon(components.usage.stop)
+            tasks.start_soon(components.batch_owners.release)
+    # Neither a slow batch nor a slow peer may take the time of these calls.
+    with anyio.move_on_after(_LEAVE_SECONDS):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_release_duties, components)
+            tasks.start_soon(components.presence.deregister)
     logs.event(
         _LOG,
         "drained",
@@ -230,6 +239,13 @@
     )
 
 
+async def _release_duties(components: gateway_components.Components) -> None:
+    if components.usage is not None:
+        # A successor waits less after a release, so no call may be in flight.
+        await components.usage.reporter.stop()
+    await components.duty_lease.release()
+
+
 async def _end_requests_in_time(
     components: gateway_components.Components, stopped_at: float
 ) -> None:
--- a/src/hibiscussaddle/usage/collector.py
+++ b/src/hibiscussaddle/usage/collector.py
@@ -155,6 +155,10 @@
     async def stop(self) -> None:
         """Hand over all that this instance knows; nothing may count later."""
         self._is_stopped = True
+        await self.hand_over()
+
+    async def hand_over(self) -> None:
+        """Send all totals to the holder, or to those that may follow it."""
         self.update_own_totals()
         totals = self._table.all()
         holder = self._contention.holder
--- a/src/hibiscussaddle/usage/service.py
+++ b/src/hibiscussaddle/usage/service.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+import anyio
 import httpx
 import msgspec
 
@@ -62,8 +63,14 @@
         }
 
     async def stop(self) -> None:
-        """Hand over all counts, before the duties are released."""
-        await self.reporter.stop()
+        """Hand over all counts, before the duties are released.
+
+        They are sent once before the wait for a call in flight, which may take
+        all the time that a stop has.
+        """
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.collector.hand_over)
+            await self.reporter.stop()
         await self.collector.stop()
 
 
--- a/tests/test_usage_collector.py
+++ b/tests/test_usage_collector.py
@@ -1,14 +1,18 @@
-"""Test from which processes a holder waits for totals."""
+"""Test who gets totals, and from which processes a holder waits for them."""
 
+import collections
 import typing
 
+import anyio
 import httpx
+import msgspec
 
 from hibiscussaddle.duties import contention as duty_contention
 from hibiscussaddle.fleet import feed as feed_lib
 from hibiscussaddle.fleet import presence
 from hibiscussaddle.usage import collector as collector_lib
 from hibiscussaddle.usage import counter as counter_lib
+from hibiscussaddle.usage import service
 from hibiscussaddle.usage import totals as totals_lib
 
 LATE_SECONDS: typing.Final = 10.0
@@ -19,13 +23,18 @@
 
     def __init__(self) -> None:
         self.now = 100.0
+        # What each instance got, and those that don't answer.
+        self.messages = collections.defaultdict[
+            str, list[collector_lib.TotalsMessage]
+        ](list)
+        self.silent: set[str] = set()
         self.members = presence.Members(
             presence.Member("gateway-1", "zone-a", 1, "127.0.0.1:1")
         )
         self.counter = counter_lib.UsageCounter(5.0)
         self.table = totals_lib.Table()
         self.collector = collector_lib.Collector(
-            httpx.AsyncClient(),
+            httpx.AsyncClient(transport=httpx.MockTransport(self._answer)),
             self.members,
             duty_contention.LeaseContention(self.members, "fleet", "m"),
             self.counter,
@@ -37,9 +46,21 @@
 
     def add(self, name: str) -> None:
         """List a member."""
-        member = presence.Member(name, "zone-a", 1, "127.0.0.1:1")
+        member = presence.Member(name, "zone-a", 1, f"{name}:1")
         self.members.all[name] = member
 
+    def _answer(self, req: httpx.Request) -> httpx.Response:
+        name = req.url.host
+        if name in self.silent:
+            return httpx.Response(503)
+        self.messages[name].append(
+            msgspec.msgpack.decode(
+                req.content, type=collector_lib.TotalsMessage
+            )
+        )
+        answer = msgspec.msgpack.encode(collector_lib.TotalsResponse())
+        return httpx.Response(200, content=answer)
+
 
 def test_process_whose_lease_ended_is_required_for_a_while() -> None:
     """Fails when an outage of the store makes a holder forget instances."""
@@ -79,3 +100,30 @@
     assert feed.steady_seconds(14.0) == 0.0
     feed.apply(page((), 3, False), 14.0)
     assert feed.steady_seconds(15.0) == 2.0
+
+
+class _Reporter:
+    """Have a call in flight for ever."""
+
+    async def stop(self) -> None:
+        """Wait for the call."""
+        await anyio.sleep_forever()
+
+
+def test_counts_are_sent_while_a_call_is_in_flight() -> None:
+    """Fails when a stopping holder waits for a slow API with its counts."""
+    setup = _Setup()
+    setup.add("gateway-2")
+    setup.counter.track("desk").record_send(setup.now)
+    reporter: typing.Any = _Reporter()
+    usage = service.Usage(
+        setup.counter, setup.collector, reporter, setup.table
+    )
+
+    async def main() -> None:
+        with anyio.move_on_after(0.2):
+            await usage.stop()
+
+    anyio.run(main)
+    sent = setup.messages["gateway-2"][0]
+    assert sent.totals[0].windows == {20: {"desk": 1}}
