Keep usage that the control API denies until it is overdue

While the control API answered usage reports with 401, 403, 404 or 409, each window counted as delivered: all instances forgot its counts, no line above INFO said so, and nothing could be made up for once the access was mended.

Cause: every status that wasn't taken for a refusal ended the window, as a report that is wrong itself would be rejected again.

Only 400, 422 and responses that are no client error (redirects) reject a report now. Other 4xx are the new outcome "denied"; for usage it and 409 are repeated with the backoff of refusals until late_seconds after the window's end. A window given up either way gets a WARNING line, usage_window_skipped, and the gauge usage_windows_skipped, so later windows still go out.

--- a/src/hibiscussaddle/platform/control_wire.py
+++ b/src/hibiscussaddle/platform/control_wire.py
@@ -9,6 +9,11 @@
 
 from hibiscussaddle import decoding
 
+# Responses that say that the call itself is wrong.
+_MALFORMED_STATUSES: typing.Final = frozenset(
+    {httpx.codes.BAD_REQUEST, httpx.codes.UNPROCESSABLE_ENTITY}
+)
+
 # Names of the duties in the settings.
 USAGE_DUTY: typing.Final = "usage_report"
 CAPACITY_DUTY: typing.Final = "autoscale"
@@ -32,6 +37,9 @@
     UNAVAILABLE = "unavailable"
     # Would be rejected again.
     REJECTED = "rejected"
+    # Rejected for a reason outside the call, such as the caller's access or
+    # the path, which the API's operators may mend.
+    DENIED = "denied"
     # May have taken effect.
     UNKNOWN = "unknown"
     # The duty isn't held, so nothing was sent.
@@ -92,4 +100,7 @@
         return Outcome.UNKNOWN
     if status in (httpx.codes.TOO_MANY_REQUESTS, httpx.codes.REQUEST_TIMEOUT):
         return Outcome.REFUSED
+    is_denied = httpx.codes.is_client_error(status)
+    if is_denied and status not in _MALFORMED_STATUSES:
+        return Outcome.DENIED
     return Outcome.REJECTED
--- a/src/hibiscussaddle/usage/reporter.py
+++ b/src/hibiscussaddle/usage/reporter.py
@@ -146,7 +146,7 @@
     async def _send(self, step: reports_lib.Step) -> None:
         sent = await self._control.call(control_wire.USAGE_PATH, step.body)
         now = self._wall_clock()
-        self.reports.on_sent(step, sent.outcome, now)
+        is_skipped = self.reports.on_sent(step, sent.outcome, now)
         _, counts = control_wire.decode_usage(step.body)
         end = counter.window_end(step.window, self.reports.cfg.window_seconds)
         logs.event(
@@ -161,6 +161,16 @@
             why=sent.why or "-",
             seconds_after_end=now - end,
         )
+        if is_skipped:
+            logs.event(
+                _LOG,
+                "usage_window_skipped",
+                logging.WARNING,
+                window=step.window,
+                requests=sum(counts.values()),
+                outcome=sent.outcome.value,
+                status=sent.status or "no_answer",
+            )
 
 
 _Handler: typing.TypeAlias = abc.Callable[
--- a/src/hibiscussaddle/usage/reports.py
+++ b/src/hibiscussaddle/usage/reports.py
@@ -85,6 +85,8 @@
         self.cfg = cfg
         self.reported_count = 0
         self.refused_count = 0
+        # Windows that were given up without an accepted report.
+        self.skipped_count = 0
         self._table = table
         self._rng = rng
         self._is_loaded = False
@@ -212,28 +214,39 @@
 
     def on_sent(
         self, step: Step, outcome: control_wire.Outcome, now: float
-    ) -> None:
-        """Process the outcome of a call."""
+    ) -> bool:
+        """Process the outcome of a call; return whether a window is skipped.
+
+        A window that the API denies is skipped once its report is overdue. A
+        report that it rejects would be rejected again, so it is skipped at
+        once. The later windows must not wait for either.
+        """
         if self._fixed != (step.window, step.body):
-            return
+            return False
         kinds = control_wire.Outcome
         if outcome is kinds.NOT_HELD:
             self.reset()
-            return
+            return False
         if outcome is kinds.ACCEPTED:
             self.reported_count += 1
         else:
             self.refused_count += 1
-        if outcome in (kinds.REFUSED, kinds.UNKNOWN):
+        end = counter.window_end(step.window, self.cfg.window_seconds)
+        is_overdue = now >= end + self.cfg.late_seconds
+        is_denied = outcome in (kinds.DENIED, kinds.UNAVAILABLE)
+        if outcome in (kinds.REFUSED, kinds.UNKNOWN) or (
+            is_denied and not is_overdue
+        ):
             self._fail(now)
-            return
-        # A report that was rejected would be rejected again, and the later
-        # ones must not wait for it.
+            return False
+        is_skipped = outcome is not kinds.ACCEPTED
+        self.skipped_count += is_skipped
         self._fixed = None
         self._next_window = step.window + 1
         self._table.record_reported(step.window)
         self._skip_old_windows(now)
         self._succeed()
+        return is_skipped
 
     def _succeed(self) -> None:
         self._wait = _RETRY_SECONDS[0]
--- a/src/hibiscussaddle/usage/service.py
+++ b/src/hibiscussaddle/usage/service.py
@@ -32,6 +32,8 @@
     reports_accepted: int
     # Calls that were refused or had no response.
     calls_failed: int
+    # Windows that were given up, since the API would not take their reports.
+    windows_skipped: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,6 +53,7 @@
             self.reporter.windows_behind(),
             reports_state.reported_count,
             reports_state.refused_count,
+            reports_state.skipped_count,
         )
 
     def gauges(self) -> dict[str, abc.Callable[[], float]]:
@@ -60,6 +63,7 @@
             "usage_windows_behind": lambda: self.report().windows_behind,
             "usage_reports_accepted": lambda: self.report().reports_accepted,
             "usage_calls_failed": lambda: self.report().calls_failed,
+            "usage_windows_skipped": lambda: self.report().windows_skipped,
         }
 
     async def stop(self) -> None:
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from hibiscussaddle.platform import control_wire
 from hibiscussaddle.usage import counter
@@ -199,6 +200,42 @@
     assert holder.fix(10.1, 2).window == 1
 
 
+@pytest.mark.parametrize("status", [401, 403, 404, 409])
+def test_denied_report_is_repeated_until_it_is_overdue(status: int) -> None:
+    """Fails when wrong access to the API makes all instances forget counts."""
+    holder = _loaded()
+    holder.put(A, 1)
+    holder.put(B, 1)
+    outcome = control_wire.decode_status(status)
+    sent = holder.fix(10.1)
+    now, calls = 10.1, 0
+    while now < 14.9:
+        if not holder.idle(now):
+            assert holder.step(now, Kind.SEND) == sent
+            assert not holder.reports.on_sent(sent, outcome, now)
+            calls += 1
+        now += 0.05
+    assert 3 <= calls <= 12
+    assert holder.reports.skipped_count == 0
+    assert holder.table.reported_through == -1
+    assert holder.reports.on_sent(sent, outcome, 15.1)
+    assert holder.reports.skipped_count == 1
+    assert holder.fix(15.1, 2).window == 1
+
+
+@pytest.mark.parametrize("status", [400, 422])
+def test_malformed_report_is_skipped_at_once(status: int) -> None:
+    """Fails when a report that is wrong itself holds up the later ones."""
+    holder = _loaded()
+    holder.put(A, 1)
+    holder.put(B, 1)
+    sent = holder.fix(10.1)
+    outcome = control_wire.decode_status(status)
+    assert holder.reports.on_sent(sent, outcome, 10.1)
+    assert holder.reports.skipped_count == 1
+    assert holder.fix(10.1, 2).window == 1
+
+
 def test_successor_repeats_what_a_killed_holder_fixed() -> None:
     """Fails when a successor sends other counts for a fixed window."""
     killed = _loaded()
