Wait longer for answers to usage reports than to weight orders

While the control API took more than 0.6 s for an answer, no usage report was ever taken for accepted: the oldest one was repeated and all later windows waited behind it.

Cause: usage calls had the timeout of weight orders, effect_seconds.

Usage calls now have 2.5 s. A call starts at most ttl - margin - effect_seconds = 1.3 s after a renewal. A successor that gets the key right after that renewal waits 4.4 s, so 3.1 s are left for a call. After a planned release, which waits for a call in flight, a successor waits 3.2 s. 0.6 s of that stay unused, for the way to the API and a process that is scheduled late. After a process of the same instance ended the wait is 0.6 s; the connections of that process ended with it. Other calls keep effect_seconds.

A second test checks the inequality against the lease's numbers.

--- a/src/hibiscussaddle/duties/control_client.py
+++ b/src/hibiscussaddle/duties/control_client.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import time
-import typing
 
 import anyio
 import httpx
@@ -55,8 +54,15 @@
         # the previous holder have arrived.
         return self._lease.fencing_number(guarded=False)
 
-    async def call(self, path: str, body: bytes) -> CallResult:
-        """Send one call; neither repeat it nor follow a redirect."""
+    async def call(
+        self, path: str, body: bytes, timeout: float | None = None
+    ) -> CallResult:
+        """Send one call; neither repeat it nor follow a redirect.
+
+        Without a timeout in seconds it is that of all effects of the lease.
+        """
+        if timeout is None:
+            timeout = self._lease.machine.cfg.effect_seconds
         async with self._lock:
             wait = self._next_call_at - time.monotonic()
             await anyio.sleep(max(0.0, wait))
@@ -65,10 +71,11 @@
             if number is None:
                 return CallResult(control_wire.Outcome.NOT_HELD)
             self._next_call_at = time.monotonic() + self._interval
-            return await self._send(path, body, number)
+            return await self._send(path, body, number, timeout)
 
-    async def _send(self, path: str, body: bytes, number: int) -> CallResult:
-        timeout: typing.Final = self._lease.machine.cfg.effect_seconds
+    async def _send(
+        self, path: str, body: bytes, number: int, timeout: float
+    ) -> CallResult:
         try:
             with anyio.fail_after(timeout):
                 resp = await self._client.post(
--- a/src/hibiscussaddle/platform/standins/control.py
+++ b/src/hibiscussaddle/platform/standins/control.py
@@ -22,10 +22,14 @@
     DOWN = "down"
     # The call takes effect, but its response doesn't arrive in time.
     LOST_RESPONSE = "lost_response"
+    # The call takes effect, and its response arrives late.
+    SLOW = "slow"
 
 
 # Longer than callers wait for a response.
 _LOST_RESPONSE_SECONDS: typing.Final = 3.0
+# Longer than endpoints take to accept a weight order.
+_SLOW_SECONDS: typing.Final = 1.2
 _FAULT_STATUSES: typing.Final = {Fault.TOO_MANY: 429, Fault.DOWN: 503}
 
 
@@ -78,6 +82,8 @@
         )
         if fault is Fault.LOST_RESPONSE:
             await anyio.sleep(_LOST_RESPONSE_SECONDS)
+        if fault is Fault.SLOW:
+            await anyio.sleep(_SLOW_SECONDS)
         return responses.Response(status_code=200)
 
     async def list_reports(_: requests.Request) -> responses.Response:
--- a/src/hibiscussaddle/usage/reporter.py
+++ b/src/hibiscussaddle/usage/reporter.py
@@ -21,6 +21,13 @@
 
 # Holds the newest report that was fixed, as it is sent.
 REPORT_KEY: typing.Final = "usage/report"
+# A call starts at most ttl - margin - effect_seconds = 1.3 s after a renewal,
+# and a successor sends its first call no earlier than successor_wait_seconds =
+# 4.4 s after it, so 3.1 s are left. After a planned release, which waits for a
+# call in flight, they would be 3.2 s. The rest of 0.6 s covers the way to the
+# API and a process that is scheduled late. The shorter wait after a process of
+# the same instance bears it too, since connections end with their process.
+CALL_TIMEOUT_SECONDS: typing.Final = 2.5
 # How often the holder checks for a due step.
 _CHECK_SECONDS: typing.Final = 0.1
 # How often other instances check whether they hold the duties.
@@ -144,7 +151,9 @@
         self.reports.on_fixed(step, outcome, revision, self._wall_clock())
 
     async def _send(self, step: reports_lib.Step) -> None:
-        sent = await self._control.call(control_wire.USAGE_PATH, step.body)
+        sent = await self._control.call(
+            control_wire.USAGE_PATH, step.body, CALL_TIMEOUT_SECONDS
+        )
         now = self._wall_clock()
         is_skipped = self.reports.on_sent(step, sent.outcome, now)
         _, counts = control_wire.decode_usage(step.body)
--- a/tests/test_usage_service.py
+++ b/tests/test_usage_service.py
@@ -23,7 +23,9 @@
 from hibiscussaddle.platform.standins import store as store_standin
 from hibiscussaddle import serving
 from hibiscussaddle.usage import counter
+from hibiscussaddle.usage import reporter
 from hibiscussaddle.usage import service as usage_service
+from hibiscussaddle.weights import controller as weight_controller
 import loopback
 import ports
 
@@ -138,6 +140,38 @@
     assert control.calls[0].holder != control.calls[-1].holder
 
 
+def test_slow_api_takes_each_report_once() -> None:
+    """Fails when an API slower than weight orders blocks all reports."""
+    control = control_standin.FakeControl()
+
+    async def main() -> None:
+        async with _run_pair(control, usage_window_seconds=2.0) as (
+            holder,
+            other,
+        ):
+            control.faults += [control_standin.Fault.SLOW] * 50
+            window = other.count("desk")
+            table = holder.usage.table
+            await fleet.wait_until(
+                lambda: table.reported_through >= window, 15
+            )
+            assert control.reports()[window] == [{"desk": 1}]
+
+    anyio.run(main)
+    windows = [call.body["window"] for call in control.calls]
+    assert len(set(windows)) == len(windows)
+
+
+def test_usage_call_ends_before_a_successor_may_call() -> None:
+    """Fails when a change of the lease lets calls of two holders overlap."""
+    cfg = weight_controller.LEASE
+    latest_start = cfg.ttl - cfg.margin - cfg.effect_seconds
+    seconds = reporter.CALL_TIMEOUT_SECONDS
+    assert cfg.successor_wait_seconds is not None
+    assert latest_start + seconds + 0.5 <= cfg.successor_wait_seconds
+    assert seconds + 0.5 <= cfg.released_wait_seconds
+
+
 def test_counts_of_a_killed_holder_are_reported() -> None:
     """Fails when what the holder itself counted is lost with it."""
     control = control_standin.FakeControl()
