Drop counts older than the windows that are still reported

Cause: counts were forgotten only up to a reported window, though a holder reports no window older than 720 before the present one.

Windows older than that are dropped from the counter and from the table before each message. They aren't marked as reported, so a clock that was ahead for a while loses no later counts.

Evidence: on the commit before, the oldest of 800 windows is still there in test_counts_too_old_for_a_report_are_dropped; with the change it is the 720th. The test of a clock that was ahead guards the second point.

--- a/src/hibiscussaddle/usage/collector.py
+++ b/src/hibiscussaddle/usage/collector.py
@@ -101,6 +101,12 @@
         """Bring the totals of this instance in the table up to date."""
         self._record_listed()
         self._counter.forget(self._table.reported_through)
+        # While nothing is reported, counts pile up here and in the table.
+        oldest = counter_lib.oldest_window(
+            self._wall_clock(), self._counter.window_seconds
+        )
+        self._counter.drop_before(oldest)
+        self._table.drop_before(oldest)
         final_through = totals_lib.ALL_WINDOWS
         if not self._is_stopped:
             final_through = self._counter.final_through(self._wall_clock())
--- a/src/hibiscussaddle/usage/counter.py
+++ b/src/hibiscussaddle/usage/counter.py
@@ -6,6 +6,10 @@
 
 import collections
 import math
+import typing
+
+# Windows before the present one that are still reported after an outage.
+MAX_BACKLOG_WINDOWS: typing.Final = 720
 
 Counts = dict[str, int]
 
@@ -15,6 +19,11 @@
     return math.floor(at / window_seconds)
 
 
+def oldest_window(now: float, window_seconds: float) -> int:
+    """Return the oldest window that is still reported."""
+    return window_at(now, window_seconds) - MAX_BACKLOG_WINDOWS
+
+
 def window_end(window: int, window_seconds: float) -> float:
     """Return the time at which a window ends."""
     return (window + 1) * window_seconds
@@ -112,6 +121,16 @@
         windows = [req.window for req in self._open if req.window is not None]
         return min([newest, *(window - 1 for window in windows)])
 
+    def drop_before(self, window: int) -> None:
+        """Drop windows too old for a report.
+
+        Unlike reported ones they may be counted again, in case the clock was
+        ahead for a while.
+        """
+        for old in [w for w in self._counts if w < window]:
+            del self._counts[old]
+            self.version += 1
+
     def forget(self, through: int) -> None:
         """Drop the windows up to one whose report was accepted."""
         self._forgotten_through = max(self._forgotten_through, through)
--- a/src/hibiscussaddle/usage/reports.py
+++ b/src/hibiscussaddle/usage/reports.py
@@ -26,9 +26,6 @@
 _LISTING_SETTLE_SECONDS: typing.Final = 3.0
 # Bounds of the wait before a call that failed is repeated.
 _RETRY_SECONDS: typing.Final = (0.2, 2.0)
-# Windows before the present one that are still reported after an outage of the
-# whole system.
-MAX_BACKLOG_WINDOWS: typing.Final = 720
 
 
 @dataclasses.dataclass(frozen=True)
@@ -189,8 +186,7 @@
         self._succeed()
 
     def _skip_old_windows(self, now: float) -> None:
-        present = counter.window_at(now, self.cfg.window_seconds)
-        oldest = present - MAX_BACKLOG_WINDOWS
+        oldest = counter.oldest_window(now, self.cfg.window_seconds)
         if self._fixed is None:
             self._next_window = max(self._next_window, oldest)
 
--- a/src/hibiscussaddle/usage/totals.py
+++ b/src/hibiscussaddle/usage/totals.py
@@ -75,6 +75,19 @@
             else:
                 del self._totals[source]
 
+    def drop_before(self, window: int) -> None:
+        """Drop windows too old for a report."""
+        for source, totals in self._totals.items():
+            if any(w < window for w in totals.windows):
+                kept = {
+                    w: counts
+                    for w, counts in totals.windows.items()
+                    if w >= window
+                }
+                self._totals[source] = msgspec.structs.replace(
+                    totals, windows=kept
+                )
+
     def retain(self, sources: abc.Container[Source]) -> None:
         """Drop processes without counts, other than those that run."""
         for source, totals in list(self._totals.items()):
--- a/tests/test_usage_collector.py
+++ b/tests/test_usage_collector.py
@@ -102,6 +102,36 @@
     assert feed.steady_seconds(15.0) == 2.0
 
 
+def test_counts_too_old_for_a_report_are_dropped() -> None:
+    """Fails when counts pile up while nothing is ever reported."""
+    setup = _Setup()
+    setup.table.merge(
+        totals_lib.Totals(
+            "gateway-2", 1, 1, totals_lib.ALL_WINDOWS, {20: {"desk": 1}}
+        )
+    )
+    for _ in range(800):
+        setup.counter.track("desk").record_send(setup.now)
+        setup.now += 5.0
+    setup.collector.update_own_totals()
+    present = counter_lib.window_at(setup.now, 5.0)
+    oldest = present - 720
+    assert min(setup.counter.counts()) == oldest
+    windows = {w for t in setup.table.all() for w in t.windows}
+    assert min(windows) == oldest
+
+
+def test_clock_that_was_ahead_loses_no_later_counts() -> None:
+    """Fails when windows dropped by a wrong clock are never counted again."""
+    setup = _Setup()
+    setup.now += 1e6
+    setup.collector.update_own_totals()
+    setup.now -= 1e6
+    setup.counter.track("desk").record_send(setup.now)
+    setup.collector.update_own_totals()
+    assert setup.table.sum(20) == {"desk": 1}
+
+
 class _Reporter:
     """Have a call in flight for ever."""
 
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -293,7 +293,7 @@
     holder.put(A, present - 1)
     holder.put(B, present - 1)
     oldest = holder.step(5e6, Kind.FIX).window
-    assert oldest == present - reports_lib.MAX_BACKLOG_WINDOWS
+    assert oldest == present - counter.MAX_BACKLOG_WINDOWS
 
 
 class System:
