Send the totals of a stopping instance to a second one

When the holder was killed within seconds of another instance's planned stop, the stopped instance's counts of the windows not yet reported were missing from the usage reports.

Cause: an instance that reached the holder told nobody else, and the holder passes on to its heir what it was entrusted with only once a second, or never if it is killed before.

A stopping instance now sends its totals to the holder and to the first heir at the same time; where one of them doesn't keep them, the next heirs take its place, as they did for a stopping holder. Sending side by side also keeps a silent holder from using up the time of the others.

--- a/src/hibiscussaddle/usage/collector.py
+++ b/src/hibiscussaddle/usage/collector.py
@@ -34,9 +34,9 @@
 # How often an instance checks for changes to send. A killed instance loses the
 # counts of this time at most.
 _SEND_INTERVAL_SECONDS: typing.Final = 1.0
-# Instances that get what a stopping instance knows, if there is no other
-# holder: one of them may stop as well.
-_HEIRS: typing.Final = 2
+# Instances that get what a stopping instance knows: one of them may end before
+# it has passed it on.
+_RECEIVERS: typing.Final = 2
 # Windows after the present one whose counts are taken from peers, whose clocks
 # may be ahead.
 _MAX_WINDOWS_AHEAD: typing.Final = 2
@@ -161,25 +161,46 @@
     async def stop(self) -> None:
         """Hand over all that this instance knows; nothing may count later."""
         self._is_stopped = True
-        await self.hand_over()
+        if not await self.hand_over():
+            if any(totals.windows for totals in self._table.all()):
+                logs.event(_LOG, "usage_totals_lost", logging.WARNING)
 
-    async def hand_over(self) -> None:
-        """Send all totals to the holder, or to those that may follow it."""
+    async def hand_over(self) -> int:
+        """Send all totals to the holder and its heirs; return how many got it.
+
+        Instances that don't keep them are replaced by the next heirs.
+        """
         self.update_own_totals()
         totals = self._table.all()
+        receivers = self._receivers()
+        kept_count = 0
+
+        async def send(receiver: duty_contention.Holder) -> None:
+            nonlocal kept_count
+            kept_count += await self._send(
+                receiver.instance, receiver.peer_address, totals
+            )
+
+        while receivers and kept_count < _RECEIVERS:
+            missing = _RECEIVERS - kept_count
+            async with anyio.create_task_group() as tasks:
+                for receiver in receivers[:missing]:
+                    tasks.start_soon(send, receiver)
+            receivers = receivers[missing:]
+        return kept_count
+
+    def _receivers(self) -> list[duty_contention.Holder]:
+        """Return the holder, unless it is this one, and then its heirs."""
         holder = self._contention.holder
-        if holder is not None and not self._is_me(holder):
-            if await self._send(holder.instance, holder.peer_address, totals):
-                return
-        sent_count = 0
-        for heir in self._heirs():
-            sent_count += await self._send(
-                heir.instance, heir.peer_address, totals
+        heirs = [
+            duty_contention.Holder(
+                heir.instance, heir.peer_address, heir.incarnation
             )
-            if sent_count == _HEIRS:
-                return
-        if not sent_count and any(t.windows for t in totals):
-            logs.event(_LOG, "usage_totals_lost", logging.WARNING)
+            for heir in self._heirs()
+        ]
+        if holder is None or self._is_me(holder):
+            return heirs
+        return [holder, *(h for h in heirs if h.instance != holder.instance)]
 
     def _heirs(self) -> list[member_lib.Member]:
         """Return the instances that may get the duties next, in order."""
@@ -224,11 +245,8 @@
             }
 
     def _first_heir(self) -> duty_contention.Holder | None:
-        for heir in self._heirs():
-            return duty_contention.Holder(
-                heir.instance, heir.peer_address, heir.incarnation
-            )
-        return None
+        # The holder is this instance.
+        return next(iter(self._receivers()), None)
 
     def _select_totals(
         self, holder: duty_contention.Holder
--- a/tests/test_usage_collector.py
+++ b/tests/test_usage_collector.py
@@ -7,7 +7,9 @@
 import httpx
 import msgspec
 
+from hibiscussaddle.adapters import store
 from hibiscussaddle.duties import contention as duty_contention
+from hibiscussaddle.duties import lease as duty_lease
 from hibiscussaddle.fleet import feed as feed_lib
 from hibiscussaddle.fleet import presence
 from hibiscussaddle.usage import collector as collector_lib
@@ -33,10 +35,13 @@
         )
         self.counter = counter_lib.UsageCounter(5.0)
         self.table = totals_lib.Table()
+        self.contention = duty_contention.LeaseContention(
+            self.members, "fleet", "m"
+        )
         self.collector = collector_lib.Collector(
             httpx.AsyncClient(transport=httpx.MockTransport(self._answer)),
             self.members,
-            duty_contention.LeaseContention(self.members, "fleet", "m"),
+            self.contention,
             self.counter,
             self.table,
             LATE_SECONDS,
@@ -132,6 +137,35 @@
     assert setup.table.sum(20) == {"desk": 1}
 
 
+def _stop(*silent: str) -> set[str]:
+    """Stop an instance; return who got its totals, as final ones."""
+    setup = _Setup()
+    for number in (2, 3, 4, 5):
+        setup.add(f"gateway-{number}")
+    setup.silent = set(silent)
+    entry = store.StoreEntry(
+        duty_lease.lease_key("fleet"),
+        b'{"holder":"gateway-3/gateway-3:1/1/1"}',
+        1,
+    )
+    setup.contention.apply_listing([entry])
+    assert setup.contention.holder is not None
+    setup.counter.track("desk").record_send(setup.now)
+    anyio.run(setup.collector.stop)
+    for messages in setup.messages.values():
+        (found,) = messages[-1].totals
+        assert found.final_through == totals_lib.ALL_WINDOWS
+        assert found.windows == {20: {"desk": 1}}
+    return set(setup.messages)
+
+
+def test_stopping_instance_tells_the_holder_and_its_heir() -> None:
+    """Fails when a kill of the holder loses what a stopped instance sent."""
+    assert _stop() == {"gateway-3", "gateway-2"}
+    assert _stop("gateway-3") == {"gateway-2", "gateway-4"}
+    assert _stop("gateway-2") == {"gateway-3", "gateway-4"}
+
+
 class _Reporter:
     """Have a call in flight for ever."""
 
