--- a/src/hibiscussaddle/usage/collector.py
+++ b/src/hibiscussaddle/usage/collector.py
@@ -34,9 +34,9 @@
 # How often an instance checks for changes to send. A killed instance loses the
 # counts of this time at most.
 _SEND_INTERVAL_SECONDS: typing.Final = 1.0
-# Instances that get what a stopping instance knows, if there is no other
-# holder: one of them may stop as well.
-_HEIRS: typing.Final = 2
+# Instances that get what a stopping instance knows: one of them may end before
+# it has passed it on.
+_RECEIVERS: typing.Final = 2
 # Windows after the present one whose counts are taken from peers, whose clocks
 # may be ahead.
 _MAX_WINDOWS_AHEAD: typing.Final = 2
@@ -66,9 +66,15 @@
         contention: duty_contention.LeaseContention,
         counter: counter_lib.UsageCounter,
         table: totals_lib.Table,
+        late_seconds: float,
         wall_clock: abc.Callable[[], float] = time.time,
+        clock: abc.Callable[[], float] = time.monotonic,
     ) -> None:
         """Send what the counter and the table hold."""
+        self._late_seconds = late_seconds
+        self._clock = clock
+        # When each process was last listed, in seconds of the clock.
+        self._listed_at: dict[totals_lib.Source, float] = {}
         self._client = client
         self._members = members
         self._contention = contention
@@ -93,7 +99,14 @@
 
     def update_own_totals(self) -> None:
         """Bring the totals of this instance in the table up to date."""
+        self._record_listed()
         self._counter.forget(self._table.reported_through)
+        # While nothing is reported, counts pile up here and in the table.
+        oldest = counter_lib.oldest_window(
+            self._wall_clock(), self._counter.window_seconds
+        )
+        self._counter.drop_before(oldest)
+        self._table.drop_before(oldest)
         final_through = totals_lib.ALL_WINDOWS
         if not self._is_stopped:
             final_through = self._counter.final_through(self._wall_clock())
@@ -122,24 +135,72 @@
             for member in members.values()
         )
 
+    def recent_sources(self) -> frozenset[totals_lib.Source]:
+        """Return the processes that ran at any time in the late seconds.
+
+        The leases of members end in an outage of the store, and those members
+        send their totals once they have registered again.
+        """
+        self._record_listed()
+        return frozenset(self._listed_at)
+
+    def _record_listed(self) -> None:
+        now = self._clock()
+        oldest = now - self._late_seconds
+        for source, at in list(self._listed_at.items()):
+            if at < oldest:
+                del self._listed_at[source]
+        running = self.sources()
+        self._listed_at |= dict.fromkeys(running, now)
+        for totals in self._table.all():
+            # A process that stopped as planned has handed over all counts.
+            is_stopped = totals.final_through >= totals_lib.ALL_WINDOWS
+            if is_stopped and totals.source not in running:
+                self._listed_at.pop(totals.source, None)
+
     async def stop(self) -> None:
         """Hand over all that this instance knows; nothing may count later."""
         self._is_stopped = True
+        if not await self.hand_over():
+            if any(totals.windows for totals in self._table.all()):
+                logs.event(_LOG, "usage_totals_lost", logging.WARNING)
+
+    async def hand_over(self) -> int:
+        """Send all totals to the holder and its heirs; return how many got it.
+
+        Instances that don't keep them are replaced by the next heirs.
+        """
         self.update_own_totals()
         totals = self._table.all()
+        receivers = self._receivers()
+        kept_count = 0
+
+        async def send(receiver: duty_contention.Holder) -> None:
+            nonlocal kept_count
+            kept_count += await self._send(
+                receiver.instance, receiver.peer_address, totals
+            )
+
+        while receivers and kept_count < _RECEIVERS:
+            missing = _RECEIVERS - kept_count
+            async with anyio.create_task_group() as tasks:
+                for receiver in receivers[:missing]:
+                    tasks.start_soon(send, receiver)
+            receivers = receivers[missing:]
+        return kept_count
+
+    def _receivers(self) -> list[duty_contention.Holder]:
+        """Return the holder, unless it is this one, and then its heirs."""
         holder = self._contention.holder
-        if holder is not None and not self._is_me(holder):
-            if await self._send(holder.instance, holder.peer_address, totals):
-                return
-        sent_count = 0
-        for heir in self._heirs():
-            sent_count += await self._send(
-                heir.instance, heir.peer_address, totals
+        heirs = [
+            duty_contention.Holder(
+                heir.instance, heir.peer_address, heir.incarnation
             )
-            if sent_count == _HEIRS:
-                return
-        if not sent_count and any(t.windows for t in totals):
-            logs.event(_LOG, "usage_totals_lost", logging.WARNING)
+            for heir in self._heirs()
+        ]
+        if holder is None or self._is_me(holder):
+            return heirs
+        return [holder, *(h for h in heirs if h.instance != holder.instance)]
 
     def _heirs(self) -> list[member_lib.Member]:
         """Return the instances that may get the duties next, in order."""
@@ -169,14 +230,14 @@
             # The next one knows nothing.
             self._receiver = receiver
             self._delivered = {}
-        if holder is None or receiver is None:
+        if holder is None:
             return
         changed = [
             totals
             for totals in self._select_totals(holder)
             if self._delivered.get(totals.source, -1) < totals.sequence
         ]
-        if not changed:
+        if receiver is None or not changed:
             return
         if await self._send(receiver.instance, receiver.peer_address, changed):
             self._delivered |= {
@@ -184,11 +245,8 @@
             }
 
     def _first_heir(self) -> duty_contention.Holder | None:
-        for heir in self._heirs():
-            return duty_contention.Holder(
-                heir.instance, heir.peer_address, heir.incarnation
-            )
-        return None
+        # The holder is this instance.
+        return next(iter(self._receivers()), None)
 
     def _select_totals(
         self, holder: duty_contention.Holder
--- a/src/hibiscussaddle/usage/reporter.py
+++ b/src/hibiscussaddle/usage/reporter.py
@@ -21,6 +21,13 @@
 
 # Holds the newest report that was fixed, as it is sent.
 REPORT_KEY: typing.Final = "usage/report"
+# A call starts at most ttl - margin - effect_seconds = 1.3 s after a renewal,
+# and a successor sends its first call no earlier than successor_wait_seconds =
+# 4.4 s after it, so 3.1 s are left. After a planned release, which waits for a
+# call in flight, they would be 3.2 s. The rest of 0.6 s covers the way to the
+# API and a process that is scheduled late. The shorter wait after a process of
+# the same instance bears it too, since connections end with their process.
+CALL_TIMEOUT_SECONDS: typing.Final = 2.5
 # How often the holder checks for a due step.
 _CHECK_SECONDS: typing.Final = 0.1
 # How often other instances check whether they hold the duties.
@@ -38,8 +45,14 @@
         collector: collector_lib.Collector,
         reports: reports_lib.Reports,
         wall_clock: abc.Callable[[], float] = time.time,
+        steady_seconds: abc.Callable[[], float] = lambda: float("inf"),
     ) -> None:
-        """Report what the collector brings together."""
+        """Report what the collector brings together.
+
+        The last function returns for how long the listing of members has been
+        complete.
+        """
+        self._steady_seconds = steady_seconds
         self._client = client
         self._control = control
         self._lease = lease
@@ -84,7 +97,9 @@
                 return False
             self._collector.update_own_totals()
             step = self.reports.next_step(
-                self._wall_clock(), self._collector.sources()
+                self._wall_clock(),
+                self._collector.recent_sources(),
+                self._steady_seconds(),
             )
             if step is None:
                 return False
@@ -136,9 +151,11 @@
         self.reports.on_fixed(step, outcome, revision, self._wall_clock())
 
     async def _send(self, step: reports_lib.Step) -> None:
-        sent = await self._control.call(control_wire.USAGE_PATH, step.body)
+        sent = await self._control.call(
+            control_wire.USAGE_PATH, step.body, CALL_TIMEOUT_SECONDS
+        )
         now = self._wall_clock()
-        self.reports.on_sent(step, sent.outcome, now)
+        is_skipped = self.reports.on_sent(step, sent.outcome, now)
         _, counts = control_wire.decode_usage(step.body)
         end = counter.window_end(step.window, self.reports.cfg.window_seconds)
         logs.event(
@@ -153,6 +170,16 @@
             why=sent.why or "-",
             seconds_after_end=now - end,
         )
+        if is_skipped:
+            logs.event(
+                _LOG,
+                "usage_window_skipped",
+                logging.WARNING,
+                window=step.window,
+                requests=sum(counts.values()),
+                outcome=sent.outcome.value,
+                status=sent.status or "no_answer",
+            )
 
 
 _Handler: typing.TypeAlias = abc.Callable[
--- a/src/hibiscussaddle/usage/reports.py
+++ b/src/hibiscussaddle/usage/reports.py
@@ -21,11 +21,11 @@
 # Fraction of the time until a report is due for which the totals of instances
 # are waited for. The rest is left for a change of the holder or a slow API.
 _COLLECT_FRACTION: typing.Final = 0.7
+# Instances register again within a second after an outage of the store and
+# send their totals each second; until then the members listed may be few.
+_LISTING_SETTLE_SECONDS: typing.Final = 3.0
 # Bounds of the wait before a call that failed is repeated.
 _RETRY_SECONDS: typing.Final = (0.2, 2.0)
-# Windows before the present one that are still reported after an outage of the
-# whole system.
-MAX_BACKLOG_WINDOWS: typing.Final = 720
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,6 +82,8 @@
         self.cfg = cfg
         self.reported_count = 0
         self.refused_count = 0
+        # Windows that were given up without an accepted report.
+        self.skipped_count = 0
         self._table = table
         self._rng = rng
         self._is_loaded = False
@@ -107,9 +109,16 @@
         return max(0, due - self._next_window)
 
     def next_step(
-        self, now: float, sources: frozenset[totals_lib.Source]
+        self,
+        now: float,
+        sources: frozenset[totals_lib.Source],
+        steady_seconds: float = float("inf"),
     ) -> Step | None:
-        """Return the step that is due, given the processes that run."""
+        """Return the step that is due.
+
+        The sources are the processes that ran in the last late_seconds. Their
+        listing has been complete, without a failure, for steady_seconds.
+        """
         if now < self._retry_at:
             return None
         if not self._is_loaded:
@@ -118,13 +127,18 @@
             window, body = self._fixed
             return Step(StepKind.SEND, window, body)
         window = self._next_window
-        if not self._is_complete(window, now, sources):
+        is_steady = steady_seconds >= _LISTING_SETTLE_SECONDS
+        if not self._is_complete(window, now, sources, is_steady):
             return None
         body = control_wire.encode_usage(window, self._table.sum(window))
         return Step(StepKind.FIX, window, body, self._revision)
 
     def _is_complete(
-        self, window: int, now: float, sources: frozenset[totals_lib.Source]
+        self,
+        window: int,
+        now: float,
+        sources: frozenset[totals_lib.Source],
+        is_steady: bool,
     ) -> bool:
         seconds = self.cfg.window_seconds
         end = counter.window_end(window, seconds)
@@ -134,12 +148,20 @@
         # Incarnations are Unix milliseconds.
         required = [source for source in sources if source[1] / 1000 < end]
         final = self._table.final_count(window, required)
-        if final == len(required):
-            return True
-        # A holder whose clock is ahead must not report windows early, nor one
-        # that reaches hardly any instance report empty ones.
         is_late = now >= end + _COLLECT_FRACTION * self.cfg.late_seconds
-        return is_late and 2 * final > len(required)
+        if not is_late:
+            # Without a required process, or right after an outage, the members
+            # listed may be a few of those that ran. A process that is known
+            # to have counts to come is waited for even if it isn't listed.
+            return (
+                is_steady
+                and 0 < len(required) == final
+                and not self._table.has_unfinished(window)
+            )
+        # A holder whose clock is ahead must not report windows early, nor one
+        # that reaches hardly any instance report empty ones. Processes that
+        # aren't listed any more don't count here: they may never answer.
+        return not required or 2 * final > len(required)
 
     def on_loaded(
         self, body: bytes | None, revision: int, first_window: int, now: float
@@ -164,8 +186,7 @@
         self._succeed()
 
     def _skip_old_windows(self, now: float) -> None:
-        present = counter.window_at(now, self.cfg.window_seconds)
-        oldest = present - MAX_BACKLOG_WINDOWS
+        oldest = counter.oldest_window(now, self.cfg.window_seconds)
         if self._fixed is None:
             self._next_window = max(self._next_window, oldest)
 
@@ -189,28 +210,39 @@
 
     def on_sent(
         self, step: Step, outcome: control_wire.Outcome, now: float
-    ) -> None:
-        """Process the outcome of a call."""
+    ) -> bool:
+        """Process the outcome of a call; return whether a window is skipped.
+
+        A window that the API denies is skipped once its report is overdue. A
+        report that it rejects would be rejected again, so it is skipped at
+        once. The later windows must not wait for either.
+        """
         if self._fixed != (step.window, step.body):
-            return
+            return False
         kinds = control_wire.Outcome
         if outcome is kinds.NOT_HELD:
             self.reset()
-            return
+            return False
         if outcome is kinds.ACCEPTED:
             self.reported_count += 1
         else:
             self.refused_count += 1
-        if outcome in (kinds.REFUSED, kinds.UNKNOWN):
+        end = counter.window_end(step.window, self.cfg.window_seconds)
+        is_overdue = now >= end + self.cfg.late_seconds
+        is_denied = outcome in (kinds.DENIED, kinds.UNAVAILABLE)
+        if outcome in (kinds.REFUSED, kinds.UNKNOWN) or (
+            is_denied and not is_overdue
+        ):
             self._fail(now)
-            return
-        # A report that was rejected would be rejected again, and the later
-        # ones must not wait for it.
+            return False
+        is_skipped = outcome is not kinds.ACCEPTED
+        self.skipped_count += is_skipped
         self._fixed = None
         self._next_window = step.window + 1
         self._table.record_reported(step.window)
         self._skip_old_windows(now)
         self._succeed()
+        return is_skipped
 
     def _succeed(self) -> None:
         self._wait = _RETRY_SECONDS[0]
--- a/src/hibiscussaddle/usage/service.py
+++ b/src/hibiscussaddle/usage/service.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+import anyio
 import httpx
 import msgspec
 
@@ -31,6 +32,8 @@
     reports_accepted: int
     # Calls that were refused or had no response.
     calls_failed: int
+    # Windows that were given up, since the API would not take their reports.
+    windows_skipped: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,6 +53,7 @@
             self.reporter.windows_behind(),
             reports_state.reported_count,
             reports_state.refused_count,
+            reports_state.skipped_count,
         )
 
     def gauges(self) -> dict[str, abc.Callable[[], float]]:
@@ -59,11 +63,18 @@
             "usage_windows_behind": lambda: self.report().windows_behind,
             "usage_reports_accepted": lambda: self.report().reports_accepted,
             "usage_calls_failed": lambda: self.report().calls_failed,
+            "usage_windows_skipped": lambda: self.report().windows_skipped,
         }
 
     async def stop(self) -> None:
-        """Hand over all counts, before the duties are released."""
-        await self.reporter.stop()
+        """Hand over all counts, before the duties are released.
+
+        They are sent once before the wait for a call in flight, which may take
+        all the time that a stop has.
+        """
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.collector.hand_over)
+            await self.reporter.stop()
         await self.collector.stop()
 
 
@@ -84,12 +95,13 @@
     contention: duty_contention.LeaseContention,
     lease: duty_lease.DutyLease,
     control: control_client.ControlClient,
+    steady_seconds: abc.Callable[[], float],
 ) -> Usage:
     """Create the components of an instance."""
     counter = counter_lib.UsageCounter(cfg.usage_window_seconds)
     table = totals.Table()
     collector = collector_lib.Collector(
-        client, members, contention, counter, table
+        client, members, contention, counter, table, cfg.usage_late_seconds
     )
     report_cfg = reports.ReportConfig(
         cfg.usage_window_seconds, cfg.usage_late_seconds
@@ -100,5 +112,6 @@
         lease,
         collector,
         reports.Reports(report_cfg, table, random.Random()),
+        steady_seconds=steady_seconds,
     )
     return Usage(counter, collector, reporter, table)
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from hibiscussaddle.platform import control_wire
 from hibiscussaddle.usage import counter
@@ -114,6 +115,51 @@
     assert found is not None and found.kind is Kind.FIX
 
 
+def test_process_that_is_no_longer_listed_is_waited_for() -> None:
+    """Fails when a window is fixed without a process known to be unfinished.
+
+    After an outage of the store its lease had ended, and the few members
+    listed were final.
+    """
+    holder = _loaded()
+    holder.put(A, 0)
+    holder.put(B, 0)
+    holder.put(("c", 0), -1, {0: {"desk": 1}})
+    assert holder.idle(5.5)
+    holder.put(("c", 0), 0, {0: {"desk": 2}})
+    assert _decoded(holder.fix(5.6)) == (0, {"desk": 2})
+
+
+def test_process_that_is_gone_for_good_blocks_no_report() -> None:
+    """Fails when killed instances outweigh those that run in late windows."""
+    holder = _loaded()
+    holder.put(A, 0)
+    holder.put(B, 0)
+    for name in "cdefg":
+        holder.put((name, 0), -1, {0: {"desk": 1}})
+    assert holder.idle(11.9)
+    assert _decoded(holder.fix(12.1)) == (0, {"desk": 5})
+
+
+def test_new_listing_of_members_delays_reports() -> None:
+    """Fails when a window is fixed before the members are listed again."""
+    holder = _loaded()
+    holder.put(A, 0)
+    holder.put(B, 0)
+    assert holder.reports.next_step(5.5, SOURCES, 1.0) is None
+    assert holder.reports.next_step(5.5, SOURCES, 4.0) is not None
+    # The report is due soon.
+    assert holder.reports.next_step(12.1, SOURCES, 0.0) is not None
+
+
+def test_window_without_a_known_process_waits_until_it_is_late() -> None:
+    """Fails when a holder that knows no process reports a window at once."""
+    holder = _loaded()
+    none = frozenset[totals_lib.Source]()
+    assert holder.reports.next_step(11.9, none) is None
+    assert holder.reports.next_step(12.1, none) is not None
+
+
 def test_lost_answer_repeats_the_same_bytes() -> None:
     """Fails when late totals change a report whose answer was lost."""
     holder = _loaded()
@@ -154,6 +200,42 @@
     assert holder.fix(10.1, 2).window == 1
 
 
+@pytest.mark.parametrize("status", [401, 403, 404, 409])
+def test_denied_report_is_repeated_until_it_is_overdue(status: int) -> None:
+    """Fails when wrong access to the API makes all instances forget counts."""
+    holder = _loaded()
+    holder.put(A, 1)
+    holder.put(B, 1)
+    outcome = control_wire.decode_status(status)
+    sent = holder.fix(10.1)
+    now, calls = 10.1, 0
+    while now < 14.9:
+        if not holder.idle(now):
+            assert holder.step(now, Kind.SEND) == sent
+            assert not holder.reports.on_sent(sent, outcome, now)
+            calls += 1
+        now += 0.05
+    assert 3 <= calls <= 12
+    assert holder.reports.skipped_count == 0
+    assert holder.table.reported_through == -1
+    assert holder.reports.on_sent(sent, outcome, 15.1)
+    assert holder.reports.skipped_count == 1
+    assert holder.fix(15.1, 2).window == 1
+
+
+@pytest.mark.parametrize("status", [400, 422])
+def test_malformed_report_is_skipped_at_once(status: int) -> None:
+    """Fails when a report that is wrong itself holds up the later ones."""
+    holder = _loaded()
+    holder.put(A, 1)
+    holder.put(B, 1)
+    sent = holder.fix(10.1)
+    outcome = control_wire.decode_status(status)
+    assert holder.reports.on_sent(sent, outcome, 10.1)
+    assert holder.reports.skipped_count == 1
+    assert holder.fix(10.1, 2).window == 1
+
+
 def test_successor_repeats_what_a_killed_holder_fixed() -> None:
     """Fails when a successor sends other counts for a fixed window."""
     killed = _loaded()
@@ -211,7 +293,7 @@
     holder.put(A, present - 1)
     holder.put(B, present - 1)
     oldest = holder.step(5e6, Kind.FIX).window
-    assert oldest == present - reports_lib.MAX_BACKLOG_WINDOWS
+    assert oldest == present - counter.MAX_BACKLOG_WINDOWS
 
 
 class System:
