Run no request of a connection that is being closed

Callers whose kept connection was closed to make room for another could have a request run without a response: its bytes had come before the close, and StreamReader.read() still returns them after close() and abort(). The request was passed on and its response went to a closed transport. Clients that read nothing kept idle connections with unsent bytes: close() waits for them to be sent, the table had removed the connection, and its descriptor stayed.

The loop that reads now stops after each read of a closing transport, and a request that is still in the parser's buffer is not started. close_idle() aborts a connection that has unsent bytes.

--- a/src/hibiscussaddle/serving.py
+++ b/src/hibiscussaddle/serving.py
@@ -60,6 +60,10 @@
     )
 
 
+class _ConnectionClosingError(Exception):
+    """Report that a request came on a connection that is being closed."""
+
+
 class _Connection(tcp_server.TCPServer):
     """Serve one connection and release it once it is closed.
 
@@ -106,7 +110,13 @@
 
     def close_idle(self) -> None:
         """Close the connection, on which no request is under way."""
-        self.writer.transport.close()
+        transport = self.writer.transport
+        if transport.get_write_buffer_size():
+            # A client that reads nothing would keep the descriptor, which
+            # the table of connections no longer counts.
+            transport.abort()
+        else:
+            transport.close()
 
     async def protocol_send(self, event: hypercorn_events.Event) -> None:
         """Send data, or start or stop the idle timer of an open connection."""
@@ -116,6 +126,12 @@
         if isinstance(event, hypercorn_events.Updated):
             if self._is_closed:
                 return
+            if (
+                not event.idle
+                and self.writer.transport.is_closing()
+                and asyncio.current_task() is self._reading_task
+            ):
+                raise _ConnectionClosingError
             self._mark(is_busy=not event.idle)
         await super().protocol_send(event)
 
@@ -167,8 +183,18 @@
                 data = await self.reader.read(_READ_BYTES)
             except (OSError, ssl.SSLError):
                 return
+            # The reader still returns what came before the connection was
+            # closed. A request in it would run without a response.
+            if self.writer.transport.is_closing():
+                return
             self._account_input(len(data))
-            await self.protocol.handle(hypercorn_events.RawData(data))
+            # The growth may have ended this connection.
+            if self.writer.transport.is_closing():
+                return
+            try:
+                await self.protocol.handle(hypercorn_events.RawData(data))
+            except _ConnectionClosingError:
+                return
             self._account_input(0)
 
     def _account_input(self, count: int) -> None:
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -16,6 +16,7 @@
 from hypercorn import events
 import pytest
 
+from hibiscussaddle.callers import connections
 from hibiscussaddle import serving
 
 import ports
@@ -148,10 +149,11 @@
     app: typing.Any,
     stop: abc.Callable[[], abc.Awaitable[None]] = anyio.sleep_forever,
     tls: tuple[str, str] = ("", ""),
+    bounds: serving.Bounds | None = None,
 ) -> abc.AsyncIterator[tuple[serving.Server, tuple[str, int]]]:
     """Serve an app on a free port; give the server and its address."""
     address = ("127.0.0.1", ports.free_ports(1)[0])
-    server = serving.Server(app, *address, stop)
+    server = serving.Server(app, *address, stop, bounds)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(server.serve, *tls)
         await _wait_until_listening(address)
@@ -320,3 +322,81 @@
             assert len(response.partition(b"\r\n\r\n")[2]) == body_bytes
 
     anyio.run(main)
+
+
+class _RecordingTable(connections.ConnectionTable):
+    """Keep the connections that were admitted and count those that ended."""
+
+    def __init__(self) -> None:
+        """Create an empty table."""
+        super().__init__()
+        self.admitted: list[typing.Any] = []
+        self.ended = 0
+
+    def admit(self, conn: typing.Any) -> bool:
+        """Record the connection."""
+        self.admitted.append(conn)
+        return super().admit(conn)
+
+    def remove(self, conn: connections.Closable) -> None:
+        """Count the connection."""
+        self.ended += 1
+        super().remove(conn)
+
+
+@pytest.mark.parametrize("method", ["close_idle", "abort"])
+def test_request_on_a_closed_connection_is_not_run(method: str) -> None:
+    """Fails when a request runs whose response can't be delivered.
+
+    The bytes came before the connection was closed to make room.
+    """
+    runs = 0
+    respond = _create_app(1)
+
+    async def app(scope: Scope, receive: typing.Any, send: typing.Any) -> None:
+        nonlocal runs
+        runs += scope["type"] == "http"
+        await respond(scope, receive, send)
+
+    async def main() -> None:
+        table = _RecordingTable()
+        bounds = serving.Bounds(connections=table)
+        async with (
+            _serve(app, bounds=bounds) as (_, address),
+            await anyio.connect_tcp(*address) as conn,
+        ):
+            await conn.send(_REQUEST)
+            await conn.receive()
+            await anyio.wait_all_tasks_blocked()
+            served = table.admitted[0]
+            served.reader.feed_data(_REQUEST)
+            getattr(served, method)()
+            assert await _count_after(lambda: 1 - table.ended, 0) == 0
+            assert runs == 1
+
+    anyio.run(main)
+
+
+def test_idle_connection_with_unsent_bytes_is_closed() -> None:
+    """Fails when a client that reads nothing keeps a closed connection.
+
+    The table of connections no longer counts it, so that a crowd of them
+    takes all descriptors.
+    """
+
+    async def main() -> None:
+        table = _RecordingTable()
+        bounds = serving.Bounds(connections=table)
+        async with (
+            _serve(_create_app(1), bounds=bounds) as (_, address),
+            await anyio.connect_tcp(*address) as conn,
+        ):
+            await conn.send(_REQUEST)
+            await conn.receive()
+            await anyio.wait_all_tasks_blocked()
+            served = table.admitted[0]
+            served.writer.write(bytes(_BODY_BYTES))
+            served.close_idle()
+            assert await _count_after(lambda: 1 - table.ended, 0) == 0
+
+    anyio.run(main)
