End only stalled or slower bodies for a body, never responses

A caller whose body moved at 5 MB/s, or whose response was being taken, lost it to a newcomer: an asker under a second old was not compared with its victim, and responses were victims of bodies. A body that could never fit ended all others first and was then refused itself. A response that had just begun counted as the slowest, since nothing of it was taken yet, so that its caller could not know that its request had run.

The account now chooses the victims before it ends any, and ends them only if they cover what is needed. A body ends bodies and input only, those with a lower rate than its own; while its own rate is not known, only those that have stalled or are slower than 64 KiB/s. Input, endpoint responses and batches, whose bytes exist, end requests being read; only a response ends another one. Holds under a second old end last, also when descriptors are needed.

--- a/src/hibiscussaddle/callers/memory.py
+++ b/src/hibiscussaddle/callers/memory.py
@@ -18,6 +18,11 @@
 _RESERVE_FRACTION: typing.Final = 0.1
 # A younger hold is not ended for others, as its rate is not known yet.
 MIN_AGE_SECONDS: typing.Final = 1.0
+# A young hold ends only others that are slower than this or have stalled. At
+# this rate the largest legal body takes over eight minutes.
+_MOVING_BYTES_PER_SECOND: typing.Final = 64 << 10
+# Holder of the responses that are written. Their requests have run.
+RESPONSES: typing.Final = "responses"
 
 Clock: typing.TypeAlias = abc.Callable[[], float]
 
@@ -41,13 +46,23 @@
         """Use Account.open() instead."""
         self.holder = holder
         self.on_evict: abc.Callable[[], None] | None = None
-        # Bytes that came from the caller or went to it.
-        self.moved_bytes = 0
         self.size = 0
         self.opened_at = account.clock()
+        self._moved_bytes = 0
+        self._moved_at = self.opened_at
         self.is_ended = False
         self._account = account
 
+    @property
+    def moved_bytes(self) -> int:
+        """Return the bytes that came from the caller or went to it."""
+        return self._moved_bytes
+
+    @moved_bytes.setter
+    def moved_bytes(self, count: int) -> None:
+        self._moved_bytes = count
+        self._moved_at = self._account.clock()
+
     def resize(self, size: int) -> bool:
         """Set the bytes; return False if the hold must end instead."""
         return self._account.resize(self, size, is_forced=False)
@@ -60,6 +75,17 @@
         """Return the bytes that the caller moved per second."""
         return self.moved_bytes / max(MIN_AGE_SECONDS, now - self.opened_at)
 
+    def is_young(self, now: float) -> bool:
+        """Return whether the rate is not known yet."""
+        return now - self.opened_at < MIN_AGE_SECONDS
+
+    def is_moving(self, now: float) -> bool:
+        """Return whether the caller keeps up a rate."""
+        return (
+            now - self._moved_at < MIN_AGE_SECONDS
+            and self.rate(now) >= _MOVING_BYTES_PER_SECOND
+        )
+
     def close(self) -> None:
         """Release all bytes."""
         self._account.close(self)
@@ -106,12 +132,14 @@
             bound = self.budget - self.reserve
             if size <= SMALL_BYTES:
                 bound = self.budget
-            while self.held_bytes + grown > bound:
-                if not self._evict_for(hold, size, is_forced):
-                    if is_forced:
-                        break
+            needed = self.held_bytes + grown - bound
+            if needed > 0:
+                victims = self._victims(hold, size, is_forced, needed)
+                if not victims and not is_forced:
                     self._end(hold, "refused")
                     return False
+                for victim in victims:
+                    self._end(victim, "evicted")
         self.held_bytes += grown
         self.by_holder[hold.holder] += grown
         hold.size = size
@@ -127,38 +155,65 @@
         ]
         if not found:
             return False
-        self._end(min(found, key=lambda hold: hold.rate(now)), reason)
+        # A response that has just begun is not the slowest.
+        victim = min(
+            found, key=lambda hold: (hold.is_young(now), hold.rate(now))
+        )
+        self._end(victim, reason)
         return True
 
-    def _evict_for(self, asker: Hold, size: int, is_forced: bool) -> bool:
-        """End one hold in favour of the asker, if that is fair."""
+    def _victims(
+        self, asker: Hold, size: int, is_forced: bool, needed: int
+    ) -> list[Hold]:
+        """Return the holds to end, the slowest first.
+
+        Without force there are none unless they cover what is needed. With
+        force as many are ended as there are, since the bytes exist.
+        """
         now = self.clock()
-        # Small holds end last, and only for small ones.
-        is_small = size <= SMALL_BYTES
-        found = [
-            hold
-            for hold in self._holds
-            if hold is not asker
-            and hold.on_evict
-            and hold.size
-            and (hold.size > SMALL_BYTES or is_small or is_forced)
-            and (is_forced or now - hold.opened_at >= MIN_AGE_SECONDS)
-        ]
-        if not found:
-            return False
-        victim = min(
-            found,
-            key=lambda hold: (hold.size <= SMALL_BYTES, hold.rate(now)),
+        found = sorted(
+            (
+                hold
+                for hold in self._holds
+                if self._may_end(hold, asker, size, is_forced, now)
+            ),
+            key=lambda hold: (
+                # Young and small holds end last.
+                hold.is_young(now),
+                hold.size <= SMALL_BYTES,
+                hold.rate(now),
+            ),
         )
-        if (
-            not is_forced
-            and not is_small
-            and now - asker.opened_at >= MIN_AGE_SECONDS
-            and asker.rate(now) <= victim.rate(now)
+        victims = []
+        for hold in found:
+            if needed <= 0:
+                break
+            victims.append(hold)
+            needed -= hold.size
+        return victims if is_forced or needed <= 0 else []
+
+    def _may_end(
+        self, hold: Hold, asker: Hold, size: int, is_forced: bool, now: float
+    ) -> bool:
+        """Return whether one hold may end in favour of the asker."""
+        if hold is asker or not hold.on_evict or not hold.size:
+            return False
+        # Only another response is worth one: a body can be refused truthfully
+        # and the other bytes are of requests that have not run.
+        if hold.holder == RESPONSES and not (
+            is_forced and asker.holder == RESPONSES
         ):
             return False
-        self._end(victim, "evicted")
-        return True
+        if is_forced:
+            return True
+        if hold.is_young(now):
+            return False
+        if size <= SMALL_BYTES:
+            return True
+        # Small holds end only for small ones.
+        if hold.size <= SMALL_BYTES or hold.rate(now) >= asker.rate(now):
+            return False
+        return not (asker.is_young(now) and hold.is_moving(now))
 
     def _end(self, hold: Hold, reason: str) -> None:
         self.refusals[hold.holder, reason] += 1
--- a/src/hibiscussaddle/callers/writing.py
+++ b/src/hibiscussaddle/callers/writing.py
@@ -8,7 +8,7 @@
 
 from hibiscussaddle.callers import memory
 
-HOLDER: typing.Final = "responses"
+HOLDER: typing.Final = memory.RESPONSES
 # Entry of the state of an ASGI scope: aborts the connection.
 ABORT: typing.Final = "abort"
 
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from hibiscussaddle.callers import connections
 from hibiscussaddle.callers import memory
@@ -30,9 +31,11 @@
         self.account = memory.Account(budget, lambda: self.now)
         self.evicted: list[memory.Hold] = []
 
-    def open(self, is_evictable: bool = True) -> memory.Hold:
-        """Start a body."""
-        hold = self.account.open("bodies")
+    def open(
+        self, is_evictable: bool = True, holder: str = "bodies"
+    ) -> memory.Hold:
+        """Start a body, or a hold of another holder."""
+        hold = self.account.open(holder)
         if is_evictable:
             hold.on_evict = lambda: self.evicted.append(hold)
         return hold
@@ -129,6 +132,102 @@
     assert ready.size == 9 * MIB
 
 
+@pytest.mark.parametrize("size", [BUDGET + 1, 17 * MIB])
+def test_body_that_never_fits_ends_no_other(size: int) -> None:
+    """Fails when an asker ends others although it is refused in the end."""
+    bodies = Bodies()
+    complete = bodies.open(is_evictable=False)
+    assert bodies.add(complete, 4 * MIB)
+    for _ in range(3):
+        assert bodies.add(bodies.open(), 4 * MIB)
+    bodies.now = 60.0
+    assert not bodies.add(bodies.open(), size)
+    assert not bodies.evicted
+    assert bodies.account.held_bytes == 16 * MIB
+
+
+def test_moving_body_survives_a_newcomer() -> None:
+    """Fails when a burst of a new caller ends a body that moves."""
+    bodies = Bodies()
+    moving = bodies.open()
+    for _ in range(3):
+        assert bodies.add(moving, 5 * MIB)
+        bodies.now += 0.9
+    newcomer = bodies.open()
+    assert not bodies.add(newcomer, 15 * MIB)
+    assert bodies.add(moving, 1)
+    assert not bodies.evicted
+
+
+def test_newcomer_ends_a_body_of_tiny_pieces() -> None:
+    """Fails when a byte each moment keeps the memory from all newcomers."""
+    bodies = Bodies()
+    tiny = bodies.open()
+    assert bodies.add(tiny, 15 * MIB)
+    bodies.now = 600.0
+    assert bodies.add(tiny, 1)
+    assert bodies.add(bodies.open(), 10 * MIB)
+    assert bodies.evicted == [tiny]
+
+
+@pytest.mark.parametrize("age", [0.5, 60.0])
+def test_body_ends_no_response(age: float) -> None:
+    """Fails when a response that has run is lost to a body.
+
+    The body can be refused truthfully; the caller of the response can't know
+    that its request has run.
+    """
+    bodies = Bodies()
+    unread = bodies.open(holder=memory.RESPONSES)
+    unread.force(15 * MIB)
+    bodies.now = 60.0 - age
+    newcomer = bodies.open()
+    bodies.now = 60.0
+    assert not bodies.add(newcomer, 10 * MIB)
+    assert not bodies.evicted
+
+
+@pytest.mark.parametrize("holder", ["input", "endpoint_responses", "batches"])
+def test_forced_growth_ends_bodies_only(holder: str) -> None:
+    """Fails when input that is read ends a response that has run."""
+    bodies = Bodies()
+    unread = bodies.open(holder=memory.RESPONSES)
+    unread.force(9 * MIB)
+    bodies.now = 60.0
+    body = bodies.open()
+    assert bodies.add(body, 9 * MIB)
+    bodies.open(holder=holder).force(9 * MIB)
+    assert bodies.evicted == [body]
+
+
+def test_response_that_has_just_begun_is_not_the_slowest() -> None:
+    """Fails when a response is ended before its caller could take any."""
+    bodies = Bodies()
+    old, other = (bodies.open(holder=memory.RESPONSES) for _ in range(2))
+    old.force(9 * MIB)
+    old.moved_bytes = MIB
+    bodies.now = 60.0
+    fresh = bodies.open(holder=memory.RESPONSES)
+    fresh.force(9 * MIB)
+    other.force(9 * MIB)
+    assert bodies.evicted == [old]
+
+
+def test_descriptors_are_not_taken_from_a_fresh_response() -> None:
+    """Fails when the slowest caller is the one that has just begun."""
+    bodies = Bodies()
+    stalled = bodies.open()
+    assert bodies.add(stalled, MIB)
+    bodies.now = 60.0
+    fresh = bodies.open(holder=memory.RESPONSES)
+    fresh.force(800)
+    holders = ("bodies", memory.RESPONSES)
+    assert bodies.account.evict_slowest(holders, "descriptors")
+    assert bodies.evicted == [stalled]
+    assert bodies.account.evict_slowest(holders, "descriptors")
+    assert bodies.evicted == [stalled, fresh]
+
+
 def test_largest_legal_body_fits_into_the_smallest_machine() -> None:
     """Fails when a single legal body is refused in calm on 150 MB."""
     bodies = Bodies(memory.budget_bytes(150))
