Account a body until its request is refused or has ended

A body whose hold was ended while its last piece came was served without being accounted, since the cancellation finds nothing more to cancel; bodies.read() now checks the hold at the end of the body and refuses with 1124, which is true since nothing of the request has run. After the deadline (408) the hold was kept while the response was written to a caller that may read nothing; it is closed before.

Both new tests of test_ingress.py fail on the code before.

--- a/src/hibiscussaddle/callers/bodies.py
+++ b/src/hibiscussaddle/callers/bodies.py
@@ -64,10 +64,16 @@
     with anyio.CancelScope() as scope:
         hold.on_evict = scope.cancel
         try:
-            return await _read(receive, hold, limit)
+            body = await _read(receive, hold, limit)
         finally:
             # A complete body is served.
             hold.on_evict = None
+        # The hold may end while the last piece is received; the body would
+        # be served without being accounted.
+        if body is None or isinstance(body, codes.Refusal):
+            return body
+        if not hold.is_ended:
+            return body
     return memory_full()
 
 
--- a/src/hibiscussaddle/platform/ingress.py
+++ b/src/hibiscussaddle/platform/ingress.py
@@ -150,6 +150,8 @@
                 receive, hold, bodies.announced_bytes(scope), limit
             )
         if body_scope.cancelled_caught:
+            # The bytes are gone, while writing the response may take long.
+            hold.close()
             refusal = codes.Refusal(
                 codes.Code.BODY_INCOMPLETE,
                 f"the body was not complete after {timeout:.3f} s",
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -8,6 +8,9 @@
 import httpx
 import result
 
+from hibiscussaddle.callers import bodies
+from hibiscussaddle.callers import memory
+from hibiscussaddle import codes
 from hibiscussaddle import gateway
 from hibiscussaddle.platform import ingress
 from hibiscussaddle.routes import routing_config
@@ -72,3 +75,63 @@
             assert time.monotonic() - disconnected_at < 0.5
 
     anyio.run(main)
+
+
+def test_body_ended_at_its_last_piece_is_refused() -> None:
+    """Fails when a body is served whose bytes are not accounted."""
+
+    async def main() -> None:
+        account = memory.Account(10 << 20)
+        hold = account.open(bodies.HOLDER)
+        pieces = [b"x" * (5 << 20), b""]
+
+        async def receive() -> bodies.Message:
+            piece = pieces.pop(0)
+            if not pieces:
+                account.evict_slowest((bodies.HOLDER,), "descriptors")
+            return {"body": piece, "more_body": bool(pieces), "type": "http"}
+
+        body = await bodies.read(receive, hold, 0, 8 << 20)
+        assert isinstance(body, codes.Refusal)
+        assert body.code is codes.Code.MEMORY_FULL
+        assert account.held_bytes == 0
+
+    anyio.run(main)
+
+
+def test_incomplete_body_is_released_before_its_refusal() -> None:
+    """Fails when a caller that reads no refusal keeps its body accounted."""
+    account = memory.Account(10 << 20)
+    held_bytes = []
+    is_sent = False
+
+    async def receive() -> bodies.Message:
+        nonlocal is_sent
+        if is_sent:
+            await anyio.sleep_forever()
+        is_sent = True
+        body = b"x" * (5 << 20)
+        return {"type": "http.request", "body": body, "more_body": True}
+
+    async def send(message: bodies.Message) -> None:
+        held_bytes.append(account.held_bytes)
+        assert message.get("status", 408) == 408
+
+    async def main() -> None:
+        app = ingress.Ingress(
+            typing.cast(gateway.Gateway, HangingGateway()), account
+        )
+        scope = {
+            "type": "http",
+            "method": "POST",
+            "raw_path": b"/orders/7",
+            "query_string": b"",
+            "headers": [
+                (b"content-length", b"%d" % (8 << 20)),
+                (b"x-deadline-ms", b"50"),
+            ],
+        }
+        await app(scope, receive, send)
+
+    anyio.run(main)
+    assert held_bytes == [0, 0]
