Let checks into a ready port whose connections are all busy

The platform's checks were refused while 16 callers kept the ready port's connections with bodies a byte short: the limit ends only unused and idle connections, and each such body was waited for.

At the limit of the ready and metrics ports the connection now ends whose last request began or ended first, busy or not. A response there takes no time, so a check is served long before 16 newer connections came. What remains of a body there is not waited for.

The new test of test_caller_memory.py has a table whose connections are all busy.

--- a/src/hibiscussaddle/callers/bodies.py
+++ b/src/hibiscussaddle/callers/bodies.py
@@ -26,7 +26,7 @@
 PIECE_BYTES: typing.Final = 64 << 10
 # Bounds of what is read of a refused body, so that its sender gets the
 # refusal instead of a reset.
-_DISCARD_SECONDS: typing.Final = 0.5
+DISCARD_SECONDS: typing.Final = 0.5
 _DISCARD_BYTES: typing.Final = 256 << 10
 
 
@@ -113,7 +113,9 @@
         yield bytes(view[start : start + PIECE_BYTES])
 
 
-def create_linger_app(app: typing.Any) -> typing.Any:
+def create_linger_app(
+    app: typing.Any, seconds: float = DISCARD_SECONDS
+) -> typing.Any:
     """Return an app that takes the rest of a body which was not read.
 
     hypercorn never ends a response while unread pieces of the request fill
@@ -154,7 +156,7 @@
 
                 tasks.start_soon(discard)
                 await send({**message, "more_body": True})
-                with anyio.move_on_after(_DISCARD_SECONDS):
+                with anyio.move_on_after(seconds):
                     await discarding.wait()
                 await send({"type": "http.response.body", "body": b""})
                 tasks.cancel_scope.cancel()
--- a/src/hibiscussaddle/callers/connections.py
+++ b/src/hibiscussaddle/callers/connections.py
@@ -21,6 +21,9 @@
     def close_idle(self) -> None:
         """Close the connection, on which no request is under way."""
 
+    def abort(self) -> None:
+        """Close the connection without sending what is buffered."""
+
 
 def caller_limit(file_descriptors: int) -> int:
     """Return the bound of callers' connections; 0 descriptors is unknown."""
@@ -40,18 +43,25 @@
 
 
 class ConnectionTable:
-    """Hold the open connections of one port, idle ones by age."""
+    """Hold the open connections of one port, by their last change."""
 
     def __init__(
         self,
         limit: int = UNLIMITED,
         end_slowest: abc.Callable[[], bool] = lambda: False,
+        ends_oldest: bool = False,
     ) -> None:
-        """Call end_slowest() when no connection is idle."""
+        """Call end_slowest() when no connection is idle.
+
+        With ends_oldest, the connection ends whose last request began or
+        ended first, also if it is busy. That is for ports whose responses
+        take no time.
+        """
         self.limit = limit
         self.closed: collections.Counter[str] = collections.Counter()
         self._end_slowest = end_slowest
-        self._open: set[Closable] = set()
+        self._ends_oldest = ends_oldest
+        self._open: dict[Closable, None] = {}
         # Connections without a request so far, and others, oldest first.
         self._unused: dict[Closable, None] = {}
         self._idle: dict[Closable, None] = {}
@@ -66,7 +76,7 @@
         if len(self._open) >= self.limit and not self._make_room():
             self.closed["refused"] += 1
             return False
-        self._open.add(conn)
+        self._open[conn] = None
         self._unused[conn] = None
         return True
 
@@ -74,18 +84,31 @@
         """Record that a request has begun."""
         self._unused.pop(conn, None)
         self._idle.pop(conn, None)
+        self._renew(conn)
 
     def mark_idle(self, conn: Closable) -> None:
         """Record that a request has ended."""
         if conn in self._open:
             self._idle[conn] = None
+            self._renew(conn)
 
     def remove(self, conn: Closable) -> None:
         """Remove a connection that is closed."""
-        self._open.discard(conn)
+        self._open.pop(conn, None)
         self.mark_busy(conn)
 
+    def _renew(self, conn: Closable) -> None:
+        if conn in self._open:
+            del self._open[conn]
+            self._open[conn] = None
+
     def _make_room(self) -> bool:
+        if self._ends_oldest:
+            conn = next(iter(self._open))
+            self.closed["oldest"] += 1
+            self.remove(conn)
+            conn.abort()
+            return True
         for name, found in (("unused", self._unused), ("idle", self._idle)):
             if found:
                 conn = next(iter(found))
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -95,43 +95,50 @@
     tasks: anyio_abc.TaskGroup,
 ) -> list[serving.Server]:
     servers = []
-    for address, app, table in (
+    for address, app, bounds in (
         (
             components.cfg.caller_address,
             ingress.Ingress(components.gateway, components.account),
-            components.caller_connections,
+            serving.Bounds(components.account, components.caller_connections),
         ),
         (
             components.cfg.peer_address,
             create_peer_app(components),
-            components.peer_connections,
+            serving.Bounds(components.account, components.peer_connections),
         ),
         # The platform checks that an instance is ready, whoever calls it.
         (
             components.cfg.ready_address,
             ingress.create_ready_app(components.gateway),
-            callers_connections.ConnectionTable(
-                callers_connections.MIN_CONNECTIONS
-            ),
+            _check_bounds(components),
         ),
         (
             components.cfg.metrics_address,
             create_metrics_app(components),
-            callers_connections.ConnectionTable(
-                callers_connections.MIN_CONNECTIONS
-            ),
+            _check_bounds(components),
         ),
     ):
         if not address:
             continue
         host, port = addresses.parse(address)
-        bounds = serving.Bounds(components.account, table)
         server = serving.Server(app, host, port, closing.wait, bounds)
         servers.append(server)
         tasks.start_soon(server.serve)
     return servers
 
 
+def _check_bounds(components: gateway_components.Components) -> serving.Bounds:
+    """Return the bounds of a port that the platform checks or scrapes.
+
+    A crowd that keeps its connections must not keep out the next check, so
+    the oldest one ends, and no body is waited for.
+    """
+    table = callers_connections.ConnectionTable(
+        callers_connections.MIN_CONNECTIONS, ends_oldest=True
+    )
+    return serving.Bounds(components.account, table, discard_seconds=0.0)
+
+
 def create_peer_app(
     components: gateway_components.Components,
 ) -> applications.Starlette:
--- a/src/hibiscussaddle/serving.py
+++ b/src/hibiscussaddle/serving.py
@@ -58,6 +58,8 @@
     connections: connections_lib.ConnectionTable = dataclasses.field(
         default_factory=connections_lib.ConnectionTable
     )
+    # Time in which the rest of a body that was not read is still taken.
+    discard_seconds: float = bodies.DISCARD_SECONDS
 
 
 class _ConnectionClosingError(Exception):
@@ -255,12 +257,13 @@
         bounds: Bounds | None = None,
     ) -> None:
         """Configure the server; serve() opens the socket."""
-        self._app = bodies.create_linger_app(app)
+        bounds = bounds or Bounds()
+        self._app = bodies.create_linger_app(app, bounds.discard_seconds)
         self._stop = stop
         self._shutdown_requested = anyio.Event()
         self._closed = anyio.Event()
         self._cfg = _Config()
-        self._cfg.bounds = bounds or Bounds()
+        self._cfg.bounds = bounds
         self._cfg.max_app_queue_size = _APP_QUEUE_SIZE
         self._cfg.bind = [f"{host}:{port}"]
         self._cfg.loglevel = "WARNING"
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -261,6 +261,10 @@
         """Record the end."""
         self.is_closed = True
 
+    def abort(self) -> None:
+        """Record the end."""
+        self.is_closed = True
+
 
 def test_unused_connections_close_before_idle_ones() -> None:
     """Fails when a crowd that sends nothing takes over kept connections."""
@@ -302,3 +306,20 @@
     assert 2 * callers + peers <= 1_638 - 200
     assert callers > 500
     assert connections.caller_limit(0) == connections.UNLIMITED
+
+
+def test_check_gets_in_beside_busy_connections() -> None:
+    """Fails when requests that never end keep the platform's checks out."""
+    table = connections.ConnectionTable(3, ends_oldest=True)
+    busy = [_Connection() for _ in range(3)]
+    for conn in busy:
+        assert table.admit(conn)
+        table.mark_busy(conn)
+    check, newcomer = _Connection(), _Connection()
+    assert table.admit(check)
+    assert [conn.is_closed for conn in busy] == [True, False, False]
+    # The check is not the next one to end, although it has sent nothing.
+    assert table.admit(newcomer)
+    assert [conn.is_closed for conn in busy] == [True, True, False]
+    assert not check.is_closed
+    assert table.open_count == 3
