Bound the bodies of peers by a constant

An operator's lower maxBodyBytes refused peers' hand-offs of batches that had been accepted under the earlier limit with 413, since the peer port read the same limit. It has a constant limit now, 64 MiB, above the largest legal batch in the encoding between peers; the account bounds them together.

Evidence: the new test sends 5 MiB to the peer port with maxBodyBytes at 4 MiB: 413 before, now the body is read (400, it is no batch).

--- a/src/hibiscussaddle/callers/bodies.py
+++ b/src/hibiscussaddle/callers/bodies.py
@@ -180,12 +180,12 @@
         self,
         app: types.ASGIApp,
         account: memory.Account,
-        read_limit: abc.Callable[[], int],
+        limit: int,
     ) -> None:
-        """Call read_limit() for the largest body in bytes."""
+        """Refuse bodies over the limit, in bytes."""
         self._app = app
         self._account = account
-        self._read_limit = read_limit
+        self._limit = limit
 
     async def __call__(
         self, scope: types.Scope, receive: types.Receive, send: types.Send
@@ -194,7 +194,7 @@
         if scope["type"] != "http" or not _has_body(scope):
             await self._app(scope, receive, send)
             return
-        limit = self._read_limit()
+        limit = self._limit
         size = 0
         hold = self._account.open(_PEER_HOLDER)
 
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -49,6 +49,9 @@
 _EXPIRY_CHECK_INTERVAL_SECONDS: typing.Final = 0.5
 # Longer than peers wait for the response to a call that they have sent.
 _PEER_BODY_TIMEOUT_SECONDS: typing.Final = 10.0
+# Peers pass on what was accepted, perhaps under another configuration: a batch
+# of up to 33,554,432 bytes in an encoding of our own, which may be longer.
+_MAX_PEER_BODY_BYTES: typing.Final = 64 << 20
 
 
 async def run(cfg: gateway_settings.GatewaySettings) -> None:
@@ -165,7 +168,7 @@
             middleware.Middleware(
                 bodies.BodyLimit,
                 account=components.account,
-                read_limit=lambda: components.gateway.limits.max_body_bytes,
+                limit=_MAX_PEER_BODY_BYTES,
             ),
         ],
     )
--- a/tests/test_uncontrolled_callers.py
+++ b/tests/test_uncontrolled_callers.py
@@ -208,3 +208,17 @@
             assert _order(fleet, body).status_code == 200
             print(f"largest body: peak {gateway.peak_bytes() / 1e6:.0f} MB")
         assert gateway.peak_bytes() <= SMALLEST_MEMORY_MB * 1_000_000
+
+
+def test_peer_body_over_the_limit_of_callers_is_read(
+    fleet: processes.Fleet,
+) -> None:
+    """Fails when a lower limit for callers keeps peers from their batches.
+
+    The body is no batch, so it is refused once it was read.
+    """
+    response = fleet.client.post(
+        f"http://127.0.0.1:{fleet.port('gw-peers-1')}/v1/batches",
+        content=b"x" * (MAX_BODY_BYTES + MIB),
+    )
+    assert response.status_code == 400
