Bound callers' connections by the memory as well

The limit of callers' connections is now also the budget divided by 128 KiB, but at least 256. A connection with a request under way is accounted with 64 KiB ("connections"), so that bodies get less room beside a crowd; the rest is in the part that isn't accounted. The reader's limit is 8 KiB and a read 32 KiB, so that requests sent ahead take up to 80 KiB of a connection instead of 128.

--- a/src/hibiscussaddle/callers/connections.py
+++ b/src/hibiscussaddle/callers/connections.py
@@ -4,6 +4,8 @@
 from collections import abc
 import typing
 
+from hibiscussaddle.callers import memory
+
 # Descriptors that the platform reserves for files, and those of listeners,
 # the store and watches.
 _FILE_RESERVE: typing.Final = 200
@@ -12,7 +14,13 @@
 _CALLERS_FRACTION: typing.Final = 0.4
 _PEERS_FRACTION: typing.Final = 0.2
 MIN_CONNECTIONS: typing.Final = 16
-UNLIMITED: typing.Final = 1 << 30
+# Resident bytes of a connection with a request under way and others sent
+# ahead: 0.115 MB measured with 549 of them.
+_CONNECTION_BYTES: typing.Final = 128 << 10
+# Ordinary load of an instance has some hundred connections.
+_MIN_CALLERS: typing.Final = 256
+# Both an unknown number of descriptors and of bytes.
+UNLIMITED: typing.Final = memory.UNLIMITED_BYTES // _CONNECTION_BYTES
 
 
 class Closable(typing.Protocol):
@@ -25,9 +33,17 @@
         """Close the connection without sending what is buffered."""
 
 
-def caller_limit(file_descriptors: int) -> int:
-    """Return the bound of callers' connections; 0 descriptors is unknown."""
-    return _limit(file_descriptors, _CALLERS_FRACTION)
+def caller_limit(
+    file_descriptors: int, budget: int = memory.UNLIMITED_BYTES
+) -> int:
+    """Return the bound of callers' connections; 0 descriptors is unknown.
+
+    The budget is that of the account of what callers hold.
+    """
+    return min(
+        _limit(file_descriptors, _CALLERS_FRACTION),
+        max(_MIN_CALLERS, budget // _CONNECTION_BYTES),
+    )
 
 
 def peer_limit(file_descriptors: int) -> int:
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -281,7 +281,7 @@
     )
     gateway.keys_are_fresh = key_age.is_fresh
     caller_connections = callers_connections.ConnectionTable(
-        callers_connections.caller_limit(cfg.file_descriptors),
+        callers_connections.caller_limit(cfg.file_descriptors, account.budget),
         lambda: account.evict_slowest(
             (bodies.HOLDER, writing.HOLDER), "descriptors"
         ),
--- a/src/hibiscussaddle/serving.py
+++ b/src/hibiscussaddle/serving.py
@@ -43,11 +43,16 @@
 WRITE_TIMEOUT_SECONDS: typing.Final = 30.0
 # Pieces of a body that wait for the app: that of a short body and its end.
 _APP_QUEUE_SIZE: typing.Final = 2
-# A connection buffers up to twice the reader's limit and one receive.
-_READER_LIMIT_BYTES: typing.Final = 16 << 10
+# The reader takes one receive beyond twice its limit, the parser one read. So
+# requests sent ahead take up to 80 KiB of a connection.
+_READER_LIMIT_BYTES: typing.Final = 8 << 10
 _RECEIVE_BYTES: typing.Final = 32 << 10
-_READ_BYTES: typing.Final = 64 << 10
+_READ_BYTES: typing.Final = 32 << 10
 _INPUT_HOLDER: typing.Final = "input"
+# Tasks, parser and buffers of a connection with a request under way. Those of
+# the others are in the part of the memory that is not accounted.
+_BUSY_BYTES: typing.Final = 64 << 10
+_BUSY_HOLDER: typing.Final = "connections"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,7 +79,6 @@
     """
 
     _is_closed = False
-    _is_busy = False
     _reading: anyio.CancelScope | None = None
     _reading_task: asyncio.Task[typing.Any] | None = None
 
@@ -85,6 +89,7 @@
         self._bounds = getattr(self.config, "bounds", None) or Bounds()
         # Input that hypercorn has not passed to the app.
         self._input = self._bounds.account.open(_INPUT_HOLDER)
+        self._overhead = self._bounds.account.open(_BUSY_HOLDER)
         # hypercorn has no setting for these; with the defaults a connection
         # buffers up to 384 KiB.
         reader: typing.Any = self.reader
@@ -97,6 +102,7 @@
         """Serve the connection unless there are too many."""
         if not self._bounds.connections.admit(self):
             self._input.close()
+            self._overhead.close()
             self.abort()
             return
         self._input.on_evict = self.abort
@@ -105,6 +111,7 @@
         finally:
             self._bounds.connections.remove(self)
             self._input.close()
+            self._overhead.close()
 
     def abort(self) -> None:
         """Close the connection without sending what is buffered."""
@@ -138,12 +145,13 @@
         await super().protocol_send(event)
 
     def _mark(self, is_busy: bool) -> None:
-        self._is_busy = is_busy
         if is_busy:
             self._bounds.connections.mark_busy(self)
             # The request under way would be lost.
             self._input.on_evict = None
+            self._overhead.force(_BUSY_BYTES)
         else:
+            self._overhead.force(0)
             self._bounds.connections.mark_idle(self)
             self._input.on_evict = self.abort
 
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -323,3 +323,13 @@
     assert [conn.is_closed for conn in busy] == [True, True, False]
     assert not check.is_closed
     assert table.open_count == 3
+
+
+def test_connection_limit_follows_from_the_memory() -> None:
+    """Fails when connections alone exceed the memory, or few are allowed."""
+    for memory_mb in (120, 128, 150, 512):
+        budget = memory.budget_bytes(memory_mb)
+        limit = connections.caller_limit(100_000, budget)
+        assert limit >= 256
+        # Measured: a busy connection takes 0.115 MB.
+        assert memory.CALM_BYTES + limit * 115_000 <= memory_mb * 1_000_000
--- a/tests/test_uncontrolled_callers.py
+++ b/tests/test_uncontrolled_callers.py
@@ -13,6 +13,9 @@
 import httpx
 import pytest
 
+from hibiscussaddle.callers import connections
+from hibiscussaddle.callers import memory
+
 import processes
 import uncontrolled_clients as clients
 
@@ -122,6 +125,7 @@
     folder: pathlib.Path,
     cfg: dict[str, object],
     memory_mb: int,
+    file_descriptors: int = FILE_DESCRIPTORS,
     **desk: object,
 ) -> abc.Iterator[processes.Fleet]:
     with processes.run_fleet(folder) as fleet:
@@ -130,7 +134,7 @@
         fleet.start_gateway(
             1,
             f"--memory_mb={memory_mb}",
-            f"--file_descriptors={FILE_DESCRIPTORS}",
+            f"--file_descriptors={file_descriptors}",
         )
         fleet.wait_until(lambda: _order(fleet).status_code == 200)
         yield fleet
@@ -222,3 +226,37 @@
         content=b"x" * (MAX_BODY_BYTES + MIB),
     )
     assert response.status_code == 400
+
+
+# The limit of the platform, which alone allows 549 connections of callers.
+MANY_DESCRIPTORS: typing.Final = 1_638
+
+
+@pytest.mark.parametrize(
+    "pieces",
+    [clients.sent_ahead(ORDERS, 4_096, 64), clients.endless_head(60_000)],
+    ids=["requests sent ahead", "unfinished heads"],
+)
+def test_connections_are_bounded_by_memory(
+    pieces: clients.Pieces, tmp_path: pathlib.Path
+) -> None:
+    """Fails when connections inside the descriptors exceed the memory."""
+    with _run(tmp_path, CONFIG, MEMORY_MB, MANY_DESCRIPTORS) as fleet:
+        gateway = fleet.processes[-1]
+        calm = gateway.open_descriptors()
+        port = fleet.port("gateway-1")
+        crowd = clients.Crowd(port, MANY_DESCRIPTORS // 2, pieces)
+        try:
+            crowd.press()
+            descriptors = gateway.open_descriptors()
+            peak_bytes = gateway.peak_bytes()
+        finally:
+            crowd.close()
+        print(f"peak {peak_bytes / 1e6:.0f} MB, {descriptors} descriptors")
+        assert peak_bytes <= MEMORY_MB * 1_000_000
+        # Requests that are under way have a connection to the desk as well.
+        limit = connections.caller_limit(
+            MANY_DESCRIPTORS, memory.budget_bytes(MEMORY_MB)
+        )
+        assert descriptors - calm <= limit + CROWD
+        fleet.wait_until(lambda: _order(fleet).status_code == 200)
