State what machines of 88 and 128 MB take

The documents called 150 MB the smallest machine, on which the largest legal body fits. Some deployments have machines of 88 and 128 MB, with budgets of 9.6 and 33.6 MB: their callers get 503 for legal bodies of more than 8.6 and 30.2 MB. A test holds the stated sizes.

--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -234,6 +234,20 @@
     assert bodies.add(bodies.open(), 33_554_432)
 
 
+@pytest.mark.parametrize(
+    ("memory_mb", "largest_bytes"), [(88, 8_640_000), (128, 30_240_000)]
+)
+def test_small_machines_take_what_the_documents_say(
+    memory_mb: int, largest_bytes: int
+) -> None:
+    """Fails when docs/OPERATIONS.md states another largest body."""
+    bodies = Bodies(memory.budget_bytes(memory_mb))
+    hold = bodies.open()
+    assert bodies.add(hold, largest_bytes)
+    hold.close()
+    assert not bodies.add(bodies.open(), largest_bytes + 1)
+
+
 def test_unknown_memory_refuses_nothing() -> None:
     """Fails when an instance that doesn't know its memory refuses bodies."""
     bodies = Bodies(memory.budget_bytes(0))
