--- a/tests/test_uncontrolled_callers.py
+++ b/tests/test_uncontrolled_callers.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import pathlib
+import socket
 import typing
 
 import httpx
@@ -260,3 +261,20 @@
         )
         assert descriptors - calm <= limit + CROWD
         fleet.wait_until(lambda: _order(fleet).status_code == 200)
+
+
+def test_check_gets_in_beside_unfinished_requests(
+    fleet: processes.Fleet,
+) -> None:
+    """Fails when requests at the ready port keep the platform's check out."""
+    port = fleet.port("ready-1")
+    short = clients.head("/ready", 1, "Content-Length: 10") + b"short"
+    with contextlib.ExitStack() as stack:
+        for _ in range(connections.MIN_CONNECTIONS):
+            conn = socket.create_connection(("127.0.0.1", port), 5.0)
+            stack.enter_context(conn)
+            conn.sendall(short)
+            # The response has begun, so that the connection is busy.
+            assert conn.recv(1)
+        response = fleet.client.get(f"http://127.0.0.1:{port}/ready")
+        assert response.status_code == 200
