--- a/src/hibiscussaddle/callers/bodies.py
+++ b/src/hibiscussaddle/callers/bodies.py
@@ -26,7 +26,7 @@
 PIECE_BYTES: typing.Final = 64 << 10
 # Bounds of what is read of a refused body, so that its sender gets the
 # refusal instead of a reset.
-_DISCARD_SECONDS: typing.Final = 0.5
+DISCARD_SECONDS: typing.Final = 0.5
 _DISCARD_BYTES: typing.Final = 256 << 10
 
 
@@ -64,10 +64,16 @@
     with anyio.CancelScope() as scope:
         hold.on_evict = scope.cancel
         try:
-            return await _read(receive, hold, limit)
+            body = await _read(receive, hold, limit)
         finally:
             # A complete body is served.
             hold.on_evict = None
+        # The hold may end while the last piece is received; the body would
+        # be served without being accounted.
+        if body is None or isinstance(body, codes.Refusal):
+            return body
+        if not hold.is_ended:
+            return body
     return memory_full()
 
 
@@ -107,7 +113,9 @@
         yield bytes(view[start : start + PIECE_BYTES])
 
 
-def create_linger_app(app: typing.Any) -> typing.Any:
+def create_linger_app(
+    app: typing.Any, seconds: float = DISCARD_SECONDS
+) -> typing.Any:
     """Return an app that takes the rest of a body which was not read.
 
     hypercorn never ends a response while unread pieces of the request fill
@@ -148,7 +156,7 @@
 
                 tasks.start_soon(discard)
                 await send({**message, "more_body": True})
-                with anyio.move_on_after(_DISCARD_SECONDS):
+                with anyio.move_on_after(seconds):
                     await discarding.wait()
                 await send({"type": "http.response.body", "body": b""})
                 tasks.cancel_scope.cancel()
@@ -172,12 +180,12 @@
         self,
         app: types.ASGIApp,
         account: memory.Account,
-        read_limit: abc.Callable[[], int],
+        limit: int,
     ) -> None:
-        """Call read_limit() for the largest body in bytes."""
+        """Refuse bodies over the limit, in bytes."""
         self._app = app
         self._account = account
-        self._read_limit = read_limit
+        self._limit = limit
 
     async def __call__(
         self, scope: types.Scope, receive: types.Receive, send: types.Send
@@ -186,7 +194,7 @@
         if scope["type"] != "http" or not _has_body(scope):
             await self._app(scope, receive, send)
             return
-        limit = self._read_limit()
+        limit = self._limit
         size = 0
         hold = self._account.open(_PEER_HOLDER)
 
--- a/src/hibiscussaddle/callers/connections.py
+++ b/src/hibiscussaddle/callers/connections.py
@@ -4,6 +4,8 @@
 from collections import abc
 import typing
 
+from hibiscussaddle.callers import memory
+
 # Descriptors that the platform reserves for files, and those of listeners,
 # the store and watches.
 _FILE_RESERVE: typing.Final = 200
@@ -12,7 +14,13 @@
 _CALLERS_FRACTION: typing.Final = 0.4
 _PEERS_FRACTION: typing.Final = 0.2
 MIN_CONNECTIONS: typing.Final = 16
-UNLIMITED: typing.Final = 1 << 30
+# Resident bytes of a connection with a request under way and others sent
+# ahead: 0.115 MB measured with 549 of them.
+_CONNECTION_BYTES: typing.Final = 128 << 10
+# Ordinary load of an instance has some hundred connections.
+_MIN_CALLERS: typing.Final = 256
+# Both an unknown number of descriptors and of bytes.
+UNLIMITED: typing.Final = memory.UNLIMITED_BYTES // _CONNECTION_BYTES
 
 
 class Closable(typing.Protocol):
@@ -21,10 +29,21 @@
     def close_idle(self) -> None:
         """Close the connection, on which no request is under way."""
 
+    def abort(self) -> None:
+        """Close the connection without sending what is buffered."""
+
 
-def caller_limit(file_descriptors: int) -> int:
-    """Return the bound of callers' connections; 0 descriptors is unknown."""
-    return _limit(file_descriptors, _CALLERS_FRACTION)
+def caller_limit(
+    file_descriptors: int, budget: int = memory.UNLIMITED_BYTES
+) -> int:
+    """Return the bound of callers' connections; 0 descriptors is unknown.
+
+    The budget is that of the account of what callers hold.
+    """
+    return min(
+        _limit(file_descriptors, _CALLERS_FRACTION),
+        max(_MIN_CALLERS, budget // _CONNECTION_BYTES),
+    )
 
 
 def peer_limit(file_descriptors: int) -> int:
@@ -40,18 +59,25 @@
 
 
 class ConnectionTable:
-    """Hold the open connections of one port, idle ones by age."""
+    """Hold the open connections of one port, by their last change."""
 
     def __init__(
         self,
         limit: int = UNLIMITED,
         end_slowest: abc.Callable[[], bool] = lambda: False,
+        ends_oldest: bool = False,
     ) -> None:
-        """Call end_slowest() when no connection is idle."""
+        """Call end_slowest() when no connection is idle.
+
+        With ends_oldest, the connection ends whose last request began or
+        ended first, also if it is busy. That is for ports whose responses
+        take no time.
+        """
         self.limit = limit
         self.closed: collections.Counter[str] = collections.Counter()
         self._end_slowest = end_slowest
-        self._open: set[Closable] = set()
+        self._ends_oldest = ends_oldest
+        self._open: dict[Closable, None] = {}
         # Connections without a request so far, and others, oldest first.
         self._unused: dict[Closable, None] = {}
         self._idle: dict[Closable, None] = {}
@@ -66,7 +92,7 @@
         if len(self._open) >= self.limit and not self._make_room():
             self.closed["refused"] += 1
             return False
-        self._open.add(conn)
+        self._open[conn] = None
         self._unused[conn] = None
         return True
 
@@ -74,18 +100,31 @@
         """Record that a request has begun."""
         self._unused.pop(conn, None)
         self._idle.pop(conn, None)
+        self._renew(conn)
 
     def mark_idle(self, conn: Closable) -> None:
         """Record that a request has ended."""
         if conn in self._open:
             self._idle[conn] = None
+            self._renew(conn)
 
     def remove(self, conn: Closable) -> None:
         """Remove a connection that is closed."""
-        self._open.discard(conn)
+        self._open.pop(conn, None)
         self.mark_busy(conn)
 
+    def _renew(self, conn: Closable) -> None:
+        if conn in self._open:
+            del self._open[conn]
+            self._open[conn] = None
+
     def _make_room(self) -> bool:
+        if self._ends_oldest:
+            conn = next(iter(self._open))
+            self.closed["oldest"] += 1
+            self.remove(conn)
+            conn.abort()
+            return True
         for name, found in (("unused", self._unused), ("idle", self._idle)):
             if found:
                 conn = next(iter(found))
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -54,6 +54,9 @@
 _EXPIRY_CHECK_INTERVAL_SECONDS: typing.Final = 0.5
 # Longer than peers wait for the response to a call that they have sent.
 _PEER_BODY_TIMEOUT_SECONDS: typing.Final = 10.0
+# Peers pass on what was accepted, perhaps under another configuration: a batch
+# of up to 33,554,432 bytes in an encoding of our own, which may be longer.
+_MAX_PEER_BODY_BYTES: typing.Final = 64 << 20
 
 
 async def run(cfg: gateway_settings.GatewaySettings) -> None:
@@ -100,43 +103,50 @@
     tasks: anyio_abc.TaskGroup,
 ) -> list[serving.Server]:
     servers = []
-    for address, app, table in (
+    for address, app, bounds in (
         (
             components.cfg.caller_address,
             ingress.Ingress(components.gateway, components.account),
-            components.caller_connections,
+            serving.Bounds(components.account, components.caller_connections),
         ),
         (
             components.cfg.peer_address,
             create_peer_app(components),
-            components.peer_connections,
+            serving.Bounds(components.account, components.peer_connections),
         ),
         # The platform checks that an instance is ready, whoever calls it.
         (
             components.cfg.ready_address,
             ingress.create_ready_app(components.gateway),
-            callers_connections.ConnectionTable(
-                callers_connections.MIN_CONNECTIONS
-            ),
+            _check_bounds(components),
         ),
         (
             components.cfg.metrics_address,
             create_metrics_app(components),
-            callers_connections.ConnectionTable(
-                callers_connections.MIN_CONNECTIONS
-            ),
+            _check_bounds(components),
         ),
     ):
         if not address:
             continue
         host, port = addresses.parse(address)
-        bounds = serving.Bounds(components.account, table)
         server = serving.Server(app, host, port, closing.wait, bounds)
         servers.append(server)
         tasks.start_soon(server.serve)
     return servers
 
 
+def _check_bounds(components: gateway_components.Components) -> serving.Bounds:
+    """Return the bounds of a port that the platform checks or scrapes.
+
+    A crowd that keeps its connections must not keep out the next check, so
+    the oldest one ends, and no body is waited for.
+    """
+    table = callers_connections.ConnectionTable(
+        callers_connections.MIN_CONNECTIONS, ends_oldest=True
+    )
+    return serving.Bounds(components.account, table, discard_seconds=0.0)
+
+
 def create_peer_app(
     components: gateway_components.Components,
 ) -> applications.Starlette:
@@ -163,7 +173,7 @@
             middleware.Middleware(
                 bodies.BodyLimit,
                 account=components.account,
-                read_limit=lambda: components.gateway.limits.max_body_bytes,
+                limit=_MAX_PEER_BODY_BYTES,
             ),
         ],
     )
--- a/src/hibiscussaddle/serving.py
+++ b/src/hibiscussaddle/serving.py
@@ -43,11 +43,16 @@
 WRITE_TIMEOUT_SECONDS: typing.Final = 30.0
 # Pieces of a body that wait for the app: that of a short body and its end.
 _APP_QUEUE_SIZE: typing.Final = 2
-# A connection buffers up to twice the reader's limit and one receive.
-_READER_LIMIT_BYTES: typing.Final = 16 << 10
+# The reader takes one receive beyond twice its limit, the parser one read. So
+# requests sent ahead take up to 80 KiB of a connection.
+_READER_LIMIT_BYTES: typing.Final = 8 << 10
 _RECEIVE_BYTES: typing.Final = 32 << 10
-_READ_BYTES: typing.Final = 64 << 10
+_READ_BYTES: typing.Final = 32 << 10
 _INPUT_HOLDER: typing.Final = "input"
+# Tasks, parser and buffers of a connection with a request under way. Those of
+# the others are in the part of the memory that is not accounted.
+_BUSY_BYTES: typing.Final = 64 << 10
+_BUSY_HOLDER: typing.Final = "connections"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -58,6 +63,12 @@
     connections: connections_lib.ConnectionTable = dataclasses.field(
         default_factory=connections_lib.ConnectionTable
     )
+    # Time in which the rest of a body that was not read is still taken.
+    discard_seconds: float = bodies.DISCARD_SECONDS
+
+
+class _ConnectionClosingError(Exception):
+    """Report that a request came on a connection that is being closed."""
 
 
 class _Connection(tcp_server.TCPServer):
@@ -68,7 +79,6 @@
     """
 
     _is_closed = False
-    _is_busy = False
     _reading: anyio.CancelScope | None = None
     _reading_task: asyncio.Task[typing.Any] | None = None
 
@@ -79,6 +89,7 @@
         self._bounds = getattr(self.config, "bounds", None) or Bounds()
         # Input that hypercorn has not passed to the app.
         self._input = self._bounds.account.open(_INPUT_HOLDER)
+        self._overhead = self._bounds.account.open(_BUSY_HOLDER)
         # hypercorn has no setting for these; with the defaults a connection
         # buffers up to 384 KiB.
         reader: typing.Any = self.reader
@@ -91,6 +102,7 @@
         """Serve the connection unless there are too many."""
         if not self._bounds.connections.admit(self):
             self._input.close()
+            self._overhead.close()
             self.abort()
             return
         self._input.on_evict = self.abort
@@ -99,6 +111,7 @@
         finally:
             self._bounds.connections.remove(self)
             self._input.close()
+            self._overhead.close()
 
     def abort(self) -> None:
         """Close the connection without sending what is buffered."""
@@ -109,7 +122,13 @@
 
     def close_idle(self) -> None:
         """Close the connection, on which no request is under way."""
-        self.writer.transport.close()
+        transport = self.writer.transport
+        if transport.get_write_buffer_size():
+            # A client that reads nothing would keep the descriptor, which
+            # the table of connections no longer counts.
+            transport.abort()
+        else:
+            transport.close()
 
     async def protocol_send(self, event: hypercorn_events.Event) -> None:
         """Send data, or start or stop the idle timer of an open connection."""
@@ -119,16 +138,23 @@
         if isinstance(event, hypercorn_events.Updated):
             if self._is_closed:
                 return
+            if (
+                not event.idle
+                and self.writer.transport.is_closing()
+                and asyncio.current_task() is self._reading_task
+            ):
+                raise _ConnectionClosingError
             self._mark(is_busy=not event.idle)
         await super().protocol_send(event)
 
     def _mark(self, is_busy: bool) -> None:
-        self._is_busy = is_busy
         if is_busy:
             self._bounds.connections.mark_busy(self)
             # The request under way would be lost.
             self._input.on_evict = None
+            self._overhead.force(_BUSY_BYTES)
         else:
+            self._overhead.force(0)
             self._bounds.connections.mark_idle(self)
             self._input.on_evict = self.abort
 
@@ -181,8 +207,18 @@
                 data = await self.reader.read(_READ_BYTES)
             except (OSError, ssl.SSLError):
                 return
+            # The reader still returns what came before the connection was
+            # closed. A request in it would run without a response.
+            if self.writer.transport.is_closing():
+                return
             self._account_input(len(data))
-            await self.protocol.handle(hypercorn_events.RawData(data))
+            # The growth may have ended this connection.
+            if self.writer.transport.is_closing():
+                return
+            try:
+                await self.protocol.handle(hypercorn_events.RawData(data))
+            except _ConnectionClosingError:
+                return
             self._account_input(0)
 
     def _account_input(self, count: int) -> None:
@@ -243,12 +279,13 @@
         bounds: Bounds | None = None,
     ) -> None:
         """Configure the server; serve() opens the socket."""
-        self._app = bodies.create_linger_app(app)
+        bounds = bounds or Bounds()
+        self._app = bodies.create_linger_app(app, bounds.discard_seconds)
         self._stop = stop
         self._shutdown_requested = anyio.Event()
         self._closed = anyio.Event()
         self._cfg = _Config()
-        self._cfg.bounds = bounds or Bounds()
+        self._cfg.bounds = bounds
         self._cfg.max_app_queue_size = _APP_QUEUE_SIZE
         self._cfg.bind = [f"{host}:{port}"]
         self._cfg.loglevel = "WARNING"
--- a/tests/test_uncontrolled_callers.py
+++ b/tests/test_uncontrolled_callers.py
@@ -8,11 +8,15 @@
 import contextlib
 import dataclasses
 import pathlib
+import socket
 import typing
 
 import httpx
 import pytest
 
+from hibiscussaddle.callers import connections
+from hibiscussaddle.callers import memory
+
 import processes
 import uncontrolled_clients as clients
 
@@ -122,6 +126,7 @@
     folder: pathlib.Path,
     cfg: dict[str, object],
     memory_mb: int,
+    file_descriptors: int = FILE_DESCRIPTORS,
     **desk: object,
 ) -> abc.Iterator[processes.Fleet]:
     with processes.run_fleet(folder) as fleet:
@@ -130,7 +135,7 @@
         fleet.start_gateway(
             1,
             f"--memory_mb={memory_mb}",
-            f"--file_descriptors={FILE_DESCRIPTORS}",
+            f"--file_descriptors={file_descriptors}",
         )
         fleet.wait_until(lambda: _order(fleet).status_code == 200)
         yield fleet
@@ -208,3 +213,68 @@
             assert _order(fleet, body).status_code == 200
             print(f"largest body: peak {gateway.peak_bytes() / 1e6:.0f} MB")
         assert gateway.peak_bytes() <= SMALLEST_MEMORY_MB * 1_000_000
+
+
+def test_peer_body_over_the_limit_of_callers_is_read(
+    fleet: processes.Fleet,
+) -> None:
+    """Fails when a lower limit for callers keeps peers from their batches.
+
+    The body is no batch, so it is refused once it was read.
+    """
+    response = fleet.client.post(
+        f"http://127.0.0.1:{fleet.port('gw-peers-1')}/v1/batches",
+        content=b"x" * (MAX_BODY_BYTES + MIB),
+    )
+    assert response.status_code == 400
+
+
+# The limit of the platform, which alone allows 549 connections of callers.
+MANY_DESCRIPTORS: typing.Final = 1_638
+
+
+@pytest.mark.parametrize(
+    "pieces",
+    [clients.sent_ahead(ORDERS, 4_096, 64), clients.endless_head(60_000)],
+    ids=["requests sent ahead", "unfinished heads"],
+)
+def test_connections_are_bounded_by_memory(
+    pieces: clients.Pieces, tmp_path: pathlib.Path
+) -> None:
+    """Fails when connections inside the descriptors exceed the memory."""
+    with _run(tmp_path, CONFIG, MEMORY_MB, MANY_DESCRIPTORS) as fleet:
+        gateway = fleet.processes[-1]
+        calm = gateway.open_descriptors()
+        port = fleet.port("gateway-1")
+        crowd = clients.Crowd(port, MANY_DESCRIPTORS // 2, pieces)
+        try:
+            crowd.press()
+            descriptors = gateway.open_descriptors()
+            peak_bytes = gateway.peak_bytes()
+        finally:
+            crowd.close()
+        print(f"peak {peak_bytes / 1e6:.0f} MB, {descriptors} descriptors")
+        assert peak_bytes <= MEMORY_MB * 1_000_000
+        # Requests that are under way have a connection to the desk as well.
+        limit = connections.caller_limit(
+            MANY_DESCRIPTORS, memory.budget_bytes(MEMORY_MB)
+        )
+        assert descriptors - calm <= limit + CROWD
+        fleet.wait_until(lambda: _order(fleet).status_code == 200)
+
+
+def test_check_gets_in_beside_unfinished_requests(
+    fleet: processes.Fleet,
+) -> None:
+    """Fails when requests at the ready port keep the platform's check out."""
+    port = fleet.port("ready-1")
+    short = clients.head("/ready", 1, "Content-Length: 10") + b"short"
+    with contextlib.ExitStack() as stack:
+        for _ in range(connections.MIN_CONNECTIONS):
+            conn = socket.create_connection(("127.0.0.1", port), 5.0)
+            stack.enter_context(conn)
+            conn.sendall(short)
+            # The response has begun, so that the connection is busy.
+            assert conn.recv(1)
+        response = fleet.client.get(f"http://127.0.0.1:{port}/ready")
+        assert response.status_code == 200
