--- a/src/hibiscussaddle/serving.py
+++ b/src/hibiscussaddle/serving.py
@@ -95,7 +95,9 @@
         reader: typing.Any = self.reader
         reader._limit = _READER_LIMIT_BYTES
         transport: typing.Any = self.writer.transport
-        transport.max_size = _RECEIVE_BYTES
+        # The transports of uvloop have no such attribute.
+        if hasattr(transport, "max_size"):
+            transport.max_size = _RECEIVE_BYTES
         self.state = {**self.state, writing.ABORT: self.abort}
 
     async def run(self) -> None:
