Let senders of refused bodies read their refusal

Callers saw: a refused body's connection could be reset before the 503 or 413 was read, since at most 256 KiB of the rest was taken. Up to 4 MiB within 1 s are taken now. Tests: a 413 at the announced length and at the first byte beyond is read whole; most of 32 bodies without room read a 503 with Retry-After.

--- a/src/hibiscussaddle/callers/bodies.py
+++ b/src/hibiscussaddle/callers/bodies.py
@@ -26,8 +26,8 @@
 PIECE_BYTES: typing.Final = 64 << 10
 # Bounds of what is read of a refused body, so that its sender gets the
 # refusal instead of a reset.
-_DISCARD_SECONDS: typing.Final = 0.5
-_DISCARD_BYTES: typing.Final = 256 << 10
+_DISCARD_SECONDS: typing.Final = 1.0
+_DISCARD_BYTES: typing.Final = 4 << 20
 
 
 def too_large(limit: int) -> codes.Refusal:
--- a/tests/test_uncontrolled_callers.py
+++ b/tests/test_uncontrolled_callers.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import pathlib
+import socket
 import typing
 
 import httpx
@@ -208,3 +209,57 @@
             assert _order(fleet, body).status_code == 200
             print(f"largest body: peak {gateway.peak_bytes() / 1e6:.0f} MB")
         assert gateway.peak_bytes() <= SMALLEST_MEMORY_MB * 1_000_000
+
+
+def _response(conn: socket.socket) -> bytes:
+    """Return all bytes until the instance closes the connection."""
+    found = []
+    while data := conn.recv(65_536):
+        found.append(data)
+    return b"".join(found)
+
+
+@pytest.mark.parametrize("is_announced", [True, False])
+def test_sender_of_a_large_body_gets_the_refusal(
+    is_announced: bool, fleet: processes.Fleet
+) -> None:
+    """Fails when the connection is reset before the refusal can be read."""
+    pieces = clients.chunked(ORDERS, 65_536, MAX_BODY_BYTES + 65_536)
+    if is_announced:
+        pieces = clients.announced(ORDERS, MAX_BODY_BYTES + 1, 100_000)
+    address = ("127.0.0.1", fleet.port("gateway-1"))
+    with socket.create_connection(address, 20.0) as conn:
+        for piece in pieces(1):
+            conn.sendall(piece)
+        response = _response(conn).lower()
+    assert response.startswith(b"http/1.1 413 ")
+    assert b"\r\nconnection: close\r\n" in response
+
+
+def test_bodies_without_room_are_refused_as_not_run(
+    fleet: processes.Fleet,
+) -> None:
+    """Fails when a request is dropped without saying that it didn't run."""
+    crowd = clients.Crowd(
+        fleet.port("gateway-1"),
+        CROWD,
+        clients.announced(ORDERS, MAX_BODY_BYTES, SHORT),
+    )
+    refusals: list[bytes] = []
+
+    def has_most() -> bool:
+        refusals.extend(data for data in crowd.received() if data)
+        return len(refusals) > CROWD / 2
+
+    try:
+        crowd.press()
+        # The bodies that fit into the memory wait for their last byte.
+        fleet.wait_until(has_most)
+    finally:
+        crowd.close()
+    for data in refusals:
+        lower = data.lower()
+        assert lower.startswith(b"http/1.1 503 "), data[:100]
+        assert b"\r\nretry-after: " in lower
+        assert b"\r\nconnection: close\r\n" in lower
+        assert b"1124 memory_full" in lower
--- a/tests/uncontrolled_clients.py
+++ b/tests/uncontrolled_clients.py
@@ -106,6 +106,16 @@
                 if client.reads:
                     client.read()
 
+    def received(self) -> list[bytes]:
+        """Return what each client has received; empty after a reset."""
+        found = []
+        for client in self._clients:
+            try:
+                found.append(client.conn.recv(65_536))
+            except OSError:
+                found.append(b"")
+        return found
+
     def close(self) -> None:
         """Close all connections."""
         for client in self._clients:
