Notice a lost connection with the next write

Callers saw: nothing. A write to a lost connection, of which nothing is buffered, returned at once; a large response went on until the loop that reads noticed. drain() is awaited again there, as hypercorn does.

--- a/src/hibiscussaddle/serving.py
+++ b/src/hibiscussaddle/serving.py
@@ -136,7 +136,8 @@
             try:
                 self.writer.write(data)
                 unsent = transport.get_write_buffer_size()
-                while unsent:
+                # drain() raises once the connection is lost.
+                while unsent or transport.is_closing():
                     with anyio.move_on_after(WRITE_TIMEOUT_SECONDS):
                         await self.writer.drain()
                         return
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -186,6 +186,33 @@
     anyio.run(main)
 
 
+def test_metrics_tell_what_callers_hold() -> None:
+    """Fails when holds or closed connections are missing in the metrics."""
+
+    async def main() -> None:
+        components = _create_components()
+        hold = components.account.open("bodies")
+        hold.resize(9000)
+        components.account.open("responses").resize(1 << 50)
+        components.caller_connections.closed["idle"] += 2
+        app = gateway_process.create_metrics_app(components)
+        async with httpx.AsyncClient(
+            transport=httpx.ASGITransport(app), base_url="http://gateway"
+        ) as client:
+            text = (await client.get("/metrics")).text
+        await components.client.aclose()
+        prefix = "hibiscussaddle_"
+        for line in (
+            'caller_bytes{holder="bodies"} 9000',
+            'caller_refusals_total{holder="responses",reason="refused"} 1',
+            'connections_open{port="callers"} 0',
+            'connections_closed_total{port="callers",reason="idle"} 2',
+        ):
+            assert prefix + line in text
+
+    anyio.run(main)
+
+
 def test_unknown_memory_is_not_zero_in_the_metrics(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
