Don't wait for the rest of a refused body that stalls

Callers saw: a stalled request ended 1 s after its 408, since the rest of its body was waited for (tests/test_body_timeout.py failed on and after it). A sender of which nothing comes for 0.2 s is not waited for any more.

--- a/src/hibiscussaddle/callers/bodies.py
+++ b/src/hibiscussaddle/callers/bodies.py
@@ -27,6 +27,8 @@
 # Bounds of what is read of a refused body, so that its sender gets the
 # refusal instead of a reset.
 _DISCARD_SECONDS: typing.Final = 1.0
+# A sender that stalls longer is not waited for.
+_DISCARD_IDLE_SECONDS: typing.Final = 0.2
 _DISCARD_BYTES: typing.Final = 4 << 20
 
 
@@ -135,21 +137,24 @@
                 await send(message)
                 return
             async with anyio.create_task_group() as tasks:
-                discarding = anyio.Event()
+                discarded = anyio.Event()
 
                 async def discard() -> None:
                     taken = 0
                     while not is_complete:
-                        received = await receive_tracked()
-                        taken += len(received.get("body", b""))
-                        if taken > _DISCARD_BYTES:
-                            discarding.set()
-                    discarding.set()
+                        is_idle = True
+                        with anyio.move_on_after(_DISCARD_IDLE_SECONDS):
+                            received = await receive_tracked()
+                            taken += len(received.get("body", b""))
+                            is_idle = False
+                        if is_idle or taken > _DISCARD_BYTES:
+                            discarded.set()
+                    discarded.set()
 
                 tasks.start_soon(discard)
                 await send({**message, "more_body": True})
                 with anyio.move_on_after(_DISCARD_SECONDS):
-                    await discarding.wait()
+                    await discarded.wait()
                 await send({"type": "http.response.body", "body": b""})
                 tasks.cancel_scope.cancel()
 
