--- a/src/hibiscussaddle/weights/controller.py
+++ b/src/hibiscussaddle/weights/controller.py
@@ -89,7 +89,7 @@
         instance: str,
         allowed_lag: abc.Callable[[str], int],
         limiter: limiter_lib.Limiter,
-        model_demands: abc.Callable[[], abc.Mapping[str, int]],
+        model_demands: abc.Callable[[], abc.Mapping[str, int]] = dict,
     ) -> None:
         """Send orders in the name of the instance.
 
