Order waiting items by the priority of their workspace

The platform's terms put a customer's priority before that of its route; items were ordered by the route's only.

--- a/src/hibiscussaddle/batches/engine_choice.py
+++ b/src/hibiscussaddle/batches/engine_choice.py
@@ -28,12 +28,30 @@
         self._batch = batch
         # Engine that read the prompt of each group first and caches it.
         self._group_engines: dict[str, str] = {}
+        # The workspace of the batch in the configuration that was seen last.
+        self._workspace: routing_config.Workspace | None = None
+        self._workspace_config: routing_config.RoutingConfig | None = None
 
     def route(self) -> routing_config.Route | None:
         """Return the batch's route, None when it isn't configured any more."""
         cfg = self._view.config
         return cfg.route(self._batch.route) if cfg else None
 
+    def workspace(self) -> routing_config.Workspace | None:
+        """Return the batch's workspace, None without one."""
+        cfg = self._view.config
+        if cfg is not self._workspace_config:
+            self._workspace_config = cfg
+            self._workspace = next(
+                (
+                    workspace
+                    for workspace in (cfg.workspaces if cfg else None) or ()
+                    if workspace.name == self._batch.workspace
+                ),
+                None,
+            )
+        return self._workspace
+
     def choose(
         self,
         progress: runs.Progress,
--- a/src/hibiscussaddle/batches/limits.py
+++ b/src/hibiscussaddle/batches/limits.py
@@ -6,6 +6,7 @@
 
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import runs
+from hibiscussaddle.customers import priority
 from hibiscussaddle.routes import routing_config
 
 # Clocks of instances may differ by this much; an item must not be abandoned
@@ -24,8 +25,15 @@
         self,
         batch: model.Batch,
         route: abc.Callable[[], routing_config.Route | None],
+        workspace: abc.Callable[
+            [], routing_config.Workspace | None
+        ] = lambda: None,
     ) -> None:
-        """Call route() at each check; it returns None for a removed route."""
+        """Call route() at each check; it returns None for a removed route.
+
+        The same for the workspace of the batch.
+        """
+        self._workspace = workspace
         self._batch = batch
         self._route = route
 
@@ -54,9 +62,14 @@
         return route.max_attempts if route else _DEFAULT_MAX_ATTEMPTS
 
     def priority(self) -> int:
-        """Return the priority of the route; 0 is the highest."""
+        """Return the priority of the workspace, or else of the route.
+
+        0 is the highest.
+        """
         route = self._route()
-        return route.priority if route else 0
+        if route is None:
+            return 0
+        return priority.effective_priority(self._workspace(), route)
 
     def due_at(self) -> float:
         """Return the wall-clock seconds at which the results are due."""
--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -93,7 +93,9 @@
             dependencies.limiter,
             batch,
         )
-        self._limits = limits.ItemLimits(batch, self._choice.route)
+        self._limits = limits.ItemLimits(
+            batch, self._choice.route, self._choice.workspace
+        )
         self._ownership = ownership.Ownership(
             dependencies.storage, record, self._is_complete
         )
--- a/tests/test_batch_runner.py
+++ b/tests/test_batch_runner.py
@@ -8,11 +8,14 @@
 import result
 
 from hibiscussaddle.adapters import store
+from hibiscussaddle.batches import engine_choice
+from hibiscussaddle.batches import limits
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import runner
 from hibiscussaddle.batches import runs
 from hibiscussaddle.batches import text_cache
 from hibiscussaddle.platform.standins import store as fake_store
+from hibiscussaddle.routes import routing_config
 
 import batch_builders
 import batch_harness
@@ -322,3 +325,33 @@
             assert calls <= 6
 
     anyio.run(main)
+
+
+def test_priority_of_the_workspace_goes_before_that_of_the_route() -> None:
+    """Fails when a customer's priority doesn't order its waiting items."""
+
+    async def main() -> None:
+        async with batch_harness.harness() as harness:
+            batch = batch_builders.batch(workspace="registar")
+            dependencies = harness.dependencies(batch_harness.FakeItemRunner())
+            choice = engine_choice.EngineChoice(
+                dependencies.view,
+                dependencies.engines,
+                dependencies.limiter,
+                batch,
+            )
+            item_limits = limits.ItemLimits(
+                batch, choice.route, choice.workspace
+            )
+            route = batch_builders.route(priority=4)
+            harness.view.config = routing_config.RoutingConfig(1, (route,))
+            assert item_limits.priority() == 4
+            workspace = routing_config.Workspace(
+                "registar", frozenset(), priority=1
+            )
+            harness.view.config = routing_config.RoutingConfig(
+                2, (route,), workspaces=(workspace,)
+            )
+            assert item_limits.priority() == 1
+
+    anyio.run(main)
