--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,9 @@
 """A client's estimates of output tokens are far off.
 
-A client that the operators don't control submits one batch of 24 ordinary
-items whose X-Length-Hint is 1e308, where the right one is about 700. Without
-the disruption (TROUBLE=0) its estimates are twenty times too high. The
+A client that the operators don't control submits a batch of 24 ordinary items
+on each of two routes. Their X-Length-Hint is 1e308, where the right one is
+about 700. Without the disruption (TROUBLE=0) the estimates are twenty times
+too high. The
 platform restarts a process that exits after a short delay.
 """
 
@@ -32,7 +33,11 @@
 
 async def main(fleet, trouble):
     await fleet.start_store()
-    await fleet.put("op/config", fleet_lib.config())
+    config = fleet_lib.config()
+    second = {**config["routes"][0], "name": "fit-rollout-b"}
+    second["prefix"] = "/fit-b/"
+    config["routes"].append(second)
+    await fleet.put("op/config", config)
     zones = {f"front-{n + 1}": zone for n, zone in enumerate(ZONES)}
     names = list(zones)
     for name, zone in zones.items():
@@ -56,6 +61,10 @@
     batch_id, status = await batches.submit(fleet, "front-1", data)
     if status != 202:
         raise fleet_lib.CannotRunError("the batch was not accepted")
+    _, _, data = batches.submission(
+        ITEMS, hint=FAR_OFF if trouble else CALM_HINT
+    )
+    await batches.submit(fleet, "front-1", data, "/fit-b/")
     started = time.monotonic()
     asked = answered = listed = 0
     while time.monotonic() - started < WATCH_S:
--- a/review/common-2/batches.py
+++ b/review/common-2/batches.py
@@ -37,13 +37,13 @@
     return ids, bodies, data.encode()
 
 
-async def submit(fleet, name, data):
+async def submit(fleet, name, data, prefix="/fit/"):
     """Submit a batch at a gateway; return its id and the status."""
     batch_id = secrets.token_hex(8)
     status, _, answer = await fleet.call(
         name,
         "POST",
-        "/fit/" + batch_id,
+        prefix + batch_id,
         {"X-Request-Id": batch_id, "X-Deadline-Ms": "12000"},
         data,
         timeout=12,
