Bound the numbers that clients, servers and entries send

Cause: any text that float() parses was taken for a number. LengthModel multiplied the estimate by the events seen so far, and round() can't convert infinity. Tokens of 2^63 - 1 had the same effect on the published demand.

Change: decoding.parse_amount() and the types Amount and WholeAmount accept finite numbers from 0 to 10^12. An estimate is at most the tokens of its item. LengthModel and DemandTracker bound what they compute, since batches of earlier builds stand in the store.

--- a/src/hibiscussaddle/batches/step_demand.py
+++ b/src/hibiscussaddle/batches/step_demand.py
@@ -30,14 +30,15 @@
         demand = self._tracker.record_step(
             batch.model,
             batch.route,
-            engine_demand.step_demand(map(_to_tokens, batch.items)),
+            engine_demand.step_demand(map(to_tokens, batch.items)),
             time.monotonic(),
         )
         if demand is not None:
             self._publish(batch.model, batch.route, demand)
 
 
-def _to_tokens(item: model.Item) -> engine_demand.ItemTokens:
+def to_tokens(item: model.Item) -> engine_demand.ItemTokens:
+    """Return the tokens that an item is expected to need."""
     prompt = min(item.tokens, endpoint_wire.decode_prompt_tokens(item.headers))
     longest = float(item.tokens - prompt)
     output = longest
--- a/src/hibiscussaddle/decoding.py
+++ b/src/hibiscussaddle/decoding.py
@@ -4,6 +4,7 @@
 holds.
 """
 
+import math
 import typing
 
 import msgspec
@@ -11,6 +12,9 @@
 # Largest integer in peers' messages and in the store's values, which have 64
 # bits and a sign.
 MAX_INT: typing.Final = (1 << 63) - 1
+# Largest amount (of tokens, bytes, milliseconds or requests) that data from
+# outside may name. Sums and products of such amounts stay finite.
+MAX_AMOUNT: typing.Final = 10**12
 _MAX_QUOTED_CHARS: typing.Final = 40
 
 # Types of decoded numbers that can be encoded again and converted to a float.
@@ -18,6 +22,13 @@
     int, msgspec.Meta(ge=-MAX_INT, le=MAX_INT)
 ]
 Count: typing.TypeAlias = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INT)]
+# Types of decoded amounts, which rule out "not a number" and infinity.
+Amount: typing.TypeAlias = typing.Annotated[
+    float, msgspec.Meta(ge=0, le=MAX_AMOUNT)
+]
+WholeAmount: typing.TypeAlias = typing.Annotated[
+    int, msgspec.Meta(ge=0, le=MAX_AMOUNT)
+]
 
 _T = typing.TypeVar("_T")
 
@@ -77,5 +88,16 @@
     return number
 
 
+def parse_amount(text: str) -> float:
+    """Return the number in a text, limited to 0 and MAX_AMOUNT.
+
+    Raises ValueError for any other text. float() also parses "nan" and "inf".
+    """
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError(f"{text[:_MAX_QUOTED_CHARS]!r} is not finite")
+    return min(max(0.0, number), float(MAX_AMOUNT))
+
+
 def _nesting_error(data: bytes | bytearray | str) -> NestingError:
     return NestingError(f"{len(data)} bytes of data are nested too deeply")
--- a/src/hibiscussaddle/platform/batch_wire.py
+++ b/src/hibiscussaddle/platform/batch_wire.py
@@ -59,7 +59,7 @@
     body: str
     headers: dict[_HeaderName, _HeaderValue] = {}
     # Prompt tokens plus the maximum number of output tokens.
-    tokens: decoding.Count = 0
+    tokens: decoding.WholeAmount = 0
     group: str = ""
     scoring_call: _ScoringCall | None = None
 
@@ -112,8 +112,8 @@
         submitted_at=now,
         model=found.model,
         step=found.step,
-        min_version=found.min_version,
-        groups_wanted=found.group_count,
+        min_version=max(0, found.min_version),
+        groups_wanted=max(0, found.group_count),
     )
 
 
@@ -158,7 +158,7 @@
         body=body,
         tokens=item.tokens,
         group=item.group,
-        expected_output=_expected_output(headers),
+        expected_output=_expected_output(headers, item.tokens),
         scoring=_to_scoring_call(item.scoring_call),
     )
 
@@ -172,9 +172,15 @@
     return scoring_model.ScoringCall(call.id, call.host, call.path, body)
 
 
-def _expected_output(headers: dict[str, str]) -> float | None:
+def _expected_output(headers: dict[str, str], tokens: int) -> float | None:
+    """Return the caller's estimate, at most the tokens that an item may use.
+
+    The estimate is optional and affects only the order of execution.
+    """
     try:
-        return float(headers[endpoint_wire.OUTPUT_TOKENS_ESTIMATE_HEADER])
+        expected = decoding.parse_amount(
+            headers[endpoint_wire.OUTPUT_TOKENS_ESTIMATE_HEADER]
+        )
     except (KeyError, ValueError):
-        # The estimate is optional and affects only the order of execution.
         return None
+    return min(expected, tokens) if tokens else expected
--- a/src/hibiscussaddle/platform/config_wire.py
+++ b/src/hibiscussaddle/platform/config_wire.py
@@ -25,7 +25,7 @@
 
 class _Split(msgspec.Struct):
     service: str
-    weight: float = 1.0
+    weight: decoding.Amount = 1.0
 
 
 class _Route(msgspec.Struct, rename="camel"):
@@ -33,16 +33,16 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float
+    timeout_ms: decoding.Amount
+    target_latency_ms: decoding.Amount
     priority: decoding.Int = 5
     service: str = ""
     traffic_split: list[_Split] = []
     max_attempts: decoding.Int = 1
     resumable: bool = False
     # Relative to the first submission of the batch.
-    result_deadline_ms: float = 0.0
-    retention_s: float = 0.0
+    result_deadline_ms: decoding.Amount = 0.0
+    retention_s: decoding.Amount = 0.0
     single_version: bool = False
     public: bool = False
 
@@ -57,10 +57,10 @@
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    max_header_bytes: decoding.Int = 16_384
-    max_body_bytes: decoding.Int = 33_554_432
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: decoding.WholeAmount = 16_384
+    max_body_bytes: decoding.WholeAmount = 33_554_432
+    header_timeout_ms: decoding.Amount = 3_000.0
+    idle_timeout_ms: decoding.Amount = 15_000.0
 
 
 class _Config(msgspec.Struct):
--- a/src/hibiscussaddle/platform/endpoint_wire.py
+++ b/src/hibiscussaddle/platform/endpoint_wire.py
@@ -2,7 +2,6 @@
 
 from collections import abc
 import dataclasses
-import math
 import re
 import typing
 
@@ -135,18 +134,22 @@
     for value in ",".join(values).split(","):
         text = value.strip()
         try:
-            rate = float(text)
+            rates.append(_parse_rate(text))
         except ValueError:
-            rate = math.nan
-        if math.isfinite(rate) and rate >= 0:
-            rates.append(rate)
-        elif text:
-            malformed.append(text)
+            if text:
+                malformed.append(text)
     if not rates and malformed:
         raise ValueError(f"{malformed[0]!r} is not a number of requests")
     return min(rates, default=None)
 
 
+def _parse_rate(text: str) -> float:
+    # A negative number is no limit of 0, which would keep all requests away.
+    if text.startswith("-"):
+        raise ValueError(f"{text!r} is negative")
+    return decoding.parse_amount(text)
+
+
 def decode_leaving(values: abc.Iterable[str]) -> bool:
     """Return whether header values say that the endpoint shuts down."""
     return any(value.strip() == "1" for value in ",".join(values).split(","))
--- a/src/hibiscussaddle/policy/engine_demand.py
+++ b/src/hibiscussaddle/policy/engine_demand.py
@@ -25,6 +25,8 @@
 # reads prompts again.
 _MIN_MOVED_ENGINES: typing.Final = 1.0
 _PENDING_SECONDS: typing.Final = 4.0
+# Largest demand, in tokens per second, which fits into a member's key.
+_MAX_DEMAND: typing.Final = 10**12
 
 
 @dataclasses.dataclass(frozen=True)
@@ -76,7 +78,7 @@
             _MIN_INTERVAL_FRACTION * span / (len(steps) - 1),
         )
         mean = statistics.fmean(step for _, step in steps)
-        return max(1, round(mean / interval))
+        return max(1, round(min(mean / interval, _MAX_DEMAND)))
 
 
 def must_publish(
--- a/src/hibiscussaddle/scheduling/lengths.py
+++ b/src/hibiscussaddle/scheduling/lengths.py
@@ -15,6 +15,10 @@
 # An item that outgrew its hint is expected to need this fraction of what it
 # has, since lengths have a long tail.
 _GROWTH_FRACTION: typing.Final = 0.5
+# Range of the hints that are used, in tokens. Batches of earlier builds may
+# hold any float.
+_MIN_HINT: typing.Final = 1.0
+_MAX_HINT: typing.Final = 1e12
 
 
 class LengthModel:
@@ -27,7 +31,7 @@
 
     def observe(self, expected_tokens: float | None, events: int) -> None:
         """Record the hint and the events of a finished item."""
-        if not expected_tokens or events <= 0:
+        if not _is_usable(expected_tokens) or events <= 0:
             return
         self._tokens += expected_tokens
         self._events += events
@@ -40,7 +44,7 @@
 
         0 while no finished item shows how many tokens an event has.
         """
-        if not expected_tokens or self._events < _MIN_EVENTS:
+        if not _is_usable(expected_tokens) or self._events < _MIN_EVENTS:
             return 0.0
         return expected_tokens * self._events / self._tokens
 
@@ -50,3 +54,13 @@
         """Return the events that an unfinished item is expected to need."""
         left = self.expected_events(expected_tokens) - generated
         return max(left, _GROWTH_FRACTION * generated)
+
+
+def _is_usable(
+    expected_tokens: float | None,
+) -> typing.TypeGuard[float]:
+    """Return whether a hint may be a number of tokens."""
+    return (
+        expected_tokens is not None
+        and _MIN_HINT <= expected_tokens <= _MAX_HINT
+    )
