Contain the errors of items and batches

Cause: only the request of an item to its engine was contained. Errors in its statistics, limits, score or choice of an engine, and those of a batch's runner or takeover, went through the task groups to the process.

Change: an item, a batch and a takeover are each contained. The item is tried again after a second and the batch after five; a result is listed even if its statistics fail. An error in the queue of waiting items is raised in the task of its item.

--- a/src/hibiscussaddle/batches/competition.py
+++ b/src/hibiscussaddle/batches/competition.py
@@ -6,6 +6,7 @@
 import time
 import typing
 
+from hibiscussaddle import containment
 from hibiscussaddle import logs
 from hibiscussaddle.scheduling import lengths
 from hibiscussaddle.scheduling import order
@@ -100,7 +101,11 @@
         return (batch_id, group) in self._giving_way.get(pool, ())
 
     def _decide(self, pool: str, events_per_second: float) -> None:
-        batches = [work() for work in self._batches.get(pool, {}).values()]
+        batches: list[order.BatchWork] = []
+        for batch_id, work in self._batches.get(pool, {}).items():
+            # The others compete without a batch whose work is unknown.
+            with containment.contain("batch_work", batch_id):
+                batches.append(work())
         now = time.time()
         before = self._giving_way.get(pool, frozenset())
         after = order.groups_giving_way(batches, events_per_second, now)
--- a/src/hibiscussaddle/batches/owners.py
+++ b/src/hibiscussaddle/batches/owners.py
@@ -13,6 +13,7 @@
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import runner
 from hibiscussaddle.batches import storage
+from hibiscussaddle import containment
 from hibiscussaddle.fleet import presence as presence_lib
 from hibiscussaddle import logs
 
@@ -22,6 +23,8 @@
 # outcome took effect. The store may execute a call seconds after it was sent.
 _RECHECK_DELAYS_SECONDS: typing.Final = (0.3, 0.7, 1.5, 3.0, 6.0)
 _RETRY_DELAY_SECONDS: typing.Final = 0.3
+# Delay after an unexpected error of a batch, which may come again.
+_FAILED_BATCH_DELAY_SECONDS: typing.Final = 5.0
 # Interval between scans for orphaned batches. Scans only cover removals of
 # owners that this instance was not notified of.
 _SCAN_INTERVAL_SECONDS: typing.Final = 5.0
@@ -41,6 +44,16 @@
 _VERSION_PROPAGATION_SECONDS: typing.Final = 0.5
 
 
+_Job: typing.TypeAlias = typing.Callable[
+    ..., typing.Coroutine[typing.Any, typing.Any, None]
+]
+
+
+async def _run_contained(batch_id: str, job: _Job, *args: object) -> None:
+    with containment.contain("batch", batch_id):
+        await job(*args)
+
+
 class OwnedBatches:
     """Run the batches that this instance owns."""
 
@@ -108,12 +121,12 @@
             owner = model.Owner(member.instance, member.incarnation)
         response = await self._storage.accept(batch, owner, timeout)
         if isinstance(response, result.Ok):
-            self._spawn(self._record_lag, batch)
+            self._spawn(batch.id, self._record_lag, batch)
             record = storage.OwnerRecord(batch.id, owner, response.ok_value)
             if owner == self._me or member is None:
                 self._start(batch, record)
             else:
-                self._spawn(self._hand_off, member, batch, record)
+                self._spawn(batch.id, self._hand_off, member, batch, record)
             return result.Ok(None)
         failure = response.err_value.failure
         if failure is store.StoreFailure.CONFLICT:
@@ -124,7 +137,7 @@
             if head is None or model.is_repeat(batch, head):
                 return result.Ok(None)
         if failure is store.StoreFailure.UNKNOWN:
-            self._spawn(self._resolve_acceptance, batch.id)
+            self._spawn(batch.id, self._resolve_acceptance, batch.id)
         return response
 
     async def _record_lag(self, batch: model.Batch) -> None:
@@ -153,7 +166,7 @@
             return True
         if self._is_stopping or record.owner != self._me:
             return False
-        self._spawn(self._resume_in_background, record)
+        self._spawn(record.batch_id, self._resume_in_background, record)
         return True
 
     def record_end(self, batch_id: str) -> None:
@@ -168,7 +181,7 @@
         self.record_end(batch_id)
         member = self.members.route_owner(route)
         if member is not None and member.instance != self._me.instance:
-            self._spawn(self._handoffs.notify_end, member, batch_id)
+            self._spawn(batch_id, self._handoffs.notify_end, member, batch_id)
 
     async def _resume_in_background(self, record: storage.OwnerRecord) -> None:
         await self._resume(record)
@@ -183,18 +196,13 @@
         if not await self._handoffs.send(member, batch, record):
             await self._take_over_with_retries(record)
 
-    def _spawn(
-        self,
-        job: typing.Callable[
-            ..., typing.Coroutine[typing.Any, typing.Any, None]
-        ],
-        *args: object,
-    ) -> None:
+    def _spawn(self, batch_id: str, job: _Job, *args: object) -> None:
+        """Start a job for one batch, whose errors end nothing else."""
         if self._tasks is None:
             raise RuntimeError(
                 "OwnedBatches.run() must run before a batch starts"
             )
-        self._tasks.start_soon(job, *args)
+        self._tasks.start_soon(_run_contained, batch_id, job, *args)
 
     def stop(self) -> None:
         """Stop taking over batches; those that run here continue."""
@@ -222,6 +230,18 @@
         """Run a batch, in place of a runner with an older owner record."""
         if self._is_running_here(record):
             return
+        with containment.contain("batch", batch.id):
+            self._start_runner(batch, record, log, checkpoints)
+            return
+        self._spawn(batch.id, self._find_own_batches_later)
+
+    def _start_runner(
+        self,
+        batch: model.Batch,
+        record: storage.OwnerRecord,
+        log: typing.Sequence[storage.LogEntry],
+        checkpoints: typing.Sequence[model.TextCheckpoint],
+    ) -> None:
         owned = runner.BatchRunner(
             self._dependencies, batch, record, log, checkpoints
         )
@@ -229,9 +249,11 @@
         if previous is not None:
             previous.stop("restarted")
         elif not log:
-            self.on_step(batch)
+            # The batch doesn't depend on the statistics.
+            with containment.contain("step_statistics", batch.id):
+                self.on_step(batch)
         self.runners[batch.id] = owned
-        self._spawn(self._run, owned, model.submitted_bytes(batch))
+        self._spawn(batch.id, self._run, owned, model.submitted_bytes(batch))
 
     def _is_running_here(self, record: storage.OwnerRecord) -> bool:
         """Return whether a runner has this owner record or a newer one.
@@ -244,12 +266,22 @@
     async def _run(self, owned: runner.BatchRunner, size: int) -> None:
         self._hold(size)
         try:
-            await owned.run()
+            with containment.contain("batch", owned.batch.id):
+                await owned.run()
+                return
+            # Until the next attempt it counts as running here. A member that
+            # took it over would probably fail as well.
+            await anyio.sleep(_FAILED_BATCH_DELAY_SECONDS)
+            self._find_own_batches()
         finally:
             self._hold(-size)
             if self.runners.get(owned.batch.id) is owned:
                 del self.runners[owned.batch.id]
 
+    async def _find_own_batches_later(self) -> None:
+        await anyio.sleep(_FAILED_BATCH_DELAY_SECONDS)
+        self._find_own_batches()
+
     def _hold(self, count: int) -> None:
         self._held_bytes += count
         self.on_held(self._held_bytes)
@@ -377,7 +409,8 @@
                 continue
             if owner != self._me and not self._may_take_over(owner):
                 continue
-            all_taken_over = await self._take_over(record) and all_taken_over
+            is_taken_over = await self._take_over_contained(record)
+            all_taken_over = is_taken_over and all_taken_over
         if not all_taken_over:
             self._owners_to_replace |= replaced
         return all_taken_over
@@ -388,6 +421,13 @@
         while not await self._take_over(record):
             await anyio.sleep(_RETRY_DELAY_SECONDS)
 
+    async def _take_over_contained(self, record: storage.OwnerRecord) -> bool:
+        """Take over a batch, whose errors must not keep others waiting."""
+        with containment.contain("batch", record.batch_id):
+            return await self._take_over(record)
+        self._spawn(record.batch_id, self._find_own_batches_later)
+        return True
+
     async def _take_over(self, record: storage.OwnerRecord) -> bool:
         """Take over a batch; return False if that must be retried."""
         response = await self._storage.take_over(record, self._me)
--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -28,6 +28,7 @@
 from hibiscussaddle.batches import text_cache
 from hibiscussaddle.batches import waiting_items
 from hibiscussaddle.batches import write_coalescing
+from hibiscussaddle import containment
 from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import logs
@@ -41,6 +42,8 @@
 _CHECK_INTERVAL_SECONDS: typing.Final = 0.1
 # Generating a text of fewer events again is faster than storing it.
 _MIN_CHECKPOINT_EVENTS: typing.Final = 16
+# Delay after an unexpected error of an item, which may come again.
+_UNEXPECTED_ERROR_DELAY_SECONDS: typing.Final = 1.0
 # Interval at which an item that must not run again is checked for its end.
 _MARKED_CHECK_SECONDS: typing.Final = 0.5
 # Ends of runs that the engine never started; a probe run follows.
@@ -218,20 +221,17 @@
         self._dependencies.competition.join(
             self._engine_pool, self.batch.id, self._work
         )
-        with self._scope:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._watch_ownership)
-                tasks.start_soon(self._move_slow_runs)
-                for position, progress in enumerate(self._items_in_order()):
-                    tasks.start_soon(self._run_item, progress, position)
-                is_complete = await self._log.run()
-                reason = "complete" if is_complete else "ownership_lost"
-                self.stop_reason = self.stop_reason or reason
-                tasks.cancel_scope.cancel()
-        self._dependencies.competition.leave(self._engine_pool, self.batch.id)
-        self._dependencies.reader.record_owner_stopped(
-            self.batch.id, self._is_authoritative
-        )
+        try:
+            with self._scope:
+                await self._run_tasks()
+        finally:
+            self.stop_reason = self.stop_reason or "failed"
+            self._dependencies.competition.leave(
+                self._engine_pool, self.batch.id
+            )
+            self._dependencies.reader.record_owner_stopped(
+                self.batch.id, self._is_authoritative
+            )
         if self.stop_reason != "complete":
             self._cache_texts()
         logs.event(
@@ -242,6 +242,18 @@
             listed=len(self._log.logged),
         )
 
+    async def _run_tasks(self) -> None:
+        """Run all items and log their results until the batch is complete."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_ownership)
+            tasks.start_soon(self._move_slow_runs)
+            for position, progress in enumerate(self._items_in_order()):
+                tasks.start_soon(self._finish_item, progress, position)
+            is_complete = await self._log.run()
+            reason = "complete" if is_complete else "ownership_lost"
+            self.stop_reason = self.stop_reason or reason
+            tasks.cancel_scope.cancel()
+
     def _items_in_order(self) -> list[runs.Progress]:
         """Return the unfinished items in the order in which they start."""
         by_group: dict[str, list[runs.Progress]] = {}
@@ -311,6 +323,18 @@
             position,
         )
 
+    async def _finish_item(
+        self, progress: runs.Progress, position: int
+    ) -> None:
+        """Run an item until it has a result, whatever errors it causes."""
+        while progress.item.id in self._progress:
+            with containment.contain("item", progress.item.id):
+                await self._run_item(progress, position)
+                return
+            await anyio.sleep(_UNEXPECTED_ERROR_DELAY_SECONDS)
+            if self._limits.is_expired():
+                self._abandon_item(progress)
+
     async def _run_item(self, progress: runs.Progress, position: int) -> None:
         """Run an item until its text is complete, then score and log it."""
         suspect_items = self._dependencies.suspect_items
@@ -383,6 +407,23 @@
         )
 
     def _complete_item(self, progress: runs.Progress, score: str) -> None:
+        transcript = progress.transcript
+        # The result doesn't depend on the statistics.
+        with containment.contain("item_statistics", progress.item.id):
+            self._record_completion(progress)
+        self._add_result(
+            progress.item,
+            model.Result(
+                progress.item.id,
+                model.Outcome.COMPLETED,
+                "\n".join(transcript.texts),
+                tuple(sorted(transcript.versions)),
+                score,
+            ),
+        )
+
+    def _record_completion(self, progress: runs.Progress) -> None:
+        """Count and log a completed item."""
         transcript = progress.transcript
         expected = self._dependencies.competition.record_length(
             self.batch.route,
@@ -403,16 +444,6 @@
             versions=sorted(transcript.versions),
             seconds=time.monotonic() - self._started_at,
         )
-        self._add_result(
-            progress.item,
-            model.Result(
-                progress.item.id,
-                model.Outcome.COMPLETED,
-                "\n".join(transcript.texts),
-                tuple(sorted(transcript.versions)),
-                score,
-            ),
-        )
 
     def _add_result(self, item: model.Item, result: model.Result) -> None:
         self._progress.pop(item.id, None)
@@ -488,24 +519,29 @@
         """Move runs off engines that stall or are slow, until cancelled."""
         while True:
             await anyio.sleep(_CHECK_INTERVAL_SECONDS)
-            now = time.monotonic()
-            # The longest runs reserve the fastest engines first.
-            for progress in sorted(
-                self._progress.values(), key=self._events_left, reverse=True
-            ):
-                if progress.endpoint is None or progress.cancel_scope is None:
-                    continue
-                # Fast engines belong to the groups that count.
-                gains = not self._gives_way(progress.item)
-                reason = moves.move_reason(
-                    self._dependencies.engines,
-                    progress,
-                    self._choice.move_candidates(progress.item),
-                    self._events_left(progress) if gains else 0.0,
-                    now,
-                )
-                if reason is not None:
-                    self._move(progress, reason, now)
+            with containment.contain("slow_runs", self.batch.id):
+                self._check_runs(time.monotonic())
+                continue
+            await anyio.sleep(_UNEXPECTED_ERROR_DELAY_SECONDS)
+
+    def _check_runs(self, now: float) -> None:
+        # The longest runs reserve the fastest engines first.
+        for progress in sorted(
+            self._progress.values(), key=self._events_left, reverse=True
+        ):
+            if progress.endpoint is None or progress.cancel_scope is None:
+                continue
+            # Fast engines belong to the groups that count.
+            gains = not self._gives_way(progress.item)
+            reason = moves.move_reason(
+                self._dependencies.engines,
+                progress,
+                self._choice.move_candidates(progress.item),
+                self._events_left(progress) if gains else 0.0,
+                now,
+            )
+            if reason is not None:
+                self._move(progress, reason, now)
 
     def _move(
         self, progress: runs.Progress, reason: moves.MoveReason, now: float
--- a/src/hibiscussaddle/batches/waiting_items.py
+++ b/src/hibiscussaddle/batches/waiting_items.py
@@ -1,6 +1,7 @@
 """Assign engines to waiting items in order of urgency."""
 
 from collections import abc
+import contextlib
 import dataclasses
 import time
 import typing
@@ -37,10 +38,22 @@
     choose: Chooser
     is_abandoned: abc.Callable[[], bool]
     endpoint: endpoints.Endpoint | None = None
-    # Set once the item has an engine or is abandoned.
+    # Raised in the task of the item, which handles its own errors.
+    error: Exception | None = None
+    # Set once the item has an engine, is abandoned or failed.
     done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
 
+@contextlib.contextmanager
+def _errors_of(entry: _Entry) -> abc.Iterator[None]:
+    """Pass an error to the item that caused it; the others go on waiting."""
+    try:
+        yield
+    except Exception as exc:
+        entry.error = exc
+        entry.done.set()
+
+
 class WaitingItems:
     """Queue the items of all batches of an instance until engines are free."""
 
@@ -92,6 +105,8 @@
         finally:
             if entry in self._entries:
                 self._entries.remove(entry)
+        if entry.error is not None:
+            raise entry.error
         return entry.endpoint
 
     def wake(self) -> None:
@@ -104,7 +119,8 @@
         if now - self._ranked_at >= _RANKING_INTERVAL_SECONDS:
             self._ranked_at = now
             for entry in self._entries:
-                entry.rank = entry.ranker(now - entry.waiting_since)
+                with _errors_of(entry):
+                    entry.rank = entry.ranker(now - entry.waiting_since)
         self._entries.sort(key=lambda entry: entry.rank)
         self._assign_pass(self._entries, allow_probe=False)
         # Probes show which engines accept runs again. They may be refused, so
@@ -117,10 +133,11 @@
         for entry in entries:
             if entry.done.is_set() or entry.pool in full_pools:
                 continue
-            if entry.is_abandoned():
-                entry.done.set()
-            elif not self._try_assign(entry, allow_probe):
-                full_pools.add(entry.pool)
+            with _errors_of(entry):
+                if entry.is_abandoned():
+                    entry.done.set()
+                elif not self._try_assign(entry, allow_probe):
+                    full_pools.add(entry.pool)
 
     def _try_assign(self, entry: _Entry, allow_probe: bool) -> bool:
         entry.endpoint = entry.choose(allow_probe=allow_probe)
--- /dev/null
+++ b/tests/owner_harness.py
@@ -0,0 +1,68 @@
+"""Run the batches that one instance owns against a stand-in store."""
+
+from collections import abc
+import contextlib
+import typing
+
+import anyio
+import httpx
+
+from hibiscussaddle.adapters import store
+from hibiscussaddle.batches import handoff
+from hibiscussaddle.batches import owners
+from hibiscussaddle.batches import storage
+from hibiscussaddle.fleet import presence
+from hibiscussaddle.platform.standins import store as fake_store
+
+import batch_harness
+import loopback
+
+OTHER: typing.Final = presence.Member("gateway-9", "zone-a", 9, "peer:1")
+ME: typing.Final = presence.Member("gateway-1", "zone-a", 1, "peer:2")
+
+
+class FakeHandoff:
+    """Replace the client that sends batches to peers."""
+
+    def __init__(self, accepts: bool) -> None:
+        """Accept all messages or none."""
+        self.accepts = accepts
+        self.sent = 0
+
+    async def send(self, *_: object) -> bool:
+        """Return whether the peer accepts a batch."""
+        self.sent += 1
+        return self.accepts
+
+    async def ensure_running(self, *_: object) -> bool:
+        """Return whether the peer runs a batch."""
+        return self.accepts
+
+
+@contextlib.asynccontextmanager
+async def owned_batches(
+    accepts: bool,
+    items: batch_harness.FakeItemRunner | None = None,
+) -> abc.AsyncIterator[tuple[owners.OwnedBatches, storage.BatchStorage]]:
+    """Yield the batches of gateway-1, whose peer gateway-9 is alive."""
+    fake = fake_store.Store()
+    async with (
+        loopback.serve(fake_store.create_app(fake)) as url,
+        httpx.AsyncClient(trust_env=False) as http,
+        anyio.create_task_group() as tasks,
+    ):
+        client = store.create_client(http, url, calls_per_second=1000)
+        harness = batch_harness.Harness(client)
+        members = presence.Members(ME)
+        members.all = {member.instance: member for member in (ME, OTHER)}
+        members.route_owner = lambda _: OTHER
+        owned = owners.OwnedBatches(
+            harness.dependencies(items or batch_harness.FakeItemRunner()),
+            members,
+            typing.cast(handoff.HandoffClient, FakeHandoff(accepts)),
+        )
+        tasks.start_soon(owned.run)
+        tasks.start_soon(harness.waiting_items.run)
+        await anyio.wait_all_tasks_blocked()
+        yield owned, harness.storage
+        tasks.cancel_scope.cancel()
--- a/tests/test_batch_owners.py
+++ b/tests/test_batch_owners.py
@@ -1,83 +1,28 @@
 """Guard takeovers of batches whose owner is dead, silent or stopping."""
 
-from collections import abc
-import contextlib
 import random
-import typing
 
 import anyio
-import httpx
 import result
 
 from hibiscussaddle.adapters import store
-from hibiscussaddle.batches import handoff
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import owners
 from hibiscussaddle.batches import runs
 from hibiscussaddle.batches import storage
 from hibiscussaddle.fleet import presence
 from hibiscussaddle import gateway
-from hibiscussaddle.platform.standins import store as fake_store
 
 import batch_builders
 import batch_harness
-import loopback
-
-
-OTHER: typing.Final = presence.Member("gateway-9", "zone-a", 9, "peer:1")
-ME: typing.Final = presence.Member("gateway-1", "zone-a", 1, "peer:2")
-
-
-class FakeHandoff:
-    """Replace the client that sends batches to peers."""
-
-    def __init__(self, accepts: bool) -> None:
-        """Accept all messages or none."""
-        self.accepts = accepts
-        self.sent = 0
-
-    async def send(self, *_: object) -> bool:
-        """Return whether the peer accepts a batch."""
-        self.sent += 1
-        return self.accepts
-
-    async def ensure_running(self, *_: object) -> bool:
-        """Return whether the peer runs a batch."""
-        return self.accepts
-
-
-@contextlib.asynccontextmanager
-async def owned_batches(
-    accepts: bool,
-    items: batch_harness.FakeItemRunner | None = None,
-) -> abc.AsyncIterator[tuple[owners.OwnedBatches, storage.BatchStorage]]:
-    """Yield the batches of gateway-1, whose peer gateway-9 is alive."""
-    fake = fake_store.Store()
-    async with (
-        loopback.serve(fake_store.create_app(fake)) as url,
-        httpx.AsyncClient(trust_env=False) as http,
-        anyio.create_task_group() as tasks,
-    ):
-        client = store.create_client(http, url, calls_per_second=1000)
-        harness = batch_harness.Harness(client)
-        members = presence.Members(ME)
-        members.all = {member.instance: member for member in (ME, OTHER)}
-        members.route_owner = lambda _: OTHER
-        owned = owners.OwnedBatches(
-            harness.dependencies(items or batch_harness.FakeItemRunner()),
-            members,
-            typing.cast(handoff.HandoffClient, FakeHandoff(accepts)),
-        )
-        tasks.start_soon(owned.run)
-        tasks.start_soon(harness.waiting_items.run)
-        await anyio.wait_all_tasks_blocked()
-        yield owned, harness.storage
-        tasks.cancel_scope.cancel()
+import owner_harness
 
 
 async def _create_batch_of_peer(batches: storage.BatchStorage) -> model.Batch:
     batch = batch_builders.batch()
-    owner = model.Owner(OTHER.instance, OTHER.incarnation)
+    owner = model.Owner(
+        owner_harness.OTHER.instance, owner_harness.OTHER.incarnation
+    )
     (await batches.accept(batch, owner, 1.0)).unwrap()
     return batch
 
@@ -99,7 +44,7 @@
         name = f"successor-{number}"
         successor = presence.Member(name, "zone-a", 1, "peer:3", leaving)
         members.all[name] = presence.Member(name, "zone-a", 1, "peer:3")
-        if members.successor_of(OTHER.instance) == name:
+        if members.successor_of(owner_harness.OTHER.instance) == name:
             members.all[name] = successor
             return successor
         del members.all[name]
@@ -122,10 +67,13 @@
     """
 
     async def main() -> None:
-        async with owned_batches(accepts=True) as (owned, batches):
+        async with owner_harness.owned_batches(accepts=True) as (
+            owned,
+            batches,
+        ):
             batch = await _create_batch_of_peer(batches)
             _add_successor(owned, leaving=True)
-            _remove_member(owned, OTHER)
+            _remove_member(owned, owner_harness.OTHER)
             await _wait_until_logged(batches, batch.id, seconds=2)
 
     anyio.run(main)
@@ -135,13 +83,16 @@
     """Fails when batches wait for a scan because their successor died too."""
 
     async def main() -> None:
-        async with owned_batches(accepts=True) as (owned, batches):
+        async with owner_harness.owned_batches(accepts=True) as (
+            owned,
+            batches,
+        ):
             batch = await _create_batch_of_peer(batches)
             successor = _add_successor(owned, leaving=False)
-            _remove_member(owned, OTHER)
+            _remove_member(owned, owner_harness.OTHER)
             await anyio.wait_all_tasks_blocked()
             record = (await batches.owner(batch.id)).unwrap()
-            assert record.owner.instance == OTHER.instance
+            assert record.owner.instance == owner_harness.OTHER.instance
             _remove_member(owned, successor)
             await _wait_until_logged(batches, batch.id, seconds=2)
 
@@ -156,9 +107,12 @@
     """
 
     async def main() -> None:
-        async with owned_batches(accepts=True) as (owned, batches):
+        async with owner_harness.owned_batches(accepts=True) as (
+            owned,
+            batches,
+        ):
             batch = await _create_batch_of_peer(batches)
-            del owned.members.all[OTHER.instance]
+            del owned.members.all[owner_harness.OTHER.instance]
             await _wait_until_logged(batches, batch.id, seconds=3)
 
     anyio.run(main)
@@ -172,7 +126,10 @@
     """
 
     async def main() -> None:
-        async with owned_batches(accepts=False) as (owned, batches):
+        async with owner_harness.owned_batches(accepts=False) as (
+            owned,
+            batches,
+        ):
             batch = await _create_batch_of_peer(batches)
             owned.scan_soon()
             await _wait_until_logged(batches, batch.id)
@@ -184,13 +141,16 @@
     """Fails when a scan replaces an owner that runs its batch."""
 
     async def main() -> None:
-        async with owned_batches(accepts=True) as (owned, batches):
+        async with owner_harness.owned_batches(accepts=True) as (
+            owned,
+            batches,
+        ):
             batch = await _create_batch_of_peer(batches)
             for _ in range(4):
                 owned.scan_soon()
                 await anyio.sleep(0.05)
             record = (await batches.owner(batch.id)).unwrap()
-            assert record.owner.instance == OTHER.instance
+            assert record.owner.instance == owner_harness.OTHER.instance
 
     anyio.run(main)
 
@@ -199,9 +159,14 @@
     """Fails when a planned stop hands over a batch that it could finish."""
 
     async def main() -> None:
-        async with owned_batches(accepts=True) as (owned, batches):
+        async with owner_harness.owned_batches(accepts=True) as (
+            owned,
+            batches,
+        ):
             batch = batch_builders.batch()
-            me = model.Owner(ME.instance, ME.incarnation)
+            me = model.Owner(
+                owner_harness.ME.instance, owner_harness.ME.incarnation
+            )
             revision = (await batches.accept(batch, me, 1.0)).unwrap()
             record = storage.OwnerRecord(batch.id, me, revision)
             assert owned.accept_handoff(batch, record)
@@ -216,7 +181,10 @@
     """Fails when an accepted batch is lost because its peer refused it."""
 
     async def main() -> None:
-        async with owned_batches(accepts=False) as (owned, batches):
+        async with owner_harness.owned_batches(accepts=False) as (
+            owned,
+            batches,
+        ):
             batch = batch_builders.batch()
             (await owned.accept(batch, 1.0)).unwrap()
             # Sooner than a scan for orphaned batches would find it.
@@ -251,10 +219,13 @@
     """
 
     async def main() -> None:
-        async with owned_batches(accepts=True) as (owned, batches):
+        async with owner_harness.owned_batches(accepts=True) as (
+            owned,
+            batches,
+        ):
             batch = await _create_batch_of_peer(batches)
             _lose_first_takeover_response(batches)
-            _remove_member(owned, OTHER)
+            _remove_member(owned, owner_harness.OTHER)
             await _wait_until_logged(batches, batch.id, seconds=2)
 
     anyio.run(main)
@@ -264,7 +235,10 @@
     """Fails when a batch that its peer refused waits for a scan."""
 
     async def main() -> None:
-        async with owned_batches(accepts=False) as (owned, batches):
+        async with owner_harness.owned_batches(accepts=False) as (
+            owned,
+            batches,
+        ):
             _lose_first_takeover_response(batches)
             batch = batch_builders.batch()
             (await owned.accept(batch, 1.0)).unwrap()
@@ -277,7 +251,10 @@
     """Fails when a takeover is forgotten because its batch was unreadable."""
 
     async def main() -> None:
-        async with owned_batches(accepts=True) as (owned, batches):
+        async with owner_harness.owned_batches(accepts=True) as (
+            owned,
+            batches,
+        ):
             batch = await _create_batch_of_peer(batches)
             resume = owned._resume
             attempts = 0
@@ -288,7 +265,7 @@
                 return attempts > 1 and await resume(record)
 
             owned._resume = fail_first
-            _remove_member(owned, OTHER)
+            _remove_member(owned, owner_harness.OTHER)
             await _wait_until_logged(batches, batch.id, seconds=2)
 
     anyio.run(main)
@@ -317,21 +294,25 @@
 
     async def main() -> None:
         items = _FirstRunHangs()
-        async with owned_batches(accepts=True, items=items) as (
+        async with owner_harness.owned_batches(accepts=True, items=items) as (
             owned,
             batches,
         ):
             batch = batch_builders.batch()
-            me = model.Owner(ME.instance, ME.incarnation)
+            me = model.Owner(
+                owner_harness.ME.instance, owner_harness.ME.incarnation
+            )
             revision = (await batches.accept(batch, me, 1.0)).unwrap()
             record = storage.OwnerRecord(batch.id, me, revision)
             assert owned.accept_handoff(batch, record)
             with anyio.fail_after(2):
                 while not items.started_after:
                     await anyio.sleep(0.01)
-            peer = model.Owner(OTHER.instance, OTHER.incarnation)
+            peer = model.Owner(
+                owner_harness.OTHER.instance, owner_harness.OTHER.incarnation
+            )
             (await batches.take_over(record, peer)).unwrap()
-            _remove_member(owned, OTHER)
+            _remove_member(owned, owner_harness.OTHER)
             await _wait_until_logged(batches, batch.id, seconds=2)
 
     anyio.run(main)
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -1,5 +1,6 @@
 """Guard against one input whose unexpected error ends the process."""
 
+import importlib
 import time
 import typing
 
@@ -8,8 +9,11 @@
 
 from hibiscussaddle.adapters import connections
 from hibiscussaddle.batches import events
+from hibiscussaddle.batches import owners
 from hibiscussaddle.batches import placement
+from hibiscussaddle.batches import runner as runner_lib
 from hibiscussaddle.batches import runs
+from hibiscussaddle.batches import waiting_items
 from hibiscussaddle import containment
 from hibiscussaddle.fleet import change_log
 from hibiscussaddle.fleet import presence
@@ -20,10 +24,14 @@
 from hibiscussaddle.rate_limits import limiter as limiter_lib
 
 import batch_builders
+import batch_harness
 import limit_builders
+import owner_harness
 import platform_builders
 import raw_server
 
+_BATCHES: typing.Final = "hibiscussaddle.batches"
+
 
 class UnexpectedError(Exception):
     """Stand for an error that no handler expects."""
@@ -114,3 +122,137 @@
 
     anyio.run(main)
     assert not reached
+
+
+def _fail(*_: typing.Any, **__: typing.Any) -> typing.Any:
+    raise UnexpectedError
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        "competition.Competition.record_length",
+        "scores.BatchScores.score",
+        "engine_choice.EngineChoice.choose",
+        "limits.ItemLimits.accepts_versions",
+    ],
+)
+def test_error_of_one_item_ends_no_other(
+    part: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Fails when one item's error ends the owner, and then its successor.
+
+    The statistics of a completed item raised OverflowError, at each start of
+    each owner again.
+    """
+    module, cls, name = part.split(".")
+    target = getattr(importlib.import_module(f"{_BATCHES}.{module}"), cls)
+    original = getattr(target, name)
+    calls = 0
+
+    def fail_once(*args: typing.Any, **kwargs: typing.Any) -> typing.Any:
+        nonlocal calls
+        calls += 1
+        if calls == 1:
+            raise UnexpectedError
+        return original(*args, **kwargs)
+
+    monkeypatch.setattr(target, name, fail_once)
+    batch = batch_builders.batch(
+        *(batch_builders.item(f"item-{n}") for n in range(3))
+    )
+
+    async def main() -> None:
+        async with batch_harness.harness() as harness:
+            record = await harness.accept(batch)
+            owned = runner_lib.BatchRunner(
+                harness.dependencies(batch_harness.FakeItemRunner()),
+                batch,
+                record,
+            )
+            with anyio.fail_after(5):
+                await owned.run()
+            assert owned.stop_reason == "complete"
+            results = await harness.logged_results(batch.id)
+            assert len(results) == 3
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize(
+    "method", ["__init__", "run", "_move_slow_runs", "_watch_ownership"]
+)
+def test_error_of_one_batch_ends_no_other(
+    method: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Fails when a batch whose runner fails ends its owner."""
+    original = getattr(runner_lib.BatchRunner, method)
+    failed: list[str] = []
+
+    def fail_odd(self: typing.Any, *args: typing.Any) -> typing.Any:
+        batch = args[1] if method == "__init__" else self.batch
+        if batch.id == "odd":
+            failed.append(batch.id)
+            raise UnexpectedError
+        return original(self, *args)
+
+    monkeypatch.setattr(runner_lib.BatchRunner, method, fail_odd)
+    # Tests last no longer than a second attempt.
+    monkeypatch.setattr(owners, "_FAILED_BATCH_DELAY_SECONDS", 0.2)
+
+    async def main() -> None:
+        async with owner_harness.owned_batches(True) as (owned, batches):
+            owned.members.route_owner = lambda _: None
+            for batch_id in ("odd", "other"):
+                batch = batch_builders.batch(id=batch_id)
+                (await owned.accept(batch, 1.0)).unwrap()
+            with anyio.fail_after(5):
+                while not (
+                    await batches.log_entries_after("other", "")
+                ).unwrap()[0]:
+                    await anyio.sleep(0.02)
+                # The batch is tried again, as the error may have passed.
+                while len(failed) < 2:
+                    await anyio.sleep(0.02)
+
+    anyio.run(main)
+
+
+def test_error_of_one_waiting_item_reaches_only_that_item() -> None:
+    """Fails when the choice for one item ends the queue of all batches."""
+    engines = placement.Placement()
+    items = waiting_items.WaitingItems(engines)
+    engine = batch_builders.engine("engine-1")
+    found: list[object] = []
+
+    async def wait(name: str, choose: typing.Any) -> None:
+        rank = batch_builders.rank(0.0, name, 0)
+        try:
+            found.append(
+                await items.wait_for_engine(
+                    lambda _: rank, name, choose, lambda: False
+                )
+            )
+        except UnexpectedError:
+            found.append(name)
+
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(items.run)
+            async with anyio.create_task_group() as waiting:
+                waiting.start_soon(wait, "odd", _fail)
+                waiting.start_soon(wait, "other", lambda **_: engine)
+            tasks.cancel_scope.cancel()
+
+    with_timeout(main)
+    assert found == ["odd", engine]
+
+
+def with_timeout(main: typing.Any) -> None:
+    """Run a test that hangs when it fails."""
+
+    async def limited() -> None:
+        with anyio.fail_after(5):
+            await main()
+
+    anyio.run(limited)
