End reads and requests whose wait or deadline is no number

Cause: float() parses "nan", and each comparison with it is false, so BatchReader._refresh() called its peer and the store without end.

Change: waits and deadlines are read by decoding.parse_amount(), which accepts finite numbers only; a test keeps other conversions out of the adapter. Such a wait is answered with 400.

--- a/src/hibiscussaddle/batches/peer_reads.py
+++ b/src/hibiscussaddle/batches/peer_reads.py
@@ -44,7 +44,7 @@
     # Key of the newest known log entry.
     after: str
     # Longest wait for a newer one, in seconds.
-    wait: float
+    wait: decoding.Amount
     wants_items: bool
 
 
--- a/src/hibiscussaddle/batches/reader.py
+++ b/src/hibiscussaddle/batches/reader.py
@@ -393,7 +393,8 @@
         self, batch_id: str, cached: CachedBatch, position: int, wait: float
     ) -> store.StoreError | None:
         """Read all that a peer knows, waiting for results after a position."""
-        deadline = time.monotonic() + wait
+        # max() also replaces "not a number", which no time ever reaches.
+        deadline = time.monotonic() + max(0.0, wait)
         while True:
             remaining = max(0.0, deadline - time.monotonic())
             if cached.is_authoritative():
--- a/src/hibiscussaddle/platform/ingress.py
+++ b/src/hibiscussaddle/platform/ingress.py
@@ -6,7 +6,6 @@
 from collections import abc
 import dataclasses
 import logging
-import math
 import time
 import typing
 
@@ -21,6 +20,7 @@
 from hibiscussaddle.customers import batch_access
 from hibiscussaddle.customers import headers as customer_headers
 from hibiscussaddle.customers import priority
+from hibiscussaddle import decoding
 from hibiscussaddle import gateway as gateway_lib
 from hibiscussaddle import logs
 from hibiscussaddle.platform import batch_wire
@@ -321,7 +321,9 @@
     batch_id = call.path.removeprefix(batch_wire.RESULTS_PATH)
     try:
         position = batch_wire.decode_position(call.query)
-        wait_ms = float(call.header(batch_wire.WAIT_HEADER) or 0)
+        wait_ms = decoding.parse_amount(
+            call.header(batch_wire.WAIT_HEADER) or "0"
+        )
     except ValueError as exc:
         refusal = codes.Refusal(codes.Code.BAD_REQUEST, str(exc))
         return _refusal_response(refusal, call)
@@ -404,18 +406,14 @@
     if not raw:
         return _DEFAULT_TIMEOUT_SECONDS
     try:
-        seconds = float(raw) / 1000
-    except ValueError:
-        seconds = math.nan
-    # float() also parses "inf" and "nan", which set no limit.
-    if math.isfinite(seconds):
-        return seconds
-    logs.event(
-        _LOG,
-        "deadline_malformed",
-        request=call.header(endpoint_wire.REQUEST_ID_HEADER),
-        value=raw,
-    )
+        return decoding.parse_amount(raw) / 1000
+    except ValueError as exc:
+        logs.event(
+            _LOG,
+            "deadline_malformed",
+            request=call.header(endpoint_wire.REQUEST_ID_HEADER),
+            why=exc,
+        )
     return _DEFAULT_TIMEOUT_SECONDS
 
 
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -6,6 +6,7 @@
 
 import anyio
 import httpx
+import pytest
 import result
 
 from hibiscussaddle.callers import bodies
@@ -16,6 +17,7 @@
 from hibiscussaddle.routes import routing_config
 
 import batch_builders
+import batch_harness
 import loopback
 
 
@@ -28,6 +30,7 @@
 
     def __init__(self) -> None:
         """Create a gateway without requests."""
+        self.batch_reader: typing.Any = None
         self.started = anyio.Event()
         self.cancelled = anyio.Event()
         self.on_response = lambda *_: None
@@ -41,6 +44,10 @@
         kind = routing_config.RouteKind.IDEMPOTENT
         return result.Ok(batch_builders.route(kind=kind))
 
+    async def identify_for_batch(self, *_: object) -> result.Ok[None]:
+        """Return that no key is needed."""
+        return result.Ok(None)
+
     def identify(self, *_: object) -> result.Ok[None]:
         """Return that no key is needed."""
         return result.Ok(None)
@@ -54,6 +61,18 @@
             self.cancelled.set()
 
 
+def _receive_nothing() -> bodies.Receive:
+    """Return a receive() of a request without a body."""
+    messages: list[bodies.Message] = [{"type": "http.request", "body": b""}]
+
+    async def receive() -> bodies.Message:
+        if not messages:
+            await anyio.sleep_forever()
+        return messages.pop()
+
+    return receive
+
+
 def test_request_is_cancelled_when_its_caller_disconnects() -> None:
     """Fails when a request keeps running after its connection closed."""
 
@@ -135,3 +154,75 @@
 
     anyio.run(main)
     assert held_bytes == [0, 0]
+
+
+@pytest.mark.parametrize(
+    "wait_ms", ["nan", "inf", "-inf", "1e308", "-1", "x", "1e3"]
+)
+def test_read_with_an_odd_wait_ends_in_time(wait_ms: str) -> None:
+    """Fails when a read never reaches its deadline.
+
+    With "nan" each comparison with the deadline is false, so the read called
+    its peer and the store without end.
+    """
+    statuses: list[int] = []
+
+    async def send(message: bodies.Message) -> None:
+        if "status" in message:
+            statuses.append(message["status"])
+
+    async def main() -> None:
+        async with batch_harness.harness() as harness:
+            batch = batch_builders.batch()
+            await harness.accept(batch)
+            reading = HangingGateway()
+            reading.batch_reader = harness.reader
+            app = ingress.Ingress(typing.cast(gateway.Gateway, reading))
+            scope = {
+                "type": "http",
+                "method": "GET",
+                "raw_path": f"/-/lots/{batch.id}".encode(),
+                "query_string": b"after=0",
+                "headers": [(b"x-wait-ms", wait_ms.encode())],
+            }
+            with anyio.fail_after(5):
+                await app(scope, _receive_nothing(), send)
+                page = await harness.reader.results(
+                    batch.id, 0, float("nan"), 1000
+                )
+            assert page.unwrap().total == 1
+
+    anyio.run(main)
+    is_finite = wait_ms in ("1e308", "-1", "1e3")
+    assert statuses == [200 if is_finite else 400]
+
+
+@pytest.mark.parametrize("deadline_ms", ["nan", "inf", "-inf", "x", ""])
+def test_odd_deadline_is_ignored(deadline_ms: str) -> None:
+    """Fails when a deadline that is no number ends or prolongs a request."""
+    deadlines: list[float] = []
+
+    class RecordingGateway(HangingGateway):
+        async def forward(self, req: typing.Any, _: object) -> typing.Any:
+            deadlines.append(req.timeout)
+            return codes.Refusal(codes.Code.STOPPING, "stopping")
+
+    async def send(_: bodies.Message) -> None:
+        pass
+
+    async def main() -> None:
+        app = ingress.Ingress(typing.cast(gateway.Gateway, RecordingGateway()))
+        headers = [(b"x-deadline-ms", deadline_ms.encode())]
+        scope = {
+            "type": "http",
+            "method": "GET",
+            "raw_path": b"/orders/7",
+            "query_string": b"",
+            "headers": headers,
+        }
+
+        with anyio.fail_after(5):
+            await app(scope, _receive_nothing(), send)
+
+    anyio.run(main)
+    assert deadlines == [30.0]
--- a/tests/test_outside_numbers.py
+++ b/tests/test_outside_numbers.py
@@ -2,6 +2,8 @@
 
 import json
 import math
+import pathlib
+import re
 import typing
 
 import msgspec
@@ -35,6 +37,7 @@
 )
 # Encoded only.
 _SENT_TYPES: typing.Final = ("_CapacityOrder", "_Result", "_Results")
+_CONVERSION: typing.Final = re.compile(r"\b(?:float|int)\((?!\")")
 
 
 def _expected_output(estimate: str) -> float | None:
@@ -179,3 +182,15 @@
     if isinstance(found, msgspec.inspect.ListType):
         return _is_bounded(found.item_type)
     return True
+
+
+def test_texts_become_numbers_in_one_module() -> None:
+    """Fails when a number from outside is parsed without its bounds."""
+    folder = pathlib.Path(batch_wire.__file__).parent
+    found = [
+        f"{path.name}: {line.strip()}"
+        for path in sorted(folder.glob("*.py"))
+        for line in path.read_text().splitlines()
+        if _CONVERSION.search(line) and "timeout * 1000" not in line
+    ]
+    assert found == ["store_wire.py: ttl_ms = int(ttl * 1000)"]
