Leave the queue of waiting items in constant time

Cause: each cancelled item searched a list of all waiting items and compared the entries field by field.

Change: entries are compared by identity and kept in a dictionary. Long assignments and decisions are followed by a pause in proportion.

--- a/src/hibiscussaddle/batches/competition.py
+++ b/src/hibiscussaddle/batches/competition.py
@@ -15,6 +15,9 @@
 
 # Interval between decisions about the groups that give way.
 _DECISION_INTERVAL_SECONDS: typing.Final = 0.1
+# The same as a multiple of the time that the last decision took, which grows
+# with the groups of all batches.
+_DECISION_REST_FACTOR: typing.Final = 20.0
 # An engine that loads weights runs no new items for about a second. Room that
 # was there this recently counts, so that no group gives way for a load.
 _ROOM_MEMORY_SECONDS: typing.Final = 2.0
@@ -32,7 +35,8 @@
             str, dict[str, abc.Callable[[], order.BatchWork]]
         ] = {}
         self._giving_way: dict[str, frozenset[tuple[str, str]]] = {}
-        self._decided_at: dict[str, float] = {}
+        # Monotonic seconds of the next decision, by pool.
+        self._decide_at: dict[str, float] = {}
         # Monotonic seconds and events a second, by pool.
         self._room: dict[str, collections.deque[tuple[float, float]]] = {}
         # Seconds that items waited for engines, by route.
@@ -78,7 +82,7 @@
         if not batches:
             self._batches.pop(pool, None)
             self._giving_way.pop(pool, None)
-            self._decided_at.pop(pool, None)
+            self._decide_at.pop(pool, None)
             self._room.pop(pool, None)
 
     def gives_way(
@@ -90,14 +94,16 @@
     ) -> bool:
         """Return whether a group's items come after those of others."""
         now = time.monotonic()
-        decided_at = self._decided_at.get(pool, float("-inf"))
-        if now - decided_at >= _DECISION_INTERVAL_SECONDS:
-            self._decided_at[pool] = now
+        if now >= self._decide_at.get(pool, 0.0):
             room = self._room.setdefault(pool, collections.deque())
             room.append((now, events_per_second()))
             while now - room[0][0] > _ROOM_MEMORY_SECONDS:
                 room.popleft()
             self._decide(pool, max(value for _, value in room))
+            spent = time.monotonic() - now
+            self._decide_at[pool] = now + max(
+                _DECISION_INTERVAL_SECONDS, _DECISION_REST_FACTOR * spent
+            )
         return (batch_id, group) in self._giving_way.get(pool, ())
 
     def _decide(self, pool: str, events_per_second: float) -> None:
--- a/src/hibiscussaddle/batches/result_log.py
+++ b/src/hibiscussaddle/batches/result_log.py
@@ -197,9 +197,10 @@
 
 def _pop_entry_results(pending: list[model.Result]) -> list[model.Result]:
     """Remove and return the results for one log entry."""
-    results: list[model.Result] = []
-    size = 0
-    while pending and (not results or size < MAX_ENTRY_BYTES):
-        results.append(pending.pop(0))
-        size += len(results[-1].text.encode())
+    count = size = 0
+    while count < len(pending) and (not count or size < MAX_ENTRY_BYTES):
+        size += len(pending[count].text.encode())
+        count += 1
+    results = pending[:count]
+    del pending[:count]
     return results
--- a/src/hibiscussaddle/batches/waiting_items.py
+++ b/src/hibiscussaddle/batches/waiting_items.py
@@ -17,6 +17,9 @@
 # Interval between checks without a wake-up. Backoffs of engines expire and the
 # endpoint view changes without one.
 _RECHECK_INTERVAL_SECONDS: typing.Final = 0.02
+# An assignment that takes longer is followed by a pause of a multiple of it.
+_LONG_ASSIGNMENT_SECONDS: typing.Final = 0.01
+_REST_FACTOR: typing.Final = 3.0
 # Interval between rankings of all items. New items are ranked at once.
 _RANKING_INTERVAL_SECONDS: typing.Final = 0.1
 
@@ -28,7 +31,8 @@
         """Include engines that refused their last run when probes may run."""
 
 
-@dataclasses.dataclass
+# Compared by identity, since thousands of entries may wait.
+@dataclasses.dataclass(eq=False)
 class _Entry:
     rank: order.Rank
     # Returns the rank of an item that waited the given seconds.
@@ -60,7 +64,8 @@
     def __init__(self, engines: placement.Placement) -> None:
         """Start with an empty queue."""
         self._engines = engines
-        self._entries: list[_Entry] = []
+        # Without values; ordered by rank as of the last assignment.
+        self._entries: dict[_Entry, None] = {}
         self._wake = anyio.Event()
         self._ranked_at = float("-inf")
 
@@ -70,7 +75,12 @@
             if not self._entries:
                 await self._wake.wait()
             self._wake = anyio.Event()
+            started = time.monotonic()
             self.assign_engines()
+            spent = time.monotonic() - started
+            if spent > _LONG_ASSIGNMENT_SECONDS:
+                # A long queue leaves most of the time to other calls.
+                await anyio.sleep(_REST_FACTOR * spent)
             with anyio.move_on_after(_RECHECK_INTERVAL_SECONDS):
                 await self._wake.wait()
 
@@ -94,7 +104,7 @@
             choose,
             is_abandoned,
         )
-        self._entries.append(entry)
+        self._entries[entry] = None
         self._wake.set()
         try:
             await entry.done.wait()
@@ -103,8 +113,7 @@
                 self._engines.record_end(entry.endpoint)
             raise
         finally:
-            if entry in self._entries:
-                self._entries.remove(entry)
+            self._entries.pop(entry, None)
         if entry.error is not None:
             raise entry.error
         return entry.endpoint
@@ -121,12 +130,12 @@
             for entry in self._entries:
                 with _errors_of(entry):
                     entry.rank = entry.ranker(now - entry.waiting_since)
-        self._entries.sort(key=lambda entry: entry.rank)
-        self._assign_pass(self._entries, allow_probe=False)
+        entries = sorted(self._entries, key=lambda entry: entry.rank)
+        self._assign_pass(entries, allow_probe=False)
         # Probes show which engines accept runs again. They may be refused, so
         # the least urgent items make them.
-        self._assign_pass(self._entries[::-1], allow_probe=True)
-        self._entries = [e for e in self._entries if not e.done.is_set()]
+        self._assign_pass(entries[::-1], allow_probe=True)
+        self._entries = {e: None for e in entries if not e.done.is_set()}
 
     def _assign_pass(self, entries: list[_Entry], allow_probe: bool) -> None:
         full_pools: set[str] = set()
--- a/tests/test_waiting_items.py
+++ b/tests/test_waiting_items.py
@@ -1,6 +1,7 @@
 """Guard the order in which waiting items get engines."""
 
 import random
+import time
 import typing
 
 import anyio
@@ -183,3 +184,30 @@
             anyio.run(_StepSimulation(seed, is_baseline=True).simulate) - alone
         )
     assert waited < 0.75 * waited_baseline
+
+
+def test_queue_is_left_in_linear_time() -> None:
+    """Fails when leaving a long queue compares its entries.
+
+    The end of a batch of 12,000 items stopped its owner for 22 s.
+    """
+    engines = placement.Placement()
+    items = waiting_items.WaitingItems(engines)
+
+    async def main() -> float:
+        async with anyio.create_task_group() as tasks:
+            for number in range(12_000):
+                rank = batch_builders.rank(0.0, "batch", number)
+                tasks.start_soon(
+                    items.wait_for_engine,
+                    lambda _, rank=rank: rank,
+                    "pool",
+                    lambda allow_probe: None,
+                    lambda: False,
+                )
+            await anyio.wait_all_tasks_blocked()
+            started = time.monotonic()
+            tasks.cancel_scope.cancel()
+        return time.monotonic() - started
+
+    assert anyio.run(main) < 2.0
