--- a/src/hibiscussaddle/adapters/store.py
+++ b/src/hibiscussaddle/adapters/store.py
@@ -192,8 +192,7 @@
         entries: list[StoreEntry] = []
         first_revision: int | None = None
         while True:
-            call = store_wire.scan(prefix, after, stale)
-            page = _decode(await self._call(call), store_wire.decode_page)
+            page = await self._page(prefix, after, stale)
             if isinstance(page, result.Err):
                 return page
             found = page.ok_value
@@ -205,6 +204,28 @@
                 return result.Ok((entries, first_revision))
             after = found.items[-1].key
 
+    async def scan_pages(
+        self, prefix: str
+    ) -> abc.AsyncGenerator[result.Result[list[StoreEntry], StoreError], None]:
+        """Yield a prefix's entries page by page, until the first error."""
+        after = ""
+        while True:
+            page = await self._page(prefix, after, stale=False)
+            if isinstance(page, result.Err):
+                yield page
+                return
+            found = page.ok_value
+            yield result.Ok([_to_entry(item) for item in found.items])
+            if not found.has_more or not found.items:
+                return
+            after = found.items[-1].key
+
+    async def _page(
+        self, prefix: str, after: str, stale: bool
+    ) -> result.Result[store_wire.Page, StoreError]:
+        call = store_wire.scan(prefix, after, stale)
+        return _decode(await self._call(call), store_wire.decode_page)
+
     async def put(
         self,
         key: str,
--- a/src/hibiscussaddle/batches/handoff.py
+++ b/src/hibiscussaddle/batches/handoff.py
@@ -25,6 +25,7 @@
 
 _BATCHES_PATH: typing.Final = "/v1/batches"
 _REMINDERS_PATH: typing.Final = "/v1/batches/reminders"
+_ADOPTIONS_PATH: typing.Final = "/v1/batches/adoptions"
 _ENDS_PATH: typing.Final = "/v1/batches/ends"
 # A live peer responds within milliseconds; after this time the instance that
 # accepted a batch runs it itself.
@@ -39,11 +40,17 @@
     revision: int
     # None if the receiver already owns the batch and only has to run it.
     batch: model.Batch | None = None
+    # See OwnerRecord.
+    footprint: decoding.WholeAmount = 0
 
     def record(self) -> storage.OwnerRecord:
         """Return the owner record."""
         return storage.OwnerRecord(
-            self.batch_id, self.owner, self.revision, is_current=False
+            self.batch_id,
+            self.owner,
+            self.revision,
+            self.footprint,
+            is_current=False,
         )
 
 
@@ -64,6 +71,12 @@
     def ensure_running(self, record: storage.OwnerRecord) -> bool:
         """Run an owned batch if needed; return whether it runs here."""
 
+    def adopt(self, record: storage.OwnerRecord) -> bool:
+        """Take over a batch that a peer has no room for.
+
+        Returns whether there is room for it here.
+        """
+
     def record_end(self, batch_id: str) -> None:
         """Stop a batch after the store has acknowledged its end."""
 
@@ -83,7 +96,11 @@
     ) -> bool:
         """Send a batch; return whether the member runs it from now on."""
         message = HandoffMessage(
-            batch.id, record.owner, record.revision, batch
+            batch.id,
+            record.owner,
+            record.revision,
+            batch,
+            record.footprint,
         )
         reason = await self._post(member, _BATCHES_PATH, message)
         logs.event(
@@ -99,9 +116,7 @@
         self, member: presence_lib.Member, record: storage.OwnerRecord
     ) -> bool:
         """Ask an owner to run its batch; return whether it does."""
-        message = HandoffMessage(
-            record.batch_id, record.owner, record.revision
-        )
+        message = _reference(record)
         reason = await self._post(member, _REMINDERS_PATH, message)
         if reason:
             logs.event(
@@ -113,6 +128,20 @@
             )
         return not reason
 
+    async def ask_to_adopt(
+        self, member: presence_lib.Member, record: storage.OwnerRecord
+    ) -> bool:
+        """Ask a member to take over a batch; return whether it will."""
+        reason = await self._post(member, _ADOPTIONS_PATH, _reference(record))
+        logs.event(
+            _LOG,
+            "adoption_asked",
+            batch=record.batch_id,
+            member=member.instance,
+            why=reason or "-",
+        )
+        return not reason
+
     async def notify_end(
         self, member: presence_lib.Member, batch_id: str
     ) -> None:
@@ -145,6 +174,15 @@
         return f"status {resp.status_code}"
 
 
+def _reference(record: storage.OwnerRecord) -> HandoffMessage:
+    return HandoffMessage(
+        record.batch_id,
+        record.owner,
+        record.revision,
+        footprint=record.footprint,
+    )
+
+
 def create_routes(receiver: Receiver) -> list[routing.Route]:
     """Return the routes that receive batches from peers."""
 
@@ -155,7 +193,9 @@
             logs.event(_LOG, "handoff_malformed", logging.WARNING, why=exc)
             return responses.Response(status_code=400)
         record = message.record()
-        if message.batch is None:
+        if req.url.path == _ADOPTIONS_PATH:
+            accepted = receiver.adopt(record)
+        elif message.batch is None:
             accepted = receiver.ensure_running(record)
         else:
             accepted = receiver.accept_handoff(message.batch, record)
@@ -173,7 +213,7 @@
     return [
         *(
             routing.Route(path, receive, methods=["POST"])
-            for path in (_BATCHES_PATH, _REMINDERS_PATH)
+            for path in (_BATCHES_PATH, _REMINDERS_PATH, _ADOPTIONS_PATH)
         ),
         routing.Route(_ENDS_PATH, end, methods=["POST"]),
     ]
--- a/src/hibiscussaddle/batches/owners.py
+++ b/src/hibiscussaddle/batches/owners.py
@@ -1,5 +1,7 @@
 """Own batches: accept them, run them and take over those of dead owners."""
 
+from collections import abc
+import dataclasses
 import logging
 import time
 import typing
@@ -9,10 +11,13 @@
 import result
 
 from hibiscussaddle.adapters import store
+from hibiscussaddle.batches import footprint
 from hibiscussaddle.batches import handoff
 from hibiscussaddle.batches import model
+from hibiscussaddle.batches import room as room_lib
 from hibiscussaddle.batches import runner
 from hibiscussaddle.batches import storage
+from hibiscussaddle.callers import memory
 from hibiscussaddle import containment
 from hibiscussaddle.fleet import presence as presence_lib
 from hibiscussaddle import logs
@@ -23,6 +28,8 @@
 # outcome took effect. The store may execute a call seconds after it was sent.
 _RECHECK_DELAYS_SECONDS: typing.Final = (0.3, 0.7, 1.5, 3.0, 6.0)
 _RETRY_DELAY_SECONDS: typing.Final = 0.3
+# Delay before members are asked again for a batch that has no room.
+_NO_ROOM_DELAY_SECONDS: typing.Final = 1.0
 # Delay after an unexpected error of a batch, which may come again.
 _FAILED_BATCH_DELAY_SECONDS: typing.Final = 5.0
 # Interval between scans for orphaned batches. Scans only cover removals of
@@ -44,6 +51,15 @@
 _VERSION_PROPAGATION_SECONDS: typing.Final = 0.5
 
 
+@dataclasses.dataclass(frozen=True)
+class Submission:
+    """Hold a new batch, its encoded form and the memory that it takes."""
+
+    batch: model.Batch
+    values: abc.Sequence[bytes]
+    hold: memory.Hold
+
+
 _Job: typing.TypeAlias = typing.Callable[
     ..., typing.Coroutine[typing.Any, typing.Any, None]
 ]
@@ -62,12 +78,17 @@
         dependencies: runner.Dependencies,
         members: presence_lib.Members,
         handoffs: handoff.HandoffClient,
+        room: room_lib.BatchRoom | None = None,
     ) -> None:
-        """Start without batches; run() must be running to accept any."""
+        """Start without batches; run() must be running to accept any.
+
+        None bounds no memory.
+        """
         self.runners: dict[str, runner.BatchRunner] = {}
         self._dependencies = dependencies
         self.members = members
         self._handoffs = handoffs
+        self._room = room or room_lib.BatchRoom(memory.Account())
         self._storage = dependencies.storage
         me = members.me
         self._me = model.Owner(me.instance, me.incarnation)
@@ -81,11 +102,10 @@
         self._scan_now = anyio.Event()
         self._takeover_now = anyio.Event()
         self._is_stopping = False
+        # Longer while no member has room for a batch.
+        self._retry_delay = _RETRY_DELAY_SECONDS
         # Called with a model and by how many weight versions a batch may lag
         # behind the newest.
-        # Called with the bytes that all batches brought along.
-        self.on_held: typing.Callable[[int], None] = lambda _: None
-        self._held_bytes = 0
         self.on_lag: typing.Callable[[str, int], None] = lambda *_: None
         # Called with each batch that begins to run here.
         self.on_step: typing.Callable[[model.Batch], None] = lambda _: None
@@ -104,41 +124,70 @@
             while True:
                 await self._takeover_now.wait()
                 self._takeover_now = anyio.Event()
+                self._retry_delay = _RETRY_DELAY_SECONDS
                 if not await self._take_over_orphans():
-                    await anyio.sleep(_RETRY_DELAY_SECONDS)
+                    await anyio.sleep(self._retry_delay)
                     self._takeover_now.set()
 
+    @property
+    def room(self) -> room_lib.BatchRoom:
+        """Return the memory that batches may take here."""
+        return self._room
+
     async def accept(
-        self, batch: model.Batch, timeout: float
+        self, submission: Submission, timeout: float
     ) -> result.Result[None, store.StoreError]:
         """Store a batch and start it; return Ok if it is stored already.
 
-        The error is a CONFLICT if another workspace has a batch of that ID.
+        After Ok the memory belongs to the batch. The error is a CONFLICT if
+        another workspace has a batch of that ID.
         """
+        batch = submission.batch
         member = self.members.route_owner(batch.route)
         owner = self._me
         if member is not None and member.instance != owner.instance:
             owner = model.Owner(member.instance, member.incarnation)
-        response = await self._storage.accept(batch, owner, timeout)
+        held_bytes = submission.hold.size
+        response = await self._storage.accept(
+            batch, owner, timeout, submission.values, held_bytes
+        )
         if isinstance(response, result.Ok):
             self._spawn(batch.id, self._record_lag, batch)
-            record = storage.OwnerRecord(batch.id, owner, response.ok_value)
+            record = storage.OwnerRecord(
+                batch.id, owner, response.ok_value, held_bytes
+            )
             if owner == self._me or member is None:
-                self._start(batch, record)
+                self._start(batch, record, submission.hold)
             else:
-                self._spawn(batch.id, self._hand_off, member, batch, record)
+                # Until the member has the batch, there is room for it here.
+                self._spawn(
+                    batch.id,
+                    self._hand_off,
+                    member,
+                    batch,
+                    record,
+                    submission.hold,
+                )
             return result.Ok(None)
-        failure = response.err_value.failure
-        if failure is store.StoreFailure.CONFLICT:
-            head = storage.conflicting_head(response.err_value)
+        accepted = self._is_stored(batch, response.err_value)
+        if isinstance(accepted, result.Ok):
+            submission.hold.close()
+        return accepted
+
+    def _is_stored(
+        self, batch: model.Batch, error: store.StoreError
+    ) -> result.Result[None, store.StoreError]:
+        """Return Ok if a batch was not stored because it is already."""
+        if error.failure is store.StoreFailure.CONFLICT:
+            head = storage.conflicting_head(error)
             if head is None and batch.workspace:
-                error = store.StoreError(store.StoreFailure.UNKNOWN)
-                return result.Err(error)
+                unknown = store.StoreError(store.StoreFailure.UNKNOWN)
+                return result.Err(unknown)
             if head is None or model.is_repeat(batch, head):
                 return result.Ok(None)
-        if failure is store.StoreFailure.UNKNOWN:
+        if error.failure is store.StoreFailure.UNKNOWN:
             self._spawn(batch.id, self._resolve_acceptance, batch.id)
-        return response
+        return result.Err(error)
 
     async def _record_lag(self, batch: model.Batch) -> None:
         """Report by how many weight versions a batch may lag behind."""
@@ -154,9 +203,34 @@
         """Run a batch that a peer accepted; return whether it runs here."""
         if self._is_stopping or record.owner != self._me:
             return False
-        self._start(batch, record)
+        if self._is_running_here(record):
+            return True
+        # The sender has room for what is refused here.
+        hold = self._room.accept(record.footprint)
+        if hold is None:
+            return False
+        self._start(batch, record, hold)
+        return True
+
+    def adopt(self, record: storage.OwnerRecord) -> bool:
+        """Take over a batch that a peer has no room for.
+
+        Returns whether there is room for it here.
+        """
+        if self._is_stopping:
+            return False
+        hold = self._room.take_over(record.footprint)
+        if hold is None:
+            return False
+        self._spawn(record.batch_id, self._adopt, record, hold)
         return True
 
+    async def _adopt(
+        self, record: storage.OwnerRecord, hold: memory.Hold
+    ) -> None:
+        if not await self._take_over_into(record, hold):
+            self._find_own_batches()
+
     def ensure_running(self, record: storage.OwnerRecord) -> bool:
         """Run a batch that this instance owns according to the store.
 
@@ -184,17 +258,26 @@
             self._spawn(batch_id, self._handoffs.notify_end, member, batch_id)
 
     async def _resume_in_background(self, record: storage.OwnerRecord) -> None:
-        await self._resume(record)
+        hold = self._room.take_over(record.footprint)
+        if hold is not None:
+            await self._resume(record, hold)
+        elif not await self._pass_on(record):
+            self._find_own_batches()
 
     async def _hand_off(
         self,
         member: presence_lib.Member,
         batch: model.Batch,
         record: storage.OwnerRecord,
+        hold: memory.Hold,
     ) -> None:
         """Send a batch to its owner; take it over if the owner refuses it."""
-        if not await self._handoffs.send(member, batch, record):
-            await self._take_over_with_retries(record)
+        try:
+            if await self._handoffs.send(member, batch, record):
+                return
+        finally:
+            hold.close()
+        await self._take_over_with_retries(record)
 
     def _spawn(self, batch_id: str, job: _Job, *args: object) -> None:
         """Start a job for one batch, whose errors end nothing else."""
@@ -224,21 +307,25 @@
         self,
         batch: model.Batch,
         record: storage.OwnerRecord,
+        hold: memory.Hold,
         log: typing.Sequence[storage.LogEntry] = (),
         checkpoints: typing.Sequence[model.TextCheckpoint] = (),
     ) -> None:
         """Run a batch, in place of a runner with an older owner record."""
         if self._is_running_here(record):
+            hold.close()
             return
         with containment.contain("batch", batch.id):
-            self._start_runner(batch, record, log, checkpoints)
+            self._start_runner(batch, record, hold, log, checkpoints)
             return
+        hold.close()
         self._spawn(batch.id, self._find_own_batches_later)
 
     def _start_runner(
         self,
         batch: model.Batch,
         record: storage.OwnerRecord,
+        hold: memory.Hold,
         log: typing.Sequence[storage.LogEntry],
         checkpoints: typing.Sequence[model.TextCheckpoint],
     ) -> None:
@@ -253,7 +340,7 @@
             with containment.contain("step_statistics", batch.id):
                 self.on_step(batch)
         self.runners[batch.id] = owned
-        self._spawn(batch.id, self._run, owned, model.submitted_bytes(batch))
+        self._spawn(batch.id, self._run, owned, hold)
 
     def _is_running_here(self, record: storage.OwnerRecord) -> bool:
         """Return whether a runner has this owner record or a newer one.
@@ -263,8 +350,7 @@
         owned = self.runners.get(record.batch_id)
         return owned is not None and owned.record.revision >= record.revision
 
-    async def _run(self, owned: runner.BatchRunner, size: int) -> None:
-        self._hold(size)
+    async def _run(self, owned: runner.BatchRunner, hold: memory.Hold) -> None:
         try:
             with containment.contain("batch", owned.batch.id):
                 await owned.run()
@@ -274,7 +360,7 @@
             await anyio.sleep(_FAILED_BATCH_DELAY_SECONDS)
             self._find_own_batches()
         finally:
-            self._hold(-size)
+            hold.close()
             if self.runners.get(owned.batch.id) is owned:
                 del self.runners[owned.batch.id]
 
@@ -282,10 +368,6 @@
         await anyio.sleep(_FAILED_BATCH_DELAY_SECONDS)
         self._find_own_batches()
 
-    def _hold(self, count: int) -> None:
-        self._held_bytes += count
-        self.on_held(self._held_bytes)
-
     async def _resolve_acceptance(self, batch_id: str) -> None:
         """Start a batch whose acceptance took effect without a response."""
         for delay in _RECHECK_DELAYS_SECONDS:
@@ -430,8 +512,36 @@
 
     async def _take_over(self, record: storage.OwnerRecord) -> bool:
         """Take over a batch; return False if that must be retried."""
+        hold = self._room.take_over(record.footprint)
+        if hold is None:
+            return await self._pass_on(record)
+        return await self._take_over_into(record, hold)
+
+    async def _pass_on(self, record: storage.OwnerRecord) -> bool:
+        """Let another member run a batch that has no room here.
+
+        Returns False if no member has room; some will once others end.
+        """
+        for member in self.members.successors(record.owner.instance):
+            if await self._handoffs.ask_to_adopt(member, record):
+                return True
+        logs.event(
+            _LOG,
+            "batch_without_room",
+            logging.WARNING,
+            batch=record.batch_id,
+            footprint=record.footprint,
+        )
+        self._retry_delay = _NO_ROOM_DELAY_SECONDS
+        return False
+
+    async def _take_over_into(
+        self, record: storage.OwnerRecord, hold: memory.Hold
+    ) -> bool:
+        """Take over a batch with its memory; False must be retried."""
         response = await self._storage.take_over(record, self._me)
         if isinstance(response, result.Err):
+            hold.close()
             self._find_own_batches()
             failure = response.err_value.failure
             # On a conflict the batch ended, another instance was faster, or
@@ -444,10 +554,10 @@
             owner_before=record.owner.instance,
             revision_before=record.revision,
         )
-        new_record = storage.OwnerRecord(
-            record.batch_id, self._me, response.ok_value
+        new_record = dataclasses.replace(
+            record, owner=self._me, revision=response.ok_value, is_current=True
         )
-        is_resumed = await self._resume(new_record)
+        is_resumed = await self._resume(new_record, hold)
         if not is_resumed:
             self._find_own_batches()
         return is_resumed
@@ -460,11 +570,40 @@
         self._owners_to_replace.add(self._me.instance)
         self._takeover_now.set()
 
-    async def _resume(self, record: storage.OwnerRecord) -> bool:
+    async def _resume(
+        self, record: storage.OwnerRecord, hold: memory.Hold
+    ) -> bool:
         """Continue an owned batch after its logged results.
 
         Returns False if the batch could not be read in time.
         """
+        is_started = False
+        try:
+            stored = await self._read(record)
+            if stored is None:
+                return False
+            batch, log, checkpoints = stored
+            if not record.footprint:
+                # A build before accepted it without a bound.
+                encoded = sum(len(item.body) for item in batch.items)
+                hold.force(footprint.batch_bytes(encoded, len(batch.items)))
+            is_started = True
+            self._start(batch, record, hold, log, checkpoints)
+        finally:
+            if not is_started:
+                hold.close()
+        return True
+
+    async def _read(
+        self, record: storage.OwnerRecord
+    ) -> (
+        tuple[model.Batch, list[storage.LogEntry], list[model.TextCheckpoint]]
+        | None
+    ):
+        """Return a batch and what is stored of its results.
+
+        None if they could not be read in time.
+        """
         started = time.monotonic()
         while True:
             batch = await self._storage.batch(record.batch_id)
@@ -475,11 +614,7 @@
                 and isinstance(log, result.Ok)
                 and isinstance(checkpoints, result.Ok)
             ):
-                break
+                return batch.ok_value, log.ok_value[0], checkpoints.ok_value
             if time.monotonic() - started > sum(_RECHECK_DELAYS_SECONDS):
-                return False
+                return None
             await anyio.sleep(_RETRY_DELAY_SECONDS)
-        self._start(
-            batch.ok_value, record, log.ok_value[0], checkpoints.ok_value
-        )
-        return True
--- a/src/hibiscussaddle/batches/report.py
+++ b/src/hibiscussaddle/batches/report.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from hibiscussaddle.batches import model
-from hibiscussaddle.batches import runs
+from hibiscussaddle.batches import unfinished_items
 
 
 class GroupReport(msgspec.Struct, frozen=True):
@@ -45,14 +45,14 @@
 def create_report(
     batch: model.Batch,
     logged: abc.Collection[str],
-    progress: abc.Mapping[str, runs.Progress],
+    unfinished: unfinished_items.UnfinishedItems,
 ) -> BatchReport:
     """Return the report of a batch from its logged and unfinished items."""
     by_group: dict[str, list[model.Item]] = collections.defaultdict(list)
     for item in batch.items:
         by_group[item.group].append(item)
     groups = tuple(
-        _create_group(group, items, logged, progress)
+        _create_group(group, items, logged, unfinished)
         for group, items in by_group.items()
     )
     return BatchReport(
@@ -75,19 +75,21 @@
     group: str,
     items: list[model.Item],
     logged: abc.Collection[str],
-    progress: abc.Mapping[str, runs.Progress],
+    unfinished: unfinished_items.UnfinishedItems,
 ) -> GroupReport:
-    unfinished = [progress[i.id] for i in items if i.id in progress]
-    running = [state for state in unfinished if state.cancel_scope is not None]
+    progress = unfinished.progress
+    begun = [progress[i.id] for i in items if i.id in progress]
+    running = [state for state in begun if state.cancel_scope is not None]
     return GroupReport(
         group=group or "-",
         items=len(items),
         listed=sum(item.id in logged for item in items),
         waiting=tuple(
             state.item.id
-            for state in unfinished
+            for state in begun
             if state.cancel_scope is None and not state.transcript.is_complete
-        ),
+        )
+        + tuple(item.id for item in items if unfinished.is_idle(item.id)),
         running=tuple(
             f"{state.item.id}@{state.endpoint.id}"
             f"/{len(state.transcript.texts)}"
@@ -95,8 +97,6 @@
             if state.endpoint is not None
         ),
         scoring=tuple(
-            state.item.id
-            for state in unfinished
-            if state.transcript.is_complete
+            state.item.id for state in begun if state.transcript.is_complete
         ),
     )
--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -8,6 +8,7 @@
 import typing
 
 import anyio
+from anyio import abc as anyio_abc
 
 from hibiscussaddle.batches import competition as competition_lib
 from hibiscussaddle.batches import engine_choice
@@ -23,9 +24,11 @@
 from hibiscussaddle.batches import result_log
 from hibiscussaddle.batches import runs
 from hibiscussaddle.batches import scores
+from hibiscussaddle.batches import start_window as start_window_lib
 from hibiscussaddle.batches import storage
 from hibiscussaddle.batches import suspect_items as suspect_items_lib
 from hibiscussaddle.batches import text_cache
+from hibiscussaddle.batches import unfinished_items
 from hibiscussaddle.batches import waiting_items
 from hibiscussaddle.batches import write_coalescing
 from hibiscussaddle import containment
@@ -42,6 +45,8 @@
 _CHECK_INTERVAL_SECONDS: typing.Final = 0.1
 # Generating a text of fewer events again is faster than storing it.
 _MIN_CHECKPOINT_EVENTS: typing.Final = 16
+# Items that start without letting other tasks run in between.
+_STARTS_PER_TURN: typing.Final = 128
 # Delay after an unexpected error of an item, which may come again.
 _UNEXPECTED_ERROR_DELAY_SECONDS: typing.Final = 1.0
 # Interval at which an item that must not run again is checked for its end.
@@ -73,6 +78,9 @@
     competition: competition_lib.Competition = dataclasses.field(
         default_factory=competition_lib.Competition
     )
+    start_window: start_window_lib.StartWindow = dataclasses.field(
+        default_factory=start_window_lib.StartWindow
+    )
 
 
 class BatchRunner:
@@ -110,9 +118,13 @@
             self._checkpoints,
             self._ownership.confirm,
             self._coalescing_seconds,
-            lambda entry: dependencies.reader.record_entry(batch.id, entry),
+            self._record_logged,
         )
         self._groups = groups.GroupTracker(batch, self._log.logged)
+        # The groups as far as their results are logged, and the group of each
+        # result that isn't yet.
+        self._logged_groups = groups.GroupTracker(batch, self._log.logged)
+        self._group_by_unlogged: dict[str, str] = {}
         self._scores = scores.BatchScores(
             dependencies.scorer,
             batch,
@@ -123,7 +135,9 @@
         checkpoint_by_item = {
             checkpoint.item_id: checkpoint for checkpoint in checkpoints
         }
-        self._progress: dict[str, runs.Progress] = {}
+        self._unfinished = unfinished_items.UnfinishedItems(
+            dependencies.competition.lengths(batch.route)
+        )
         # Groups with texts that were cached from an earlier batch.
         self._carried_over_groups: set[str] = set()
         for item in batch.items:
@@ -131,7 +145,7 @@
                 self._add_item(item, checkpoint_by_item.get(item.id))
         # Batches of one model compete for the same engines.
         self._engine_pool = batch.model or batch.route
-        self._lengths = dependencies.competition.lengths(batch.route)
+        self._window = dependencies.start_window.join()
         self._started_at = time.monotonic()
         self._scope = anyio.CancelScope()
         self.stop_reason = ""
@@ -146,9 +160,11 @@
 
         If that text is complete and needs no score, it becomes the result.
         """
-        cached = self._dependencies.text_cache.pop(
-            item.id, self.batch.workspace
-        )
+        texts = self._dependencies.text_cache
+        if checkpoint is None and not texts.has(item.id, self.batch.workspace):
+            self._unfinished.add(item)
+            return
+        cached = texts.pop(item.id, self.batch.workspace)
         if cached != text_cache.CachedText():
             self._carried_over_groups.add(item.group)
         result = cached.result
@@ -156,8 +172,7 @@
             set(result.versions)
         ):
             if item.scoring is None:
-                self._groups.record_result(item.group)
-                self._log.add(result)
+                self._log_result(item, result)
                 return
             # A score belongs to the scoring call of one step, so this step
             # requests its own.
@@ -170,7 +185,7 @@
             transcript.versions
         ):
             transcript.clear()
-        self._progress[item.id] = runs.Progress(item, transcript)
+        self._unfinished.add(item, transcript)
 
     def _cache_texts(self) -> None:
         """Cache the texts of items that a later batch may contain again."""
@@ -180,7 +195,7 @@
         for result in [*self._log.logged.values(), *self._log.pending]:
             if result.outcome is model.Outcome.COMPLETED:
                 put(result.item_id, text_cache.CachedText(result=result))
-        for progress in self._progress.values():
+        for progress in self._unfinished.progress.values():
             checkpoint = progress.transcript.to_checkpoint(progress.item.id)
             if checkpoint is not None:
                 put(progress.item.id, text_cache.CachedText(checkpoint))
@@ -188,7 +203,7 @@
     def report(self) -> report_lib.BatchReport:
         """Return the state of the batch for operators."""
         return report_lib.create_report(
-            self.batch, self._log.logged, self._progress
+            self.batch, self._log.logged, self._unfinished
         )
 
     def held_bytes(self) -> int:
@@ -198,7 +213,7 @@
         """
         return self._log.held_bytes() + sum(
             model.held_bytes(progress.transcript.texts)
-            for progress in self._progress.values()
+            for progress in self._unfinished.progress.values()
         )
 
     def stop(self, reason: str) -> None:
@@ -226,6 +241,7 @@
                 await self._run_tasks()
         finally:
             self.stop_reason = self.stop_reason or "failed"
+            self._dependencies.start_window.leave(self._window)
             self._dependencies.competition.leave(
                 self._engine_pool, self.batch.id
             )
@@ -247,35 +263,24 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_ownership)
             tasks.start_soon(self._move_slow_runs)
-            for position, progress in enumerate(self._items_in_order()):
-                tasks.start_soon(self._finish_item, progress, position)
+            tasks.start_soon(self._start_items, tasks)
             is_complete = await self._log.run()
             reason = "complete" if is_complete else "ownership_lost"
             self.stop_reason = self.stop_reason or reason
             tasks.cancel_scope.cancel()
 
-    def _items_in_order(self) -> list[runs.Progress]:
-        """Return the unfinished items in the order in which they start."""
-        by_group: dict[str, list[runs.Progress]] = {}
-        for progress in self._progress.values():
-            by_group.setdefault(progress.item.group, []).append(progress)
-        expected = {
-            group: [p.item.expected_output or 0.0 for p in items]
-            for group, items in by_group.items()
-        }
-        start_order = placement.order_items(
-            expected, self._carried_over_groups
-        )
-        return [by_group[group][index] for group, index in start_order]
+    async def _start_items(self, tasks: anyio_abc.TaskGroup) -> None:
+        """Start the items in order, as many as may wait for engines."""
+        order_ids = self._unfinished.in_order(self._carried_over_groups)
+        for position, item_id in enumerate(order_ids):
+            await self._window.enter(item_id)
+            progress = self._unfinished.begin(item_id)
+            tasks.start_soon(self._finish_item, progress, position)
+            if position % _STARTS_PER_TURN == _STARTS_PER_TURN - 1:
+                await anyio.sleep(0)
 
     def _work(self) -> order.BatchWork:
         """Return the unfinished work of the batch."""
-        events_left: dict[str, float] = {}
-        for progress in self._progress.values():
-            if not progress.transcript.is_complete:
-                group = progress.item.group
-                left = self._events_left(progress)
-                events_left[group] = events_left.get(group, 0.0) + left
         return order.BatchWork(
             self.batch.id,
             self._limits.due_at(),
@@ -284,16 +289,13 @@
                 order.GroupWork(
                     group, events, group in self._carried_over_groups
                 )
-                for group, events in events_left.items()
+                for group, events in (
+                    self._unfinished.events_left_by_group().items()
+                )
             ),
             self._limits.priority(),
         )
 
-    def _events_left(self, progress: runs.Progress) -> float:
-        return self._lengths.events_left(
-            progress.item.expected_output, len(progress.transcript.texts)
-        )
-
     def _gives_way(self, item: model.Item) -> bool:
         return self._dependencies.competition.gives_way(
             self._engine_pool,
@@ -327,18 +329,25 @@
         self, progress: runs.Progress, position: int
     ) -> None:
         """Run an item until it has a result, whatever errors it causes."""
-        while progress.item.id in self._progress:
-            with containment.contain("item", progress.item.id):
-                await self._run_item(progress, position)
-                return
-            await anyio.sleep(_UNEXPECTED_ERROR_DELAY_SECONDS)
-            if self._limits.is_expired():
-                self._abandon_item(progress)
+        item_id = progress.item.id
+        try:
+            while item_id in self._unfinished:
+                with containment.contain("item", item_id):
+                    await self._run_item(progress, position)
+                    return
+                await anyio.sleep(_UNEXPECTED_ERROR_DELAY_SECONDS)
+                if self._limits.is_expired():
+                    self._abandon_item(progress)
+        finally:
+            self._window.exit(item_id)
 
     async def _run_item(self, progress: runs.Progress, position: int) -> None:
         """Run an item until its text is complete, then score and log it."""
         suspect_items = self._dependencies.suspect_items
         while not progress.transcript.is_complete:
+            if self._limits.is_abandoned(progress):
+                self._abandon_item(progress)
+                return
             await self._wait_while_marked(progress)
             try:
                 endpoint = await self._wait_for_engine(progress, position)
@@ -446,10 +455,20 @@
         )
 
     def _add_result(self, item: model.Item, result: model.Result) -> None:
-        self._progress.pop(item.id, None)
+        self._unfinished.remove(item.id)
+        self._log_result(item, result)
+
+    def _log_result(self, item: model.Item, result: model.Result) -> None:
         self._groups.record_result(item.group)
+        self._group_by_unlogged[item.id] = item.group
         self._log.add(result)
 
+    def _record_logged(self, entry: storage.LogEntry) -> None:
+        for found in entry.results:
+            group = self._group_by_unlogged.pop(found.item_id)
+            self._logged_groups.record_result(group)
+        self._dependencies.reader.record_entry(self.batch.id, entry)
+
     async def _wait_for_engine(
         self, progress: runs.Progress, position: int
     ) -> endpoints.Endpoint | None:
@@ -459,7 +478,7 @@
             if not self._ownership.is_confirmed():
                 return None
             now = time.monotonic()
-            events_left = self._events_left(progress)
+            events_left = self._unfinished.events_left(progress)
             if not suspect_items.ended_count(self.batch, progress.item):
                 return self._choice.choose(
                     progress, now, allow_probe, events_left
@@ -482,6 +501,7 @@
             choose,
             lambda: self._limits.is_abandoned(progress),
         )
+        self._window.exit(progress.item.id)
         waited = time.monotonic() - started
         progress.waited += waited
         self._dependencies.competition.record_wait(self.batch.route, waited)
@@ -527,7 +547,9 @@
     def _check_runs(self, now: float) -> None:
         # The longest runs reserve the fastest engines first.
         for progress in sorted(
-            self._progress.values(), key=self._events_left, reverse=True
+            self._unfinished.progress.values(),
+            key=self._unfinished.events_left,
+            reverse=True,
         ):
             if progress.endpoint is None or progress.cancel_scope is None:
                 continue
@@ -537,7 +559,7 @@
                 self._dependencies.engines,
                 progress,
                 self._choice.move_candidates(progress.item),
-                self._events_left(progress) if gains else 0.0,
+                self._unfinished.events_left(progress) if gains else 0.0,
                 now,
             )
             if reason is not None:
@@ -565,10 +587,10 @@
 
     def _coalescing_seconds(self) -> float:
         """Return how many seconds results may wait to share a write."""
-        written = groups.GroupTracker(self.batch, self._log.logged)
+        logged = self._logged_groups.complete_groups
         return write_coalescing.coalescing_seconds(
             self._groups.has_enough_groups(),
-            self._groups.complete_groups > written.complete_groups,
+            self._groups.complete_groups > logged,
             self._limits.seconds_left(),
         )
 
@@ -576,7 +598,7 @@
         """Return checkpoints of texts that are long enough or complete."""
         checkpoints: list[model.TextCheckpoint] = []
         size = 0
-        for progress in self._progress.values():
+        for progress in self._unfinished.progress.values():
             transcript = progress.transcript
             is_short = len(transcript.texts) < _MIN_CHECKPOINT_EVENTS
             if is_short and not transcript.is_complete:
@@ -597,4 +619,4 @@
 
     def _is_complete(self) -> bool:
         """Return whether every item has a result, even if it is not logged."""
-        return not self._progress
+        return not self._unfinished
--- a/src/hibiscussaddle/batches/storage.py
+++ b/src/hibiscussaddle/batches/storage.py
@@ -1,5 +1,6 @@
 """Store batches, their owner records and their result logs."""
 
+from collections import abc
 import dataclasses
 import typing
 
@@ -8,6 +9,8 @@
 
 from hibiscussaddle.adapters import store
 from hibiscussaddle.batches import model
+from hibiscussaddle.batches import parts
+from hibiscussaddle.batches import slices
 from hibiscussaddle import decoding
 
 _Error: typing.TypeAlias = store.StoreError
@@ -21,11 +24,22 @@
     batch_id: str
     owner: model.Owner
     revision: int
+    # Bytes of the account that the batch takes while it runs; 0 for a batch
+    # that a build before accepted.
+    footprint: int = 0
     # False for a record from a peer's message, which may have waited while
     # this instance was frozen: another owner may have replaced it.
     is_current: bool = True
 
 
+class _StoredOwner(msgspec.Struct):
+    """Hold the value of an owner record."""
+
+    instance: str
+    incarnation: decoding.Int
+    footprint: decoding.WholeAmount = 0
+
+
 @dataclasses.dataclass(frozen=True)
 class LogEntry:
     """Hold one entry of a result log."""
@@ -42,19 +56,28 @@
         self._client = client
 
     async def accept(
-        self, batch: model.Batch, owner: model.Owner, timeout: float
+        self,
+        batch: model.Batch,
+        owner: model.Owner,
+        timeout: float,
+        values: abc.Sequence[bytes] = (),
+        footprint: int = 0,
     ) -> result.Result[int, _Error]:
-        """Store a new batch and return the revision of its owner record."""
-        parts = model.encode_parts(batch)
+        """Store a new batch and return the revision of its owner record.
+
+        The values are those of parts.encode(), which are encoded here if
+        there are none.
+        """
+        values = values or slices.run_at_once(parts.encode(batch))
         head = model.create_head(batch)
         puts = [
-            store.Put(model.part_key(batch.id, number), part)
-            for number, part in enumerate(parts)
+            store.Put(model.part_key(batch.id, number), value)
+            for number, value in enumerate(values)
         ]
         puts.append(
             store.Put(model.head_key(batch.id), msgspec.json.encode(head))
         )
-        puts.append(_owner_put(batch.id, owner))
+        puts.append(_owner_put(batch.id, owner, footprint))
         expected = {model.head_key(batch.id): 0}
         return await self._client.commit(expected, puts, timeout=timeout)
 
@@ -68,13 +91,47 @@
 
     async def batch(self, batch_id: str) -> result.Result[model.Batch, _Error]:
         """Return a batch with its items, MISSING if there is none."""
-        response = await self._client.scan(model.parts_prefix(batch_id))
-        if isinstance(response, result.Err):
-            return response
-        parts = [entry.data or b"" for entry in response.ok_value[0]]
-        if not parts:
+        records: list[model.Batch] = []
+        async for response in self.records(batch_id):
+            if isinstance(response, result.Err):
+                return response
+            records.append(response.ok_value)
+        if not records:
             return result.Err(store.StoreError(store.StoreFailure.MISSING))
-        return _decode(result.Ok(parts), model.decode_parts)
+        return result.Ok(parts.join(records))
+
+    async def records(
+        self, batch_id: str
+    ) -> abc.AsyncGenerator[result.Result[model.Batch, _Error], None]:
+        """Yield a batch in records, each with some of its items.
+
+        Holds no more than a page of the store and a record. Ends with the
+        first error; yields nothing for an unknown batch.
+        """
+        decoder = parts.Decoder()
+        is_known = False
+        async for page in self._client.scan_pages(
+            model.parts_prefix(batch_id)
+        ):
+            if isinstance(page, result.Err):
+                yield page
+                return
+            for entry in page.ok_value:
+                is_known = True
+                found = _decode(result.Ok(entry.data or b""), decoder.feed)
+                if isinstance(found, result.Err):
+                    yield found
+                    return
+                for record in found.ok_value:
+                    yield result.Ok(record)
+        if not is_known:
+            return
+        rest = _decode(result.Ok(None), lambda _: decoder.finish())
+        if isinstance(rest, result.Err):
+            yield rest
+            return
+        for record in rest.ok_value:
+            yield result.Ok(record)
 
     async def owner(self, batch_id: str) -> result.Result[OwnerRecord, _Error]:
         """Return a batch's owner, MISSING if it is complete or ended."""
@@ -98,7 +155,7 @@
     ) -> result.Result[int, _Error]:
         """Replace an owner; writes of the previous one fail afterwards."""
         expected = {model.owner_key(record.batch_id): record.revision}
-        puts = [_owner_put(record.batch_id, owner)]
+        puts = [_owner_put(record.batch_id, owner, record.footprint)]
         return await self._client.commit(expected, puts)
 
     async def log_entries_after(
@@ -207,9 +264,9 @@
     return None
 
 
-def _owner_put(batch_id: str, owner: model.Owner) -> store.Put:
-    data = msgspec.json.encode(owner)
-    return store.Put(model.owner_key(batch_id), data)
+def _owner_put(batch_id: str, owner: model.Owner, footprint: int) -> store.Put:
+    stored = _StoredOwner(owner.instance, owner.incarnation, footprint)
+    return store.Put(model.owner_key(batch_id), msgspec.json.encode(stored))
 
 
 def _checkpoints_put(
@@ -220,9 +277,10 @@
 
 
 def _decode_owner(entry: store.StoreEntry) -> OwnerRecord:
-    owner = decoding.decode_json(entry.data or b"", model.Owner)
+    found = decoding.decode_json(entry.data or b"", _StoredOwner)
+    owner = model.Owner(found.instance, found.incarnation)
     batch_id = entry.key.removeprefix(model.OWNER_PREFIX)
-    return OwnerRecord(batch_id, owner, entry.revision)
+    return OwnerRecord(batch_id, owner, entry.revision, found.footprint)
 
 
 def _decode_log(entries: list[store.StoreEntry]) -> list[LogEntry]:
--- a/src/hibiscussaddle/batches/text_cache.py
+++ b/src/hibiscussaddle/batches/text_cache.py
@@ -57,6 +57,10 @@
             _, (_, evicted_size) = self._texts.popitem(last=False)
             self._held_bytes -= evicted_size
 
+    def has(self, item_id: str, workspace: str = "") -> bool:
+        """Return whether a text of an item is cached."""
+        return (workspace, item_id) in self._texts
+
     def cached_bytes(self) -> int:
         """Return the memory that the cached texts hold."""
         return self._held_bytes
--- a/src/hibiscussaddle/callers/memory.py
+++ b/src/hibiscussaddle/callers/memory.py
@@ -35,6 +35,11 @@
     return max(_MIN_BUDGET_BYTES, int(_BUDGET_FRACTION * free_bytes))
 
 
+def usable_bytes(budget: int) -> int:
+    """Return the part of a budget that is no reserve for small holds."""
+    return budget - int(_RESERVE_FRACTION * budget)
+
+
 class Hold:
     """Hold bytes for one caller until it is closed.
 
@@ -103,7 +108,7 @@
     ) -> None:
         """Create an account without holds; the budget is in bytes."""
         self.budget = budget
-        self.reserve = int(_RESERVE_FRACTION * budget)
+        self.reserve = budget - usable_bytes(budget)
         self.clock = clock
         self.held_bytes = 0
         # Bytes by holder, and holds ended or refused by holder and reason.
--- a/src/hibiscussaddle/decoding.py
+++ b/src/hibiscussaddle/decoding.py
@@ -88,15 +88,23 @@
     return number
 
 
-def parse_amount(text: str) -> float:
-    """Return the number in a text, limited to 0 and MAX_AMOUNT.
+def parse_number(text: str) -> float:
+    """Return the finite number in a text.
 
-    Raises ValueError for any other text. float() also parses "nan" and "inf".
+    Raises ValueError for any other text; float() also parses "nan" and "inf".
     """
     number = float(text)
     if not math.isfinite(number):
         raise ValueError(f"{text[:_MAX_QUOTED_CHARS]!r} is not finite")
-    return min(max(0.0, number), float(MAX_AMOUNT))
+    return number
+
+
+def parse_amount(text: str) -> float:
+    """Return the number in a text, limited to 0 and MAX_AMOUNT.
+
+    Raises ValueError unless it is a finite number.
+    """
+    return min(max(0.0, parse_number(text)), float(MAX_AMOUNT))
 
 
 def _nesting_error(data: bytes | bytearray | str) -> NestingError:
--- a/src/hibiscussaddle/fleet/member.py
+++ b/src/hibiscussaddle/fleet/member.py
@@ -27,5 +27,8 @@
     # Processor capacity that it may use, in reference cores; the members of a
     # zone with the largest capacity are leader-eligible.
     cores: decoding.Amount = 0.0
+    # Largest footprint of a batch that it accepts, in bytes of its account.
+    # Members of builds before name none.
+    batch_bytes: decoding.WholeAmount | msgspec.UnsetType = msgspec.UNSET
     # Whether its lease is short, for a fast failover of leader duties.
     is_leader_eligible: bool = msgspec.field(default=False, name="is_core")
--- a/src/hibiscussaddle/fleet/presence.py
+++ b/src/hibiscussaddle/fleet/presence.py
@@ -106,6 +106,33 @@
             live, key=lambda name: roles.rank(instance, name), default=""
         )
 
+    def batch_bytes(self) -> int:
+        """Return the largest batch that all candidates accept.
+
+        The bytes are those of a member's account.
+        """
+        return min(
+            (
+                member.batch_bytes
+                for member in self.candidates()
+                if member.batch_bytes is not msgspec.UNSET
+            ),
+            default=decoding.MAX_AMOUNT,
+        )
+
+    def successors(self, instance: str) -> list[Member]:
+        """Return the other members that may run a batch, the best first."""
+        return sorted(
+            (
+                member
+                for member in self.candidates()
+                if member.peer_address
+                and member.instance not in (instance, self.me.instance)
+            ),
+            key=lambda member: roles.rank(instance, member.instance),
+            reverse=True,
+        )
+
     def orphan_scanner(self) -> str:
         """Return the member that scans for orphaned batches."""
         return min((m.instance for m in self.candidates()), default="")
--- a/src/hibiscussaddle/gateway.py
+++ b/src/hibiscussaddle/gateway.py
@@ -7,14 +7,19 @@
 import time
 import typing
 
+import anyio
 import result
 
 from hibiscussaddle.adapters import store
 from hibiscussaddle.adapters import store_transports
+from hibiscussaddle.batches import footprint
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import owners
+from hibiscussaddle.batches import parts
 from hibiscussaddle.batches import reader as reader_lib
+from hibiscussaddle.batches import slices
 from hibiscussaddle.batches import storage
+from hibiscussaddle.callers import bodies
 from hibiscussaddle import codes
 from hibiscussaddle.customers import keys as keys_lib
 from hibiscussaddle.fleet import feed
@@ -43,6 +48,8 @@
 # Jitter added to Retry-After, as a fraction of it, so that callers that were
 # refused together don't retry together.
 _JITTER_FRACTION: typing.Final = 0.3
+# Pause after each check whether a batch that is refused is accepted already.
+_ACCEPTANCE_CHECK_PAUSE_SECONDS: typing.Final = 0.02
 # Timeout of one attempt to store a batch.
 _ACCEPT_TIMEOUT_SECONDS: typing.Final = 1.2
 # Attempts to store a batch while the outcome is unknown.
@@ -83,6 +90,7 @@
         self._rng = rng
         self._grace_seconds = grace_seconds
         self._keys = keys_lib.CurrentKeys()
+        self._acceptance_checks = anyio.Lock()
 
     @property
     def is_stopping(self) -> bool:
@@ -235,20 +243,71 @@
         """Store a batch; return the refusal if it was not accepted."""
         if self.is_stopping:
             return self._stopping_refusal()
-        if len(model.encode_parts(batch)) > model.MAX_PARTS:
+        deadline = time.monotonic() + timeout
+        values = await slices.run(parts.encode(batch))
+        if len(values) > parts.MAX_PARTS:
             return codes.Refusal(
                 codes.Code.TOO_LARGE,
-                f"an encoded batch has at most {model.MAX_PARTS} parts of "
-                f"{model.PART_BYTES} bytes each",
+                f"an encoded batch has at most {parts.MAX_PARTS} parts of "
+                f"{parts.PART_BYTES} bytes each",
             )
-        deadline = time.monotonic() + timeout
+        size = footprint.batch_bytes(sum(map(len, values)), len(batch.items))
+        room = self._owners.room
+        hold = room.accept(size) if room.fits(size) else None
+        if hold is None:
+            return await self._refuse_batch(batch, size)
+        is_accepted = False
+        try:
+            refusal = await self._store_batch(
+                owners.Submission(batch, values, hold), deadline
+            )
+            is_accepted = refusal is None
+        finally:
+            if not is_accepted:
+                hold.close()
+        return refusal
+
+    async def _refuse_batch(
+        self, batch: model.Batch, size: int
+    ) -> codes.Refusal | None:
+        """Return why a batch gets no room; None if it is accepted already.
+
+        The size is its footprint in bytes.
+        """
+        if await self.is_accepted(batch.id, batch.workspace):
+            return None
+        if not self._owners.room.fits(size):
+            return codes.Refusal(
+                codes.Code.TOO_LARGE,
+                f"a batch of {len(batch.items)} items takes {size} bytes, "
+                "more than an instance accepts",
+            )
+        return bodies.memory_full()
+
+    async def is_accepted(self, batch_id: str, workspace: str) -> bool:
+        """Return whether a batch is known to be accepted already.
+
+        A repeated submission must not be told that its batch won't run. A
+        crowd of refused ones must leave the store's calls to others.
+        """
+        async with self._acceptance_checks:
+            head = await self.batch_reader.head(
+                batch_id, workspace if self.needs_keys else None
+            )
+            await anyio.sleep(_ACCEPTANCE_CHECK_PAUSE_SECONDS)
+        return isinstance(head, result.Ok)
+
+    async def _store_batch(
+        self, submission: owners.Submission, deadline: float
+    ) -> codes.Refusal | None:
+        batch = submission.batch
         may_be_stored = False
         for _ in range(_ACCEPT_ATTEMPTS):
             remaining = deadline - time.monotonic()
             if remaining <= 0:
                 break
             accepted = await self._owners.accept(
-                batch, min(remaining, _ACCEPT_TIMEOUT_SECONDS)
+                submission, min(remaining, _ACCEPT_TIMEOUT_SECONDS)
             )
             if isinstance(accepted, result.Ok):
                 logs.event(
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -18,6 +18,7 @@
 from hibiscussaddle.batches import peer_reads
 from hibiscussaddle.batches import placement
 from hibiscussaddle.batches import reader
+from hibiscussaddle.batches import room as room_lib
 from hibiscussaddle.batches import runner
 from hibiscussaddle.batches import runs
 from hibiscussaddle.batches import step_demand
@@ -168,6 +169,7 @@
         incarnation,
         cfg.peer_address,
         cores=cfg.cpu_share * cfg.cpu_cores,
+        batch_bytes=room_lib.largest_batch(account.budget),
     )
     view = view_lib.create_view()
     members = presence_lib.Members(me)
@@ -275,10 +277,12 @@
     limiter.on_leaving = view.record_leaving
     limiter.on_item_permit = dependencies.waiting_items.wake
     batch_owners = owners.OwnedBatches(
-        dependencies, members, handoff.HandoffClient(client)
+        dependencies,
+        members,
+        handoff.HandoffClient(client),
+        room_lib.BatchRoom(account, members.batch_bytes),
     )
     transport.on_recover = batch_owners.scan_soon
-    batch_owners.on_held = account.open("batches").force
     batch_owners.on_lag = presence.publish_allowed_lag
     batch_owners.on_step = step_demand.StepDemand(
         view.directory, presence.publish_demand
--- a/src/hibiscussaddle/platform/batch_wire.py
+++ b/src/hibiscussaddle/platform/batch_wire.py
@@ -8,6 +8,7 @@
 
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import reader
+from hibiscussaddle.batches import slices
 from hibiscussaddle import decoding
 from hibiscussaddle.platform import endpoint_wire
 from hibiscussaddle.scoring import model as scoring_model
@@ -21,6 +22,9 @@
 # with all other fields and JSON escapes, to a megabyte.
 MAX_PAGE_TEXT_BYTES: typing.Final = 800_000
 
+# Items that are decoded without letting other tasks run in between.
+_ITEMS_PER_SLICE: typing.Final = 256
+
 _OUTCOMES: typing.Final = {
     model.Outcome.COMPLETED: "completed",
     model.Outcome.DEAD: "dead",
@@ -98,17 +102,45 @@
     now: float,
 ) -> model.Batch:
     """Return the batch of a submission; raise ValueError if malformed."""
+    return slices.run_at_once(
+        decode_batch_in_slices(batch_id, route, host, body, now)
+    )
+
+
+def decode_batch_in_slices(
+    batch_id: str,
+    route: str,
+    host: str,
+    body: bytes | bytearray,
+    now: float,
+) -> slices.Steps[model.Batch]:
+    """Do the same in slices."""
     found = decoding.decode_json(body, _Submission)
-    items = tuple(_to_item(item) for item in found.items)
-    if not items or len({item.id for item in items}) != len(items):
+    ids = {item.id for item in found.items}
+    if not ids or len(ids) != len(found.items):
         raise ValueError(
             "a batch needs at least one item, and its item IDs must be unique"
         )
+    items: list[model.Item] = []
+    # Items share what is equal, which is most of a short item.
+    shared: dict[str, str] = {}
+    shared_headers: dict[tuple[tuple[str, str], ...], dict[str, str]] = {}
+    for number, item in enumerate(found.items):
+        if number % _ITEMS_PER_SLICE == _ITEMS_PER_SLICE - 1:
+            yield
+        headers = {name.lower(): value for name, value in item.headers.items()}
+        items.append(
+            _to_item(
+                item,
+                shared_headers.setdefault(tuple(headers.items()), headers),
+                shared,
+            )
+        )
     return model.Batch(
         id=batch_id,
         route=route,
         host=host,
-        items=items,
+        items=tuple(items),
         submitted_at=now,
         model=found.model,
         step=found.step,
@@ -148,16 +180,17 @@
     return values[0]
 
 
-def _to_item(item: _Item) -> model.Item:
-    headers = {name.lower(): value for name, value in item.headers.items()}
+def _to_item(
+    item: _Item, headers: dict[str, str], shared: dict[str, str]
+) -> model.Item:
     body = base64.b64decode(item.body, validate=True)
     return model.Item(
         id=item.id,
-        path=item.path,
+        path=shared.setdefault(item.path, item.path),
         headers=headers,
         body=body,
         tokens=item.tokens,
-        group=item.group,
+        group=shared.setdefault(item.group, item.group),
         expected_output=_expected_output(headers, item.tokens),
         scoring=_to_scoring_call(item.scoring_call),
     )
--- a/src/hibiscussaddle/platform/endpoint_wire.py
+++ b/src/hibiscussaddle/platform/endpoint_wire.py
@@ -144,10 +144,11 @@
 
 
 def _parse_rate(text: str) -> float:
-    # A negative number is no limit of 0, which would keep all requests away.
-    if text.startswith("-"):
+    rate = decoding.parse_number(text)
+    # A limit of 0 would keep all requests away.
+    if rate < 0:
         raise ValueError(f"{text!r} is negative")
-    return decoding.parse_amount(text)
+    return rate
 
 
 def decode_leaving(values: abc.Iterable[str]) -> bool:
--- a/src/hibiscussaddle/platform/ingress.py
+++ b/src/hibiscussaddle/platform/ingress.py
@@ -13,6 +13,8 @@
 import httpx
 import result
 
+from hibiscussaddle.batches import footprint
+from hibiscussaddle.batches import slices
 from hibiscussaddle.callers import bodies
 from hibiscussaddle.callers import memory
 from hibiscussaddle.callers import writing
@@ -39,11 +41,6 @@
 # Upper limit of the time that a read waits for its first result.
 _MAX_READ_WAIT_SECONDS: typing.Final = 1.0
 
-# Bytes accounted for each byte of a batch while it is accepted: it is held as
-# text, as decoded items and in the encodings that are written to the store,
-# 6.4 bytes resident for each one. The budget leaves 0.6 of the memory.
-_BATCH_COPIES: typing.Final = 4
-
 _JSON_HEADERS: typing.Final = (("content-type", "application/json"),)
 
 
@@ -87,6 +84,9 @@
     route: str = "-"
 
 
+_ACCEPTED: typing.Final = _Response(202, b"{}", _JSON_HEADERS)
+
+
 Handler: typing.TypeAlias = abc.Callable[
     [gateway_lib.Gateway, _Call], abc.Awaitable[_Response]
 ]
@@ -295,23 +295,34 @@
         )
         return _refusal_response(refusal, call)
     batch_id = call.header(endpoint_wire.REQUEST_ID_HEADER)
+    name = workspace.name if workspace else ""
     if call.hold is not None and not call.hold.resize(
-        _BATCH_COPIES * len(call.body)
+        footprint.decoding_bytes(call.body)
     ):
+        if await gateway.is_accepted(batch_id, name):
+            return _ACCEPTED
         return _refusal_response(bodies.memory_full(), call)
     try:
-        batch = batch_wire.decode_batch(
-            batch_id, route.name, route.host, call.body, time.time()
+        batch = await slices.run(
+            batch_wire.decode_batch_in_slices(
+                batch_id, route.name, route.host, call.body, time.time()
+            )
         )
     except ValueError as exc:
         refusal = codes.Refusal(codes.Code.BAD_REQUEST, str(exc))
         return _refusal_response(refusal, call)
+    if isinstance(call.body, bytearray):
+        # The batch is decoded, and others refer to the call.
+        size = len(call.body)
+        call.body.clear()
+        if call.hold is not None:
+            call.hold.force(footprint.WRITING_COPIES * size)
     if gateway.needs_keys:
-        batch = batch_access.assign(batch, workspace.name if workspace else "")
+        batch = batch_access.assign(batch, name)
     submit_refusal = await gateway.submit(batch, _timeout_seconds(call))
     if submit_refusal is not None:
         return _refusal_response(submit_refusal, call)
-    return _Response(202, b"{}", _JSON_HEADERS)
+    return _ACCEPTED
 
 
 @_handles("GET", batch_wire.RESULTS_PATH)
--- a/src/hibiscussaddle/scheduling/lengths.py
+++ b/src/hibiscussaddle/scheduling/lengths.py
@@ -21,6 +21,16 @@
 _MAX_HINT: typing.Final = 1e12
 
 
+def is_usable(
+    expected_tokens: float | None,
+) -> typing.TypeGuard[float]:
+    """Return whether a hint may be a number of tokens."""
+    return (
+        expected_tokens is not None
+        and _MIN_HINT <= expected_tokens <= _MAX_HINT
+    )
+
+
 class LengthModel:
     """Convert hints, in tokens, into events, as finished items show it."""
 
@@ -31,7 +41,7 @@
 
     def observe(self, expected_tokens: float | None, events: int) -> None:
         """Record the hint and the events of a finished item."""
-        if not _is_usable(expected_tokens) or events <= 0:
+        if not is_usable(expected_tokens) or events <= 0:
             return
         self._tokens += expected_tokens
         self._events += events
@@ -44,7 +54,7 @@
 
         0 while no finished item shows how many tokens an event has.
         """
-        if not _is_usable(expected_tokens) or self._events < _MIN_EVENTS:
+        if not is_usable(expected_tokens) or self._events < _MIN_EVENTS:
             return 0.0
         return expected_tokens * self._events / self._tokens
 
@@ -54,13 +64,3 @@
         """Return the events that an unfinished item is expected to need."""
         left = self.expected_events(expected_tokens) - generated
         return max(left, _GROWTH_FRACTION * generated)
-
-
-def _is_usable(
-    expected_tokens: float | None,
-) -> typing.TypeGuard[float]:
-    """Return whether a hint may be a number of tokens."""
-    return (
-        expected_tokens is not None
-        and _MIN_HINT <= expected_tokens <= _MAX_HINT
-    )
