Share the reads of a batch and send its bodies one by one

Cause: each call asked the owner for all bodies and then read all values from the store; the owner encoded the whole batch for each. None of it was accounted.

Change: the owner sends one body unless all are short. Calls for one batch share one read, which holds a record of the stored batch at a time. Reads and responses to peers draw from the account. The stand-in of the storage in test_batch_reader.py yields records in place of a batch.

--- a/src/hibiscussaddle/adapters/store.py
+++ b/src/hibiscussaddle/adapters/store.py
@@ -39,6 +39,8 @@
     MISSING = "missing"
     # The store has compacted the changes that a watch requested.
     HISTORY_GONE = "history_gone"
+    # This instance has no memory for the response; nothing was sent.
+    NO_ROOM = "no_room"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/hibiscussaddle/batches/peer_reads.py
+++ b/src/hibiscussaddle/batches/peer_reads.py
@@ -15,8 +15,10 @@
 from starlette import requests
 from starlette import responses
 from starlette import routing
+from starlette import types
 
 from hibiscussaddle.batches import reader as reader_lib
+from hibiscussaddle.callers import memory
 from hibiscussaddle import decoding
 from hibiscussaddle.fleet import presence as presence_lib
 from hibiscussaddle.fleet import view as view_lib
@@ -25,6 +27,7 @@
 _LOG = logging.getLogger(__name__)
 
 _PATH: typing.Final = "/v1/batches/reads"
+_HOLDER: typing.Final = "peer_responses"
 # A live peer responds within milliseconds after the requested wait; after this
 # additional time the store is read instead.
 _TIMEOUT_SECONDS: typing.Final = 0.3
@@ -46,6 +49,26 @@
     # Longest wait for a newer one, in seconds.
     wait: decoding.Amount
     wants_items: bool
+    # Item whose body is wanted; builds before want all.
+    item_id: str = ""
+
+
+class _AccountedResponse(responses.Response):
+    """Hold the bytes of a response until it is sent."""
+
+    def __init__(self, content: bytes, hold: memory.Hold) -> None:
+        """Release the hold once the response is sent or given up."""
+        super().__init__(content)
+        self._hold = hold
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        """Send the response."""
+        try:
+            await super().__call__(scope, receive, send)
+        finally:
+            self._hold.close()
 
 
 class PeerReadClient:
@@ -73,10 +96,11 @@
         after: str,
         wait: float,
         wants_items: bool,
+        item_id: str = "",
     ) -> reader_lib.PeerResponse | None:
         """Return the owner's response, None if no peer is authoritative."""
         wait = min(wait, _MAX_WAIT_SECONDS)
-        query = Query(batch_id, after, wait, wants_items)
+        query = Query(batch_id, after, wait, wants_items, item_id)
         for member in self._candidates(route):
             response = await self._post(member, query)
             if response is not None:
@@ -129,8 +153,15 @@
             return None
 
 
-def create_route(reader: reader_lib.BatchReader) -> routing.Route:
-    """Return the route for peers' reads of this instance's batches."""
+def create_route(
+    reader: reader_lib.BatchReader, account: memory.Account | None = None
+) -> routing.Route:
+    """Return the route for peers' reads of this instance's batches.
+
+    A response that the account has no room for is refused; the peer reads the
+    store then.
+    """
+    response_account = account or memory.Account()
 
     async def read(req: requests.Request) -> responses.Response:
         try:
@@ -143,9 +174,18 @@
             query.after,
             min(query.wait, _MAX_WAIT_SECONDS),
             query.wants_items,
+            query.item_id,
         )
         if response is None:
             return responses.Response(status_code=404)
-        return responses.Response(msgspec.msgpack.encode(response))
+        hold = response_account.open(_HOLDER)
+        # Encoded and decoded; the entries and bodies exist anyway.
+        size = reader_lib.MAX_PEER_PAGE_BYTES + sum(
+            map(len, response.items.values())
+        )
+        if not hold.resize(size):
+            hold.close()
+            return responses.Response(status_code=503)
+        return _AccountedResponse(msgspec.msgpack.encode(response), hold)
 
     return routing.Route(_PATH, read, methods=["POST"])
--- a/src/hibiscussaddle/batches/reader.py
+++ b/src/hibiscussaddle/batches/reader.py
@@ -2,7 +2,9 @@
 
 import collections
 from collections import abc
+import contextlib
 import dataclasses
+import functools
 import logging
 import time
 import typing
@@ -12,7 +14,9 @@
 
 from hibiscussaddle.adapters import store
 from hibiscussaddle.batches import model
+from hibiscussaddle.batches import shared_reads
 from hibiscussaddle.batches import storage
+from hibiscussaddle.callers import memory
 from hibiscussaddle import logs
 
 _LOG = logging.getLogger(__name__)
@@ -30,10 +34,30 @@
 # timeout of 0.3 s, and the bytes already sent were lost. 17 responses of this
 # size fit into that time.
 MAX_PEER_PAGE_BYTES: typing.Final = 128 * 1024
+# Bodies of a batch that are cached and sent to peers together. Others are read
+# one by one: 24 calls for bodies of a batch of 20 MB, which each read all of
+# it, exceeded 300 MB.
+MAX_BODIES_TOGETHER_BYTES: typing.Final = 1 << 20
+# A longer body is read from the store, as peers' responses are bounded.
+MAX_PEER_BODY_BYTES: typing.Final = 4 << 20
+# Bytes accounted for a read under way: a page of results from a peer or the
+# store, or a page of a stored batch, with their decoded forms.
+_READ_BYTES: typing.Final = 4 * MAX_PEER_PAGE_BYTES
+_SCAN_BYTES: typing.Final = 4 << 20
+_HOLDER: typing.Final = "batch_reads"
 # A remaining wait below this isn't worth another call.
 _MIN_WATCH_SECONDS: typing.Final = 0.05
 
 
+_BodyResult: typing.TypeAlias = result.Result[bytes, store.StoreError]
+_MISSING: typing.Final = result.Err(
+    store.StoreError(store.StoreFailure.MISSING)
+)
+_NO_ROOM: typing.Final = result.Err(
+    store.StoreError(store.StoreFailure.NO_ROOM)
+)
+
+
 def _never() -> bool:
     return False
 
@@ -116,6 +140,40 @@
         return tuple(entries), False
 
 
+class _BodyScan:
+    """Collect the bodies that are wanted, and all while they are short."""
+
+    def __init__(self, wanted: set[str], hold: memory.Hold) -> None:
+        """Account what is found."""
+        self.found: dict[str, _BodyResult] = {}
+        self.all_bodies: dict[str, bytes] | None = {}
+        self._all_bytes = 0
+        self._wanted = wanted
+        self._hold = hold
+
+    @property
+    def is_done(self) -> bool:
+        """Return whether the rest of the batch isn't needed."""
+        return self.all_bodies is None and not self._wanted
+
+    def add(self, items: abc.Iterable[model.Item]) -> None:
+        """Take the items of one record."""
+        for item in items:
+            if item.id in self._wanted:
+                self._wanted.remove(item.id)
+                size = self._hold.size + len(item.body)
+                self.found[item.id] = (
+                    result.Ok(item.body)
+                    if self._hold.resize(size)
+                    else _NO_ROOM
+                )
+            if self.all_bodies is not None:
+                self.all_bodies[item.id] = item.body
+                self._all_bytes += model.held_bytes([item.body])
+                if self._all_bytes > MAX_BODIES_TOGETHER_BYTES:
+                    self.all_bodies = None
+
+
 @dataclasses.dataclass(frozen=True)
 class Page:
     """Hold the results of a batch from one position on."""
@@ -152,10 +210,12 @@
         after: str,
         wait: float,
         wants_items: bool,
+        item_id: str = "",
     ) -> PeerResponse | None:
         """Return the owner's response, None if no peer is authoritative.
 
-        The route is empty while it is unknown.
+        The route is empty while it is unknown. The body of the item comes
+        alone if all bodies together are long.
         """
 
 
@@ -170,10 +230,15 @@
         self,
         batch_storage: storage.BatchStorage,
         peers: PeerClient | None = None,
+        account: memory.Account | None = None,
     ) -> None:
-        """Start with an empty cache."""
+        """Start with an empty cache; None bounds no memory of reads."""
         self._storage = batch_storage
         self._peers = peers
+        self._account = account or memory.Account()
+        self._reads = shared_reads.SharedReads()
+        self._bodies: shared_reads.SharedParts[_BodyResult]
+        self._bodies = shared_reads.SharedParts()
         self._cache: collections.OrderedDict[str, CachedBatch]
         self._cache = collections.OrderedDict()
 
@@ -209,21 +274,68 @@
         if isinstance(lookup, result.Err):
             return lookup
         cached = lookup.ok_value
-        if not cached.items:
-            await self._fetch_from_peer(
-                batch_id, cached, 0.0, wants_items=True
-            )
-        if not cached.items:
-            batch = await self._storage.batch(batch_id)
-            if isinstance(batch, result.Err):
-                return batch
-            items = batch.ok_value.items
-            cached.set_items({item.id: item.body for item in items})
-            self._record_use(batch_id, cached)
-        if item_id not in cached.items:
-            missing = store.StoreError(store.StoreFailure.MISSING)
-            return result.Err(missing)
-        return result.Ok(cached.items[item_id])
+        if cached.items:
+            return _body(cached.items, item_id)
+
+        async def read_wanted(
+            wanted: abc.Collection[str],
+        ) -> dict[str, _BodyResult]:
+            return await self._read_bodies(batch_id, cached, wanted)
+
+        return await self._bodies.read(batch_id, item_id, read_wanted)
+
+    async def _read_bodies(
+        self, batch_id: str, cached: CachedBatch, wanted: abc.Collection[str]
+    ) -> dict[str, _BodyResult]:
+        """Return some bodies from a peer, or else from the store."""
+        found: dict[str, _BodyResult] = {}
+        for item_id in wanted:
+            response = None
+            if not cached.items:
+                response = await self._fetch_from_peer(
+                    batch_id, cached, 0.0, item_id
+                )
+            if cached.items:
+                return {name: _body(cached.items, name) for name in wanted}
+            if response is None or item_id not in response.items:
+                break
+            found[item_id] = result.Ok(response.items[item_id])
+        missing = [name for name in wanted if name not in found]
+        if missing:
+            found.update(await self._scan_bodies(batch_id, cached, missing))
+        return found
+
+    async def _scan_bodies(
+        self, batch_id: str, cached: CachedBatch, wanted: abc.Collection[str]
+    ) -> dict[str, _BodyResult]:
+        """Return some bodies from the store, and cache all if they are short.
+
+        Holds a page of the store at a time.
+        """
+        hold = self._account.open(_HOLDER)
+        try:
+            if not hold.resize(_SCAN_BYTES):
+                return dict.fromkeys(wanted, _NO_ROOM)
+            scan = _BodyScan(set(wanted), hold)
+            async with contextlib.aclosing(
+                self._storage.records(batch_id)
+            ) as records:
+                async for record in records:
+                    if isinstance(record, result.Err):
+                        return {
+                            name: scan.found.get(name, record)
+                            for name in wanted
+                        }
+                    scan.add(record.ok_value.items)
+                    if scan.is_done:
+                        break
+                else:
+                    if scan.all_bodies:
+                        cached.set_items(scan.all_bodies)
+                        self._record_use(batch_id, cached)
+            return {name: scan.found.get(name, _MISSING) for name in wanted}
+        finally:
+            hold.close()
 
     async def head(
         self, batch_id: str, workspace: str | None = None
@@ -234,7 +346,12 @@
         )
 
     async def peer_response(
-        self, batch_id: str, after: str, wait: float, wants_items: bool
+        self,
+        batch_id: str,
+        after: str,
+        wait: float,
+        wants_items: bool,
+        item_id: str = "",
     ) -> PeerResponse | None:
         """Return the state of a batch if it is current here, else None."""
         cached = self._cache.get(batch_id)
@@ -253,7 +370,7 @@
             cached.head,
             entries,
             cached.is_complete and not has_more,
-            cached.items if wants_items else {},
+            _peer_bodies(cached.items, item_id) if wants_items else {},
             has_more,
         )
 
@@ -318,7 +435,12 @@
     ) -> result.Result[CachedBatch, store.StoreError]:
         cached = self._cache.get(batch_id)
         if cached is None and self._peers is not None:
-            response = await self._peers.fetch(batch_id, "", "", 0.0, False)
+            response = await self._reads.read(
+                (batch_id, "head"),
+                functools.partial(
+                    self._peers.fetch, batch_id, "", "", 0.0, False
+                ),
+            )
             if response is not None:
                 cached = CachedBatch(response.head)
                 _add_response(cached, response)
@@ -370,24 +492,28 @@
         batch_id: str,
         cached: CachedBatch,
         wait: float,
-        wants_items: bool,
-    ) -> bool:
-        """Add the log entries of a peer; return whether one responded."""
+        item_id: str = "",
+    ) -> PeerResponse | None:
+        """Add the log entries of a peer; return its response if it has one.
+
+        With an item the peer is asked for bodies, too.
+        """
         if self._peers is None:
-            return False
+            return None
         after = cached.last_key
+        wanted = (True, item_id) if item_id else (False,)
         response = await self._peers.fetch(
-            batch_id, cached.head.route, after, wait, wants_items
+            batch_id, cached.head.route, after, wait, *wanted
         )
         if response is None:
-            return False
+            return None
         _add_response(cached, response)
         self._record_use(batch_id, cached)
         if response.has_more and cached.last_key == after:
             # The same request would follow without end.
             cached.has_more = False
-            return False
-        return True
+            return None
+        return response
 
     async def _refresh(
         self, batch_id: str, cached: CachedBatch, position: int, wait: float
@@ -402,19 +528,11 @@
                     await cached.changed.wait()
                 is_current = cached.is_authoritative() or cached.is_complete
             else:
-                # A peer that knows more entries responds at once, so the
-                # wait would only extend the timeout.
-                is_current = await self._fetch_from_peer(
-                    batch_id,
-                    cached,
-                    0.0 if cached.has_more else remaining,
-                    False,
-                )
+                is_current = False
             if not is_current:
-                error = await self._read_log(batch_id, cached, remaining)
+                error = await self._read_elsewhere(batch_id, cached, remaining)
                 if error is not None:
                     return error
-                cached.has_more = False
             if cached.is_complete:
                 return None
             if cached.has_more:
@@ -426,6 +544,39 @@
             ):
                 return None
 
+    async def _read_elsewhere(
+        self, batch_id: str, cached: CachedBatch, wait: float
+    ) -> store.StoreError | None:
+        """Add new entries from a peer or the store, together with others.
+
+        Reads that wait share none with those that don't, which would be late.
+        """
+        return await self._reads.read(
+            (batch_id, cached.last_key, wait > 0),
+            functools.partial(self._read_entries, batch_id, cached, wait),
+        )
+
+    async def _read_entries(
+        self, batch_id: str, cached: CachedBatch, wait: float
+    ) -> store.StoreError | None:
+        hold = self._account.open(_HOLDER)
+        try:
+            if not hold.resize(_READ_BYTES):
+                return _NO_ROOM.err_value
+            # A peer that knows more entries responds at once, so the wait
+            # would only extend the timeout.
+            response = await self._fetch_from_peer(
+                batch_id, cached, 0.0 if cached.has_more else wait
+            )
+            if response is not None:
+                return None
+            error = await self._read_log(batch_id, cached, wait)
+            if error is None:
+                cached.has_more = False
+            return error
+        finally:
+            hold.close()
+
     async def _read_log(
         self, batch_id: str, cached: CachedBatch, wait: float
     ) -> store.StoreError | None:
@@ -480,10 +631,24 @@
     cached.has_more = response.has_more
     if response.is_final and not response.has_more:
         cached.is_final = True
-    if not cached.items:
+    if not cached.items and len(response.items) >= response.head.total:
         cached.set_items(response.items)
 
 
+def _body(items: abc.Mapping[str, bytes], item_id: str) -> _BodyResult:
+    return result.Ok(items[item_id]) if item_id in items else _MISSING
+
+
+def _peer_bodies(items: dict[str, bytes], item_id: str) -> dict[str, bytes]:
+    """Return the bodies to send to a peer that wants that of an item."""
+    if model.held_bytes(items.values()) <= MAX_BODIES_TOGETHER_BYTES:
+        return items
+    body = items.get(item_id)
+    if body is None or len(body) > MAX_PEER_BODY_BYTES:
+        return {}
+    return {item_id: body}
+
+
 def _first_results(
     results: list[model.Result], max_bytes: int
 ) -> tuple[model.Result, ...]:
--- a/src/hibiscussaddle/gateway.py
+++ b/src/hibiscussaddle/gateway.py
@@ -365,6 +365,8 @@
                 codes.Code.NOT_FOUND,
                 f"batch {batch_id!r} or its item is unknown",
             )
+        if error.failure is store.StoreFailure.NO_ROOM:
+            return bodies.memory_full()
         return self._store_refusal(error.failure)
 
     def _store_refusal(
--- a/src/hibiscussaddle/gateway_components.py
+++ b/src/hibiscussaddle/gateway_components.py
@@ -259,7 +259,7 @@
         )
         forwarder.usage = usage.counter
     batch_reader = reader.BatchReader(
-        batches, peer_reads.PeerReadClient(client, members, view)
+        batches, peer_reads.PeerReadClient(client, members, view), account
     )
     suspect_items = suspect_items_lib.SuspectItems(known_suspects)
     dependencies = runner.Dependencies(
--- a/src/hibiscussaddle/gateway_process.py
+++ b/src/hibiscussaddle/gateway_process.py
@@ -154,7 +154,9 @@
     return applications.Starlette(
         routes=[
             *handoff.create_routes(components.batch_owners),
-            peer_reads.create_route(components.gateway.batch_reader),
+            peer_reads.create_route(
+                components.gateway.batch_reader, components.account
+            ),
             store_transports.create_relay_route(components.store_transport),
             feed_sharing.create_route(components.zone_reader),
             suspect_spread.create_route(components.suspects),
--- a/tests/test_batch_reader.py
+++ b/tests/test_batch_reader.py
@@ -161,12 +161,14 @@
         self.heads_read.append(batch_id)
         return result.Ok(model.Head(1000, 0.0))
 
-    async def batch(
+    async def records(
         self, batch_id: str
-    ) -> result.Result[model.Batch, store.StoreError]:
-        """Return a batch of one item."""
+    ) -> abc.AsyncGenerator[
+        result.Result[model.Batch, store.StoreError], None
+    ]:
+        """Yield a batch of one item."""
         item = batch_builders.item(body=self.bodies[batch_id])
-        return result.Ok(batch_builders.batch(item, id=batch_id))
+        yield result.Ok(batch_builders.batch(item, id=batch_id))
 
     async def log_entries_after(
         self, batch_id: str, key: str
