Take responses of other statuses and versions than HTTP/1's for no response

But statuses of 600 to 999 reached callers as answers, and responses of versions such as HTTP/9.9 passed for successes and became texts of items.

Cause: the client's parser accepts each status of three digits from 100 on and each version of two digits, and nothing behind it checked more.

Change: the shared transport raises a protocol error unless a response is of HTTP/1.0 or 1.1 with a status of 200 to 599, and closes the connection.

--- a/src/hibiscussaddle/adapters/connections.py
+++ b/src/hibiscussaddle/adapters/connections.py
@@ -65,6 +65,10 @@
 # closed after the response.
 SINGLE_USE: typing.Final = "single_use"
 
+_HTTP_VERSIONS: typing.Final = (b"HTTP/1.0", b"HTTP/1.1")
+# RFC 9110, section 15: the others are informational or invalid.
+_FINAL_STATUSES: typing.Final = range(200, 600)
+
 # Scheme, host, port, and whether requests have an ID. A repeated response to a
 # request without one can't be told apart, so it must reach no other request.
 _Origin: typing.TypeAlias = tuple[str, str, int | None, bool]
@@ -202,6 +206,7 @@
             conn = _Connection(self._create_transport(url.scheme))
         try:
             resp = await conn.transport.handle_async_request(request)
+            _check_status_line(resp)
         except BaseException:
             await conn.transport.aclose()
             raise
@@ -279,6 +284,21 @@
         await self._prune(float("inf"))
 
 
+def _check_status_line(resp: httpx.Response) -> None:
+    """Raise RemoteProtocolError unless a response is a final one of HTTP/1.
+
+    The parser of httpx accepts each status of three digits from 100 on, and
+    each version of two digits.
+    """
+    version = resp.extensions.get("http_version")
+    if version not in _HTTP_VERSIONS:
+        raise httpx.RemoteProtocolError(f"response of version {version!r}")
+    if resp.status_code not in _FINAL_STATUSES:
+        raise httpx.RemoteProtocolError(
+            f"status {resp.status_code} is not of a final response"
+        )
+
+
 class _ResponseStream(httpx.AsyncByteStream):
     """Read a response and release its connection exactly once."""
 
