Keep rejections of too large items from blocking engines for others

Cause: a rejection marked the engine for all items, and the least urgent items, here the large ones, made each probe.

Change: the placement knows the largest run that each engine accepted; rejections of larger items keep only those away. The smallest waiting items make probes.

--- a/src/hibiscussaddle/batches/engine_choice.py
+++ b/src/hibiscussaddle/batches/engine_choice.py
@@ -59,6 +59,7 @@
         allow_probe: bool,
         events_left: float = float("inf"),
         avoided_ids: abc.Container[str] = (),
+        tokens: int = 0,
     ) -> endpoints.Endpoint | None:
         """Return the engine for an item's next run, None without capacity.
 
@@ -84,6 +85,7 @@
                 excluded,
                 allow_probe,
                 events_left,
+                tokens,
             )
 
         def has_permit(candidate: endpoints.Endpoint) -> bool:
--- a/src/hibiscussaddle/batches/placement.py
+++ b/src/hibiscussaddle/batches/placement.py
@@ -41,6 +41,10 @@
 # second in which they load weights.
 _REFUSED_BACKOFF_SECONDS: typing.Final = 0.1
 _MAX_REFUSED_BACKOFF_SECONDS: typing.Final = 0.4
+# The same for items that are larger than any that the engine has accepted,
+# after it refused one. It may have no memory for them.
+_OVERSIZE_BACKOFF_SECONDS: typing.Final = 0.2
+_MAX_OVERSIZE_BACKOFF_SECONDS: typing.Final = 5.0
 # The same after a failure.
 _FAILED_BACKOFF_SECONDS: typing.Final = 0.25
 _MAX_FAILED_BACKOFF_SECONDS: typing.Final = 4.0
@@ -92,6 +96,13 @@
     # engine with this many events left.
     reserved_until: float = float("-inf")
     reserved_events: float = 0.0
+    # Tokens of the largest run that the engine accepted, and the consecutive
+    # refusals of larger ones, which get none until these monotonic seconds.
+    accepted_tokens: int = 0
+    oversize_refusals: int = 0
+    oversize_until: float = float("-inf")
+    # Whether one of them is under way, which shows if the engine takes it.
+    is_trying_oversize: bool = False
     # Newest weight version reported in a response, by model.
     versions: dict[str, int] = dataclasses.field(default_factory=dict)
 
@@ -99,6 +110,12 @@
         """Return whether free capacity is kept for a longer run."""
         return now < self.reserved_until and events_left < self.reserved_events
 
+    def is_too_small(self, tokens: int, now: float) -> bool:
+        """Return whether the engine recently refused so large an item."""
+        return tokens > self.accepted_tokens and (
+            self.is_trying_oversize or now < self.oversize_until
+        )
+
     @property
     def is_suspect(self) -> bool:
         """Return whether the last run was refused or failed."""
@@ -124,6 +141,7 @@
         excluded_ids: abc.Container[str] = (),
         allow_probe: bool = False,
         events_left: float = float("inf"),
+        tokens: int = 0,
     ) -> endpoints.Endpoint | None:
         """Return the engine for a run, None while none has capacity.
 
@@ -145,6 +163,8 @@
                 continue
             if state.is_reserved(events_left, now):
                 continue
+            if state.is_too_small(tokens, now):
+                continue
             runs = state.running + 1.0
             if endpoint.id == preferred_id:
                 runs -= _CACHED_PROMPT_BONUS_RUNS
@@ -244,23 +264,35 @@
             return False
         return self.is_slow(self.state(endpoint), typical, now)
 
-    def record_start(self, endpoint: endpoints.Endpoint) -> None:
-        """Record that a run was assigned to an engine."""
+    def record_start(
+        self, endpoint: endpoints.Endpoint, tokens: int = 0
+    ) -> None:
+        """Record that a run of some tokens was assigned to an engine."""
         state = self.state(endpoint)
         state.running += 1
         state.is_probing = state.is_suspect
+        if state.oversize_refusals and tokens > state.accepted_tokens:
+            state.is_trying_oversize = True
 
-    def record_acceptance(self, endpoint: endpoints.Endpoint) -> None:
-        """Record that an engine accepted a run."""
+    def record_acceptance(
+        self, endpoint: endpoints.Endpoint, tokens: int = 0
+    ) -> None:
+        """Record that an engine accepted a run of some tokens."""
         state = self.state(endpoint)
         state.refusals = state.failures = 0
         state.is_probing = False
+        if tokens > state.accepted_tokens:
+            state.accepted_tokens = tokens
+            state.is_trying_oversize = False
+            state.oversize_refusals = 0
+            state.oversize_until = float("-inf")
 
     def record_end(self, endpoint: endpoints.Endpoint) -> None:
         """Record that a run left an engine."""
         state = self.state(endpoint)
         state.running = max(0, state.running - 1)
         state.is_probing = False
+        state.is_trying_oversize = False
 
     def record_interval(
         self, endpoint: endpoints.Endpoint, seconds: float, now: float
@@ -284,9 +316,23 @@
                 state.interval_samples
             )
 
-    def record_refusal(self, endpoint: endpoints.Endpoint, now: float) -> None:
-        """Record that an engine refused a run, and back off."""
+    def record_refusal(
+        self, endpoint: endpoints.Endpoint, now: float, tokens: int = 0
+    ) -> None:
+        """Record that an engine refused a run of some tokens, and back off.
+
+        It rejects a run that is larger than its memory as if it were full,
+        which says nothing about smaller ones.
+        """
         state = self.state(endpoint)
+        if 0 < state.accepted_tokens < tokens:
+            backoff = _OVERSIZE_BACKOFF_SECONDS * 2**state.oversize_refusals
+            state.oversize_until = now + min(
+                _MAX_OVERSIZE_BACKOFF_SECONDS, backoff
+            )
+            if backoff < _MAX_OVERSIZE_BACKOFF_SECONDS:
+                state.oversize_refusals += 1
+            return
         if now < state.blocked_until:
             # Several runs were sent before the first refusal arrived.
             return
--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -364,8 +364,11 @@
             elif end is runs.RunEnd.IMPOSSIBLE:
                 progress.failures = self._limits.max_attempts()
             elif end in _NOT_STARTED_ENDS:
-                now = time.monotonic()
-                self._dependencies.engines.record_refusal(endpoint, now)
+                # Only a refusal may be due to the size of the item.
+                size = progress.tokens if end is runs.RunEnd.NOT_RUN else 0
+                self._dependencies.engines.record_refusal(
+                    endpoint, time.monotonic(), size
+                )
         score = await self._scores.score(progress)
         if score is None:
             self._abandon_item(progress)
@@ -481,7 +484,11 @@
             events_left = self._unfinished.events_left(progress)
             if not suspect_items.ended_count(self.batch, progress.item):
                 return self._choice.choose(
-                    progress, now, allow_probe, events_left
+                    progress,
+                    now,
+                    allow_probe,
+                    events_left,
+                    tokens=progress.tokens,
                 )
             return self._choose_for_suspect(
                 progress, now, allow_probe, events_left
@@ -500,6 +507,7 @@
             pool,
             choose,
             lambda: self._limits.is_abandoned(progress),
+            progress.tokens,
         )
         self._window.exit(progress.item.id)
         waited = time.monotonic() - started
@@ -523,13 +531,17 @@
             self.batch, item, self._choice.candidates(item)
         )
         endpoint = self._choice.choose(
-            progress, now, allow_probe, events_left, avoided
+            progress, now, allow_probe, events_left, avoided, progress.tokens
         )
         if endpoint is None and not suspect_items.must_be_alone(
             self.batch, item
         ):
             endpoint = self._choice.choose(
-                progress, now, allow_probe, events_left
+                progress,
+                now,
+                allow_probe,
+                events_left,
+                tokens=progress.tokens,
             )
         if endpoint is not None:
             suspect_items.reserve(self.batch, item, endpoint.id)
--- a/src/hibiscussaddle/batches/runs.py
+++ b/src/hibiscussaddle/batches/runs.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import functools
 import logging
 import time
 import typing
@@ -78,6 +79,11 @@
     # Engine that the item was moved off; the next choice excludes it.
     excluded_endpoint_id: str = ""
 
+    @functools.cached_property
+    def tokens(self) -> int:
+        """Return the tokens for which an engine needs memory."""
+        return endpoint_wire.decode_total_tokens(self.item.headers)
+
     def mean_interval(self) -> float | None:
         """Return the mean seconds between events, None for too few of them."""
         if (
@@ -211,7 +217,7 @@
             raise events.MalformedStreamError(
                 "response has no valid weight version"
             ) from exc
-        self._engines.record_acceptance(endpoint)
+        self._engines.record_acceptance(endpoint, progress.tokens)
         self._engines.state(endpoint).versions[batch.model] = version
         if version < batch.min_version:
             return RunEnd.STALE_WEIGHTS
--- a/src/hibiscussaddle/batches/waiting_items.py
+++ b/src/hibiscussaddle/batches/waiting_items.py
@@ -41,6 +41,8 @@
     pool: str
     choose: Chooser
     is_abandoned: abc.Callable[[], bool]
+    # Tokens for which an engine needs memory.
+    tokens: int
     endpoint: endpoints.Endpoint | None = None
     # Raised in the task of the item, which handles its own errors.
     error: Exception | None = None
@@ -90,6 +92,7 @@
         pool: str,
         choose: Chooser,
         is_abandoned: abc.Callable[[], bool],
+        tokens: int = 0,
     ) -> endpoints.Endpoint | None:
         """Return an engine with capacity, None when the item is abandoned.
 
@@ -103,6 +106,7 @@
             pool,
             choose,
             is_abandoned,
+            tokens,
         )
         self._entries[entry] = None
         self._wake.set()
@@ -132,26 +136,33 @@
                     entry.rank = entry.ranker(now - entry.waiting_since)
         entries = sorted(self._entries, key=lambda entry: entry.rank)
         self._assign_pass(entries, allow_probe=False)
-        # Probes show which engines accept runs again. They may be refused, so
-        # the least urgent items make them.
-        self._assign_pass(entries[::-1], allow_probe=True)
+        # Probes show which engines accept runs again. Engines refuse items
+        # that are larger than their memory each time, so the smallest items
+        # make probes, and of these the least urgent ones.
+        probes = sorted(entries[::-1], key=lambda entry: entry.tokens)
+        self._assign_pass(probes, allow_probe=True)
         self._entries = {e: None for e in entries if not e.done.is_set()}
 
     def _assign_pass(self, entries: list[_Entry], allow_probe: bool) -> None:
-        full_pools: set[str] = set()
+        # Tokens of the smallest item of each pool that got no engine. Smaller
+        # ones may get one.
+        refused_tokens: dict[str, int] = {}
         for entry in entries:
-            if entry.done.is_set() or entry.pool in full_pools:
+            refused = refused_tokens.get(entry.pool)
+            if entry.done.is_set() or (
+                refused is not None and entry.tokens >= refused
+            ):
                 continue
             with _errors_of(entry):
                 if entry.is_abandoned():
                     entry.done.set()
                 elif not self._try_assign(entry, allow_probe):
-                    full_pools.add(entry.pool)
+                    refused_tokens[entry.pool] = entry.tokens
 
     def _try_assign(self, entry: _Entry, allow_probe: bool) -> bool:
         entry.endpoint = entry.choose(allow_probe=allow_probe)
         if entry.endpoint is None:
             return False
-        self._engines.record_start(entry.endpoint)
+        self._engines.record_start(entry.endpoint, entry.tokens)
         entry.done.set()
         return True
--- a/src/hibiscussaddle/platform/endpoint_wire.py
+++ b/src/hibiscussaddle/platform/endpoint_wire.py
@@ -166,6 +166,20 @@
         return 0
 
 
+def decode_total_tokens(headers: abc.Mapping[str, str]) -> int:
+    """Return the prompt and output tokens that an item names, 0 for none.
+
+    Engines reserve memory for them.
+    """
+    value = headers.get(PROMPT_AND_OUTPUT_TOKENS_HEADER, "")
+    try:
+        prompt, _, output = value.partition(",")
+        return decoding.parse_count(prompt) + decoding.parse_count(output)
+    except ValueError:
+        # Engines refuse the item or take it as it is.
+        return 0
+
+
 def encode_weight_order(
     model: str,
     version: int,
