--- a/src/hibiscussaddle/gateway_settings.py
+++ b/src/hibiscussaddle/gateway_settings.py
@@ -8,10 +8,10 @@
 
 from hibiscussaddle import addresses
 from hibiscussaddle import codes
+from hibiscussaddle.platform import settings_file
 from hibiscussaddle import settings
 
-# Set by the hosting platform for every process. The file that it names is not
-# read, since the deployment passes each required value as a variable.
+# Set by the hosting platform for every process: the path of its settings file.
 _PLATFORM_VARIABLE: typing.Final = settings.ENV_PREFIX + "CONFIG"
 
 
@@ -79,11 +79,24 @@
 def load(
     flags: abc.Mapping[str, object], environ: abc.Mapping[str, str]
 ) -> result.Result[GatewaySettings, codes.Refusal]:
-    """Return the validated settings of a gateway instance."""
+    """Return the validated settings of a gateway instance.
+
+    Variables take precedence over the platform's settings file.
+    """
+    path = environ.get(_PLATFORM_VARIABLE, "")
+    try:
+        platform_values = settings_file.read(path) if path else {}
+    except ValueError as exc:
+        return settings.invalid_setting(
+            _PLATFORM_VARIABLE, path, f"a readable TOML file; {exc}"
+        )
     own_environ = {
+        settings.ENV_PREFIX + name.upper(): value
+        for name, value in platform_values.items()
+        if value != ""
+    } | {
         name: value
         for name, value in environ.items()
-        # The deployment passes an empty value for what a site doesn't have.
         if name != _PLATFORM_VARIABLE and value != ""
     }
     return settings.create_settings(
