Send no keepalive probes on the connections of items' runs

Cause: probes ended the connection on which it had been sent into a partition. Only connections that we close are reset, so the bytes arrived once it healed.

Change: the run's own check for stalls, which closes and so resets the connection, is the only one on these connections.

--- a/src/hibiscussaddle/adapters/connections.py
+++ b/src/hibiscussaddle/adapters/connections.py
@@ -19,10 +19,12 @@
 # Linger on, for 0 s: closing a connection resets it, so that the kernel does
 # not deliver its unsent bytes after a network partition heals.
 _RESET_ON_CLOSE: typing.Final = struct.pack("ii", 1, 0)
-# Keepalive probes detect a connection that died without a reset within about
-# three seconds, so that a waiting call fails without a second request.
 _SOCKET_OPTIONS: typing.Final = (
     (socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE),
+)
+# Keepalive probes detect a connection that died without a reset within about
+# three seconds, so that a waiting call fails without a second request.
+_PROBE_OPTIONS: typing.Final = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
@@ -69,9 +71,16 @@
 # RFC 9110, section 15: the others are informational or invalid.
 _FINAL_STATUSES: typing.Final = range(200, 600)
 
-# Scheme, host, port, and whether requests have an ID. A repeated response to a
-# request without one can't be told apart, so it must reach no other request.
-_Origin: typing.TypeAlias = tuple[str, str, int | None, bool]
+# Extension of a request whose sender detects a stalled response itself and
+# closes the connection then, which resets it. A connection that probes end
+# isn't reset: a request that was sent on it into a network partition arrives
+# once that heals.
+NO_PROBES: typing.Final = "no_probes"
+
+# Scheme, host, port, whether probes are sent, and whether requests have an ID.
+# A repeated response to a request without one can't be told apart, so it must
+# reach no other request.
+_Origin: typing.TypeAlias = tuple[str, str, int | None, bool, bool]
 
 
 class ResponseTooLargeError(httpx.ReadError):
@@ -197,13 +206,14 @@
         """Send a request; closing the response releases its connection."""
         url = request.url
         request_id = request.headers.get(self._id_header, "")
-        origin = (url.scheme, url.host, url.port, bool(request_id))
+        is_probed = not request.extensions.get(NO_PROBES)
+        origin = (url.scheme, url.host, url.port, is_probed, bool(request_id))
         is_single_use = bool(request.extensions.get(SINGLE_USE))
         conn = None
         if not is_single_use:
             conn = self._take_idle(origin, request_id)
         if conn is None:
-            conn = _Connection(self._create_transport(url.scheme))
+            conn = _Connection(self._create_transport(url.scheme, is_probed))
         try:
             resp = await conn.transport.handle_async_request(request)
             _check_status_line(resp)
@@ -241,7 +251,9 @@
             self._tls_context = ssl.create_default_context()
         return self._tls_context
 
-    def _create_transport(self, scheme: str) -> httpx.AsyncHTTPTransport:
+    def _create_transport(
+        self, scheme: str, is_probed: bool
+    ) -> httpx.AsyncHTTPTransport:
         limits = httpx.Limits(
             max_connections=1,
             max_keepalive_connections=1,
@@ -250,7 +262,11 @@
         return httpx.AsyncHTTPTransport(
             verify=self._ssl_context(scheme),
             limits=limits,
-            socket_options=_SOCKET_OPTIONS,
+            socket_options=(
+                (*_SOCKET_OPTIONS, *_PROBE_OPTIONS)
+                if is_probed
+                else _SOCKET_OPTIONS
+            ),
         )
 
     async def release(
@@ -324,7 +340,7 @@
         async for data in self._inner:
             self._size += len(data)
             if not self._pool.hold(len(data), self._size):
-                _, host, port, _ = self._origin
+                _, host, port, *_ = self._origin
                 raise ResponseTooLargeError(
                     f"response from {host}:{port} is cut off after "
                     f"{self._size} bytes; all responses hold "
--- a/src/hibiscussaddle/batches/runs.py
+++ b/src/hibiscussaddle/batches/runs.py
@@ -163,7 +163,11 @@
                 ],
                 timeout=httpx.Timeout(None, connect=_CONNECT_TIMEOUT_SECONDS),
                 # httpx would change the percent-encoding of a URL.
-                extensions={"target": item.path.encode()},
+                extensions={
+                    "target": item.path.encode(),
+                    # A run that stalls is moved.
+                    connections.NO_PROBES: True,
+                },
             ) as resp:
                 return await self._receive(progress, batch, endpoint, resp)
         except (httpx.HTTPError, events.MalformedStreamError) as exc:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,6 +1,8 @@
 """Test the HTTP connection pool."""
 
 import gc
+import socket
+import typing
 import weakref
 
 import anyio
@@ -12,6 +14,7 @@
 from hibiscussaddle.adapters import connections
 
 import loopback
+import raw_server
 
 
 def test_connection_of_abandoned_request_is_reset() -> None:
@@ -177,3 +180,41 @@
     anyio.run(main)
     assert received == [None, None, "session=own"]
     assert all(len(cookies) == 2 for cookies in returned)
+
+
+def test_connections_of_runs_send_no_probes() -> None:
+    """Fails when probes end a connection on which an item was just sent.
+
+    On cereza-hs trouble-2 an item reached an engine 3.4 to 4.1 s after the end
+    of its batch: probes had ended its connection, without a reset, and the
+    bytes arrived once the partition of the zone healed.
+    """
+    options: list[tuple[int, int]] = []
+
+    class RecordingTransport(connections.OriginTransport):
+        def _create_transport(
+            self, scheme: str, is_probed: bool
+        ) -> httpx.AsyncHTTPTransport:
+            created = super()._create_transport(scheme, is_probed)
+            pool: typing.Any = created._pool
+            options.append(
+                (
+                    int(is_probed),
+                    sum(
+                        option[1] == socket.SO_KEEPALIVE
+                        for option in pool._socket_options
+                    ),
+                )
+            )
+            return created
+
+    async def main() -> None:
+        response = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+        client = connections.create_client(RecordingTransport())
+        async with raw_server.serve(response) as url:
+            for extensions in ({}, {connections.NO_PROBES: True}):
+                await client.get(url, extensions=extensions)
+        await client.aclose()
+
+    anyio.run(main)
+    assert options == [(1, 1), (0, 0)]
