Account the bodies that peers send; resume a reminded batch once

Change: both draw from the account once.

Measured: test_bodies_of_a_crowd_are_accounted fails without the change.

--- a/src/hibiscussaddle/batches/owners.py
+++ b/src/hibiscussaddle/batches/owners.py
@@ -88,7 +88,8 @@
         self._dependencies = dependencies
         self.members = members
         self._handoffs = handoffs
-        self._room = room or room_lib.BatchRoom(memory.Account())
+        # Memory that batches may take here.
+        self.room = room or room_lib.BatchRoom(memory.Account())
         self._storage = dependencies.storage
         me = members.me
         self._me = model.Owner(me.instance, me.incarnation)
@@ -97,6 +98,8 @@
         self._owners_to_replace: set[str] = set()
         # Monotonic seconds at which each dead owner was detected.
         self._dead_since: dict[str, float] = {}
+        # Batches that a reminder brought back and that are being read.
+        self._resuming: set[str] = set()
         # Owners that have a member key but do not confirm their batches.
         self._unreachable: set[str] = set()
         self._scan_now = anyio.Event()
@@ -129,11 +132,6 @@
                     await anyio.sleep(self._retry_delay)
                     self._takeover_now.set()
 
-    @property
-    def room(self) -> room_lib.BatchRoom:
-        """Return the memory that batches may take here."""
-        return self._room
-
     async def accept(
         self, submission: Submission, timeout: float
     ) -> result.Result[None, store.StoreError]:
@@ -206,7 +204,7 @@
         if self._is_running_here(record):
             return True
         # The sender has room for what is refused here.
-        hold = self._room.accept(record.footprint)
+        hold = self.room.accept(record.footprint)
         if hold is None:
             return False
         self._start(batch, record, hold)
@@ -219,7 +217,7 @@
         """
         if self._is_stopping:
             return False
-        hold = self._room.take_over(record.footprint)
+        hold = self.room.take_over(record.footprint)
         if hold is None:
             return False
         self._spawn(record.batch_id, self._adopt, record, hold)
@@ -240,7 +238,9 @@
             return True
         if self._is_stopping or record.owner != self._me:
             return False
-        self._spawn(record.batch_id, self._resume_in_background, record)
+        # Each reminder of a slow one would take the memory of the batch again.
+        if record.batch_id not in self._resuming:
+            self._spawn(record.batch_id, self._resume_in_background, record)
         return True
 
     def record_end(self, batch_id: str) -> None:
@@ -258,11 +258,15 @@
             self._spawn(batch_id, self._handoffs.notify_end, member, batch_id)
 
     async def _resume_in_background(self, record: storage.OwnerRecord) -> None:
-        hold = self._room.take_over(record.footprint)
-        if hold is not None:
-            await self._resume(record, hold)
-        elif not await self._pass_on(record):
-            self._find_own_batches()
+        self._resuming.add(record.batch_id)
+        try:
+            hold = self.room.take_over(record.footprint)
+            if hold is not None:
+                await self._resume(record, hold)
+            elif not await self._pass_on(record):
+                self._find_own_batches()
+        finally:
+            self._resuming.discard(record.batch_id)
 
     async def _hand_off(
         self,
@@ -512,7 +516,7 @@
 
     async def _take_over(self, record: storage.OwnerRecord) -> bool:
         """Take over a batch; return False if that must be retried."""
-        hold = self._room.take_over(record.footprint)
+        hold = self.room.take_over(record.footprint)
         if hold is None:
             return await self._pass_on(record)
         return await self._take_over_into(record, hold)
--- a/src/hibiscussaddle/batches/reader.py
+++ b/src/hibiscussaddle/batches/reader.py
@@ -141,7 +141,7 @@
 
 
 class _BodyScan:
-    """Collect the bodies that are wanted, and all while they are short."""
+    """Collect the bodies that are wanted, and all of them while short."""
 
     def __init__(self, wanted: set[str], hold: memory.Hold) -> None:
         """Account what is found."""
@@ -161,12 +161,7 @@
         for item in items:
             if item.id in self._wanted:
                 self._wanted.remove(item.id)
-                size = self._hold.size + len(item.body)
-                self.found[item.id] = (
-                    result.Ok(item.body)
-                    if self._hold.resize(size)
-                    else _NO_ROOM
-                )
+                self.found[item.id] = _account_body(item.body, self._hold)
             if self.all_bodies is not None:
                 self.all_bodies[item.id] = item.body
                 self._all_bytes += model.held_bytes([item.body])
@@ -288,6 +283,27 @@
         self, batch_id: str, cached: CachedBatch, wanted: abc.Collection[str]
     ) -> dict[str, _BodyResult]:
         """Return some bodies from a peer, or else from the store."""
+        hold = self._account.open(_HOLDER)
+        try:
+            found = await self._ask_for_bodies(batch_id, cached, wanted, hold)
+            missing = [name for name in wanted if name not in found]
+            if missing:
+                found.update(
+                    await self._scan_bodies(batch_id, cached, missing, hold)
+                )
+            return found
+        finally:
+            # From here on the responses to the callers count.
+            hold.close()
+
+    async def _ask_for_bodies(
+        self,
+        batch_id: str,
+        cached: CachedBatch,
+        wanted: abc.Collection[str],
+        hold: memory.Hold,
+    ) -> dict[str, _BodyResult]:
+        """Return the bodies that a peer has."""
         found: dict[str, _BodyResult] = {}
         for item_id in wanted:
             response = None
@@ -299,43 +315,39 @@
                 return {name: _body(cached.items, name) for name in wanted}
             if response is None or item_id not in response.items:
                 break
-            found[item_id] = result.Ok(response.items[item_id])
-        missing = [name for name in wanted if name not in found]
-        if missing:
-            found.update(await self._scan_bodies(batch_id, cached, missing))
+            found[item_id] = _account_body(response.items[item_id], hold)
         return found
 
     async def _scan_bodies(
-        self, batch_id: str, cached: CachedBatch, wanted: abc.Collection[str]
+        self,
+        batch_id: str,
+        cached: CachedBatch,
+        wanted: abc.Collection[str],
+        hold: memory.Hold,
     ) -> dict[str, _BodyResult]:
         """Return some bodies from the store, and cache all if they are short.
 
         Holds a page of the store at a time.
         """
-        hold = self._account.open(_HOLDER)
-        try:
-            if not hold.resize(_SCAN_BYTES):
-                return dict.fromkeys(wanted, _NO_ROOM)
-            scan = _BodyScan(set(wanted), hold)
-            async with contextlib.aclosing(
-                self._storage.records(batch_id)
-            ) as records:
-                async for record in records:
-                    if isinstance(record, result.Err):
-                        return {
-                            name: scan.found.get(name, record)
-                            for name in wanted
-                        }
-                    scan.add(record.ok_value.items)
-                    if scan.is_done:
-                        break
-                else:
-                    if scan.all_bodies:
-                        cached.set_items(scan.all_bodies)
-                        self._record_use(batch_id, cached)
-            return {name: scan.found.get(name, _MISSING) for name in wanted}
-        finally:
-            hold.close()
+        if not hold.resize(hold.size + _SCAN_BYTES):
+            return dict.fromkeys(wanted, _NO_ROOM)
+        scan = _BodyScan(set(wanted), hold)
+        async with contextlib.aclosing(
+            self._storage.records(batch_id)
+        ) as records:
+            async for record in records:
+                if isinstance(record, result.Err):
+                    return {
+                        name: scan.found.get(name, record) for name in wanted
+                    }
+                scan.add(record.ok_value.items)
+                if scan.is_done:
+                    break
+            else:
+                if scan.all_bodies:
+                    cached.set_items(scan.all_bodies)
+                    self._record_use(batch_id, cached)
+        return {name: scan.found.get(name, _MISSING) for name in wanted}
 
     async def head(
         self, batch_id: str, workspace: str | None = None
@@ -635,6 +647,13 @@
         cached.set_items(response.items)
 
 
+def _account_body(body: bytes, hold: memory.Hold) -> _BodyResult:
+    """Return a body that was read, or that there is no room for it."""
+    if hold.resize(hold.size + len(body)):
+        return result.Ok(body)
+    return _NO_ROOM
+
+
 def _body(items: abc.Mapping[str, bytes], item_id: str) -> _BodyResult:
     return result.Ok(items[item_id]) if item_id in items else _MISSING
 
--- a/tests/test_shared_reads.py
+++ b/tests/test_shared_reads.py
@@ -112,6 +112,22 @@
     peer_read_harness.run_scenario(scenario)
 
 
+def test_bodies_of_a_crowd_are_accounted() -> None:
+    """Fails when bodies that a peer sent pile up beside the account."""
+
+    async def scenario(harness: peer_read_harness.ReadHarness) -> None:
+        await _accept_large_batch(harness)
+        account = memory.Account(CALLS * BODY_BYTES // 2)
+        peers = harness.reader._peers
+        crowded = reader.BatchReader(harness.storage, peers, account)
+        bodies = await _read_bodies(crowded)
+        refused = sum(isinstance(body, result.Err) for body in bodies)
+        assert 0 < refused < CALLS
+        assert account.held_bytes == 0
+
+    peer_read_harness.run_scenario(scenario)
+
+
 def test_unknown_item_of_a_large_batch_is_missing() -> None:
     """Fails when a body that doesn't exist is looked for without end."""
 
