Bound the check whether a refused batch is accepted already

Change: the body is released first, the check ends after 0.5 s, and a batch of which nothing is known is answered with 504 (1504), which promises nothing.

--- a/src/hibiscussaddle/gateway.py
+++ b/src/hibiscussaddle/gateway.py
@@ -48,7 +48,9 @@
 # Jitter added to Retry-After, as a fraction of it, so that callers that were
 # refused together don't retry together.
 _JITTER_FRACTION: typing.Final = 0.3
-# Pause after each check whether a batch that is refused is accepted already.
+# Longest check whether a refused batch is accepted already, and the pause after
+# each.
+_ACCEPTANCE_CHECK_SECONDS: typing.Final = 0.5
 _ACCEPTANCE_CHECK_PAUSE_SECONDS: typing.Final = 0.02
 # Timeout of one attempt to store a batch.
 _ACCEPT_TIMEOUT_SECONDS: typing.Final = 1.2
@@ -255,7 +257,11 @@
         room = self._owners.room
         hold = room.accept(size) if room.fits(size) else None
         if hold is None:
-            return await self._refuse_batch(batch, size)
+            return await self.refuse_batch(
+                batch.id,
+                batch.workspace,
+                self._no_room(len(batch.items), size),
+            )
         is_accepted = False
         try:
             refusal = await self._store_batch(
@@ -267,35 +273,43 @@
                 hold.close()
         return refusal
 
-    async def _refuse_batch(
-        self, batch: model.Batch, size: int
+    def _no_room(self, items: int, size: int) -> codes.Refusal:
+        """Return the refusal of a batch with some items and a footprint."""
+        if self._owners.room.fits(size):
+            return bodies.memory_full()
+        return codes.Refusal(
+            codes.Code.TOO_LARGE,
+            f"a batch of {items} items takes {size} bytes, more than an "
+            "instance accepts",
+        )
+
+    async def refuse_batch(
+        self, batch_id: str, workspace: str, refusal: codes.Refusal
     ) -> codes.Refusal | None:
-        """Return why a batch gets no room; None if it is accepted already.
+        """Return the refusal of a batch; None if it is accepted already.
 
-        The size is its footprint in bytes.
+        A repeated submission must not be told that its batch won't run.
         """
-        if await self.is_accepted(batch.id, batch.workspace):
+        head: result.Result[model.Head, store.StoreError] | None = None
+        with anyio.move_on_after(_ACCEPTANCE_CHECK_SECONDS):
+            async with self._acceptance_checks:
+                head = await self.batch_reader.head(
+                    batch_id, workspace if self.needs_keys else None
+                )
+                # A crowd of refused batches must leave the store's calls to
+                # others.
+                await anyio.sleep(_ACCEPTANCE_CHECK_PAUSE_SECONDS)
+        if isinstance(head, result.Ok):
             return None
-        if not self._owners.room.fits(size):
-            return codes.Refusal(
-                codes.Code.TOO_LARGE,
-                f"a batch of {len(batch.items)} items takes {size} bytes, "
-                "more than an instance accepts",
-            )
-        return bodies.memory_full()
-
-    async def is_accepted(self, batch_id: str, workspace: str) -> bool:
-        """Return whether a batch is known to be accepted already.
-
-        A repeated submission must not be told that its batch won't run. A
-        crowd of refused ones must leave the store's calls to others.
-        """
-        async with self._acceptance_checks:
-            head = await self.batch_reader.head(
-                batch_id, workspace if self.needs_keys else None
-            )
-            await anyio.sleep(_ACCEPTANCE_CHECK_PAUSE_SECONDS)
-        return isinstance(head, result.Ok)
+        if head is not None and (
+            head.err_value.failure is store.StoreFailure.MISSING
+        ):
+            return refusal
+        return codes.Refusal(
+            codes.Code.ACCEPTANCE_UNKNOWN,
+            f"{refusal.message}; whether the batch was accepted before is "
+            "unknown",
+        )
 
     async def _store_batch(
         self, submission: owners.Submission, deadline: float
--- a/src/hibiscussaddle/platform/ingress.py
+++ b/src/hibiscussaddle/platform/ingress.py
@@ -299,9 +299,9 @@
     if call.hold is not None and not call.hold.resize(
         footprint.decoding_bytes(call.body)
     ):
-        if await gateway.is_accepted(batch_id, name):
-            return _ACCEPTED
-        return _refusal_response(bodies.memory_full(), call)
+        _release_body(call)
+        full = await gateway.refuse_batch(batch_id, name, bodies.memory_full())
+        return _refusal_response(full, call) if full else _ACCEPTED
     try:
         batch = await slices.run(
             batch_wire.decode_batch_in_slices(
@@ -311,12 +311,9 @@
     except ValueError as exc:
         refusal = codes.Refusal(codes.Code.BAD_REQUEST, str(exc))
         return _refusal_response(refusal, call)
-    if isinstance(call.body, bytearray):
-        # The batch is decoded, and others refer to the call.
-        size = len(call.body)
-        call.body.clear()
-        if call.hold is not None:
-            call.hold.force(footprint.WRITING_COPIES * size)
+    size = _release_body(call)
+    if size and call.hold is not None:
+        call.hold.force(footprint.WRITING_COPIES * size)
     if gateway.needs_keys:
         batch = batch_access.assign(batch, name)
     submit_refusal = await gateway.submit(batch, _timeout_seconds(call))
@@ -325,6 +322,20 @@
     return _ACCEPTED
 
 
+def _release_body(call: _Call) -> int:
+    """Release a long body, which others still refer to; return its bytes.
+
+    Short bodies stay as they are, for which this returns 0.
+    """
+    if not isinstance(call.body, bytearray):
+        return 0
+    size = len(call.body)
+    call.body.clear()
+    if call.hold is not None:
+        call.hold.force(0)
+    return size
+
+
 @_handles("GET", batch_wire.RESULTS_PATH)
 async def _read_results(
     gateway: gateway_lib.Gateway, call: _Call
--- a/tests/test_batch_room.py
+++ b/tests/test_batch_room.py
@@ -10,14 +10,19 @@
 import pytest
 import result
 
+from hibiscussaddle.adapters import store
 from hibiscussaddle.batches import footprint
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import parts
 from hibiscussaddle.batches import room as room_lib
 from hibiscussaddle.batches import slices
+from hibiscussaddle.callers import bodies
 from hibiscussaddle.callers import memory
+from hibiscussaddle import codes
 from hibiscussaddle.fleet import member
 from hibiscussaddle.fleet import presence
+from hibiscussaddle.fleet import view as view_lib
+from hibiscussaddle import gateway
 from hibiscussaddle.platform import batch_wire
 
 import batch_builders
@@ -241,3 +246,47 @@
         assert other.headers is first.headers
         assert other.path is first.path
         assert other.group is first.group
+
+
+class _Heads:
+    """Replace the reader; the test sets what it knows of a batch."""
+
+    def __init__(self, found: typing.Any, seconds: float = 0.0) -> None:
+        """Return what is found after some seconds."""
+        self._found = found
+        self._seconds = seconds
+
+    async def head(self, *_: object) -> typing.Any:
+        """Return the head of a batch."""
+        await anyio.sleep(self._seconds)
+        return self._found
+
+
+@pytest.mark.parametrize(
+    ("found", "seconds", "code"),
+    [
+        (result.Ok(model.Head(1, 0.0)), 0.0, None),
+        (result.Err(store.StoreError(store.StoreFailure.MISSING)), 0.0, 1124),
+        (result.Err(store.StoreError(store.StoreFailure.UNKNOWN)), 0.0, 1504),
+        (result.Err(store.StoreError(store.StoreFailure.MISSING)), 9.0, 1504),
+    ],
+)
+def test_repeated_submission_is_not_told_that_it_will_not_run(
+    found: typing.Any, seconds: float, code: int | None
+) -> None:
+    """Fails when an accepted batch is refused by a full instance with 503."""
+
+    class Reading(gateway.Gateway):
+        """Know nothing but the reader and the configuration."""
+
+        def __init__(self) -> None:
+            self.batch_reader = typing.cast(typing.Any, _Heads(found, seconds))
+            self._acceptance_checks = anyio.Lock()
+            self._view = view_lib.create_view()
+
+    async def main() -> codes.Refusal | None:
+        with anyio.fail_after(3):
+            return await Reading().refuse_batch("b", "", bodies.memory_full())
+
+    refusal = anyio.run(main)
+    assert (refusal.code.value.number if refusal else None) == code
