--- a/src/hibiscussaddle/gateway.py
+++ b/src/hibiscussaddle/gateway.py
@@ -48,8 +48,8 @@
 # Jitter added to Retry-After, as a fraction of it, so that callers that were
 # refused together don't retry together.
 _JITTER_FRACTION: typing.Final = 0.3
-# Longest check whether a refused batch is accepted already, and the pause after
-# each.
+# Longest check whether a refused batch is accepted already, and the pause
+# after each.
 _ACCEPTANCE_CHECK_SECONDS: typing.Final = 0.5
 _ACCEPTANCE_CHECK_PAUSE_SECONDS: typing.Final = 0.02
 # Timeout of one attempt to store a batch.
