--- a/src/hibiscussaddle/batches/peer_reads.py
+++ b/src/hibiscussaddle/batches/peer_reads.py
@@ -17,6 +17,7 @@
 from starlette import routing
 from starlette import types
 
+from hibiscussaddle.batches import cached_batch
 from hibiscussaddle.batches import reader as reader_lib
 from hibiscussaddle.callers import memory
 from hibiscussaddle import decoding
@@ -97,7 +98,7 @@
         wait: float,
         wants_items: bool,
         item_id: str = "",
-    ) -> reader_lib.PeerResponse | None:
+    ) -> cached_batch.PeerResponse | None:
         """Return the owner's response, None if no peer is authoritative."""
         wait = min(wait, _MAX_WAIT_SECONDS)
         query = Query(batch_id, after, wait, wants_items, item_id)
@@ -124,7 +125,7 @@
 
     async def _post(
         self, member: presence_lib.Member, query: Query
-    ) -> reader_lib.PeerResponse | None:
+    ) -> cached_batch.PeerResponse | None:
         timeout = query.wait + _TIMEOUT_SECONDS
         try:
             with anyio.fail_after(timeout):
@@ -137,7 +138,7 @@
                 return None
             resp.raise_for_status()
             return decoding.decode_msgpack(
-                resp.content, reader_lib.PeerResponse
+                resp.content, cached_batch.PeerResponse
             )
         except (httpx.HTTPError, TimeoutError, ValueError) as exc:
             self._backoff_until[member.instance] = (
@@ -180,7 +181,7 @@
             return responses.Response(status_code=404)
         hold = response_account.open(_HOLDER)
         # Encoded and decoded; the entries and bodies exist anyway.
-        size = reader_lib.MAX_PEER_PAGE_BYTES + sum(
+        size = cached_batch.MAX_PEER_PAGE_BYTES + sum(
             map(len, response.items.values())
         )
         if not hold.resize(size):
--- a/src/hibiscussaddle/platform/batch_wire.py
+++ b/src/hibiscussaddle/platform/batch_wire.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
+from hibiscussaddle.batches import cached_batch
 from hibiscussaddle.batches import model
-from hibiscussaddle.batches import reader
 from hibiscussaddle.batches import slices
 from hibiscussaddle import decoding
 from hibiscussaddle.platform import endpoint_wire
@@ -149,7 +149,7 @@
     )
 
 
-def encode_page(page: reader.Page, position: int) -> bytes:
+def encode_page(page: cached_batch.Page, position: int) -> bytes:
     """Return the response body of a read from a position."""
     results = [
         _Result(
--- a/tests/test_batch_histories.py
+++ b/tests/test_batch_histories.py
@@ -5,9 +5,9 @@
 
 import pytest
 
+from hibiscussaddle.batches import cached_batch
 from hibiscussaddle.batches import events
 from hibiscussaddle.batches import model
-from hibiscussaddle.batches import reader
 from hibiscussaddle.batches import runner
 from hibiscussaddle.batches import runs
 from hibiscussaddle.batches import scores
@@ -38,16 +38,16 @@
 
 def insert_newest_first(monkeypatch: pytest.MonkeyPatch) -> None:
     """Give new results the positions of earlier ones."""
-    add = reader.CachedBatch.add
+    add = cached_batch.CachedBatch.add
 
     def insert(
-        self: reader.CachedBatch, entries: abc.Iterable[storage.LogEntry]
+        self: cached_batch.CachedBatch, entries: abc.Iterable[storage.LogEntry]
     ) -> None:
         before = len(self.results)
         add(self, entries)
         self.results = self.results[before:] + self.results[:before]
 
-    monkeypatch.setattr(reader.CachedBatch, "add", insert)
+    monkeypatch.setattr(cached_batch.CachedBatch, "add", insert)
 
 
 def report_last_version_only(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_decoder_fuzz.py
+++ b/tests/test_decoder_fuzz.py
@@ -17,12 +17,12 @@
 
 from hibiscussaddle.adapters import connections
 from hibiscussaddle.adapters import store_transports
+from hibiscussaddle.batches import cached_batch
 from hibiscussaddle.batches import events
 from hibiscussaddle.batches import handoff
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import parts
 from hibiscussaddle.batches import peer_reads
-from hibiscussaddle.batches import reader
 from hibiscussaddle.batches import slices
 from hibiscussaddle.customers import keys
 from hibiscussaddle import decoding
@@ -233,8 +233,8 @@
             (collector.TotalsResponse, collector.TotalsResponse(3)),
             (peer_reads.Query, peer_reads.Query("b", "", 0.5, True)),
             (
-                reader.PeerResponse,
-                reader.PeerResponse(
+                cached_batch.PeerResponse,
+                cached_batch.PeerResponse(
                     model.Head(1, 1.0), (), False, {"i": b"x"}
                 ),
             ),
--- a/tests/test_peer_read_pages.py
+++ b/tests/test_peer_read_pages.py
@@ -14,6 +14,7 @@
 from starlette import responses
 
 from hibiscussaddle.adapters import store
+from hibiscussaddle.batches import cached_batch
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import reader
 from hibiscussaddle.batches import storage
@@ -56,7 +57,7 @@
         after: str,
         wait: float,
         wants_items: bool,
-    ) -> reader.PeerResponse | None:
+    ) -> cached_batch.PeerResponse | None:
         """Return the owner's response unless this request fails."""
         self._count += 1
         if self._count in self._failures:
@@ -66,7 +67,7 @@
         )
         self.bodies.append(msgspec.msgpack.encode(response))
         return msgspec.msgpack.decode(
-            self.bodies[-1], type=reader.PeerResponse
+            self.bodies[-1], type=cached_batch.PeerResponse
         )
 
 
@@ -119,7 +120,9 @@
         assert await harness.read(0) == ["item-0", "item-1", "item-2"]
         assert len(harness.peer_bodies) == 3
         for body in harness.peer_bodies:
-            assert len(body) <= reader.MAX_PEER_PAGE_BYTES + OVERHEAD_BYTES
+            assert (
+                len(body) <= cached_batch.MAX_PEER_PAGE_BYTES + OVERHEAD_BYTES
+            )
 
     peer_read_harness.run_scenario(scenario)
 
@@ -201,7 +204,7 @@
         flags = [
             (response.is_final, response.has_more)
             for response in (
-                msgspec.msgpack.decode(body, type=reader.PeerResponse)
+                msgspec.msgpack.decode(body, type=cached_batch.PeerResponse)
                 for body in harness.peer_bodies
             )
         ]
@@ -275,7 +278,9 @@
             number: int, response: responses.Response
         ) -> responses.Response:
             head = model.create_head(harness.batch)
-            empty = reader.PeerResponse(head, (), True, {}, has_more=True)
+            empty = cached_batch.PeerResponse(
+                head, (), True, {}, has_more=True
+            )
             return responses.Response(msgspec.msgpack.encode(empty))
 
         harness.change_response = withhold
@@ -410,12 +415,15 @@
     anyio.run(main)
     assert seen == item_results
     for body in peers.bodies:
-        response = msgspec.msgpack.decode(body, type=reader.PeerResponse)
+        response = msgspec.msgpack.decode(body, type=cached_batch.PeerResponse)
         size = sum(
             len(model.encode_results(list(entry.results)))
             for entry in response.entries
         )
-        assert size <= reader.MAX_PEER_PAGE_BYTES or len(response.entries) == 1
+        assert (
+            size <= cached_batch.MAX_PEER_PAGE_BYTES
+            or len(response.entries) == 1
+        )
         assert not (response.is_final and response.has_more)
         if response.is_final and response.entries:
             assert response.entries[-1] == entries[-1]
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -9,9 +9,9 @@
 import pytest
 
 from hibiscussaddle.adapters import store
+from hibiscussaddle.batches import cached_batch
 from hibiscussaddle.batches import model
 from hibiscussaddle.batches import parts as parts_lib
-from hibiscussaddle.batches import reader
 from hibiscussaddle.batches import slices
 from hibiscussaddle import endpoints
 from hibiscussaddle.fleet import view as view_lib
@@ -162,7 +162,7 @@
     """Fails when the next read would skip or repeat a result."""
     found = model.Result("i", model.Outcome.COMPLETED, "a\nb", (2, 3))
     body = json.loads(
-        batch_wire.encode_page(reader.Page(9, (found, found)), 4)
+        batch_wire.encode_page(cached_batch.Page(9, (found, found)), 4)
     )
     assert (body["total"], body["nextToken"]) == (9, 6)
     assert body["results"][0]["versions"] == [2, 3]
