--- a/src/hibiscussaddle/batches/owners.py
+++ b/src/hibiscussaddle/batches/owners.py
@@ -14,6 +14,7 @@
 from hibiscussaddle.batches import footprint
 from hibiscussaddle.batches import handoff
 from hibiscussaddle.batches import model
+from hibiscussaddle.batches import orphans
 from hibiscussaddle.batches import room as room_lib
 from hibiscussaddle.batches import runner
 from hibiscussaddle.batches import storage
@@ -32,21 +33,6 @@
 _NO_ROOM_DELAY_SECONDS: typing.Final = 1.0
 # Delay after an unexpected error of a batch, which may come again.
 _FAILED_BATCH_DELAY_SECONDS: typing.Final = 5.0
-# Interval between scans for orphaned batches. Scans only cover removals of
-# owners that this instance was not notified of.
-_SCAN_INTERVAL_SECONDS: typing.Final = 5.0
-# The same while an owner is suspected or after an outage of the store, when
-# the keys of dead members outlive them.
-_SUSPECT_SCAN_INTERVAL_SECONDS: typing.Final = 0.5
-# An owner is dead once this many scans in a row find that it is no member or
-# does not confirm that it runs its batch.
-_DEAD_AFTER_SCANS: typing.Final = 2
-# Every member remembers dead owners for this long, since the successor that
-# takes their batches over may itself die before it has done so.
-_DEAD_OWNER_TTL_SECONDS: typing.Final = 30.0
-# A new member scans for dead owners once after this time, when all instances
-# that started together have registered.
-_JOIN_SCAN_DELAY_SECONDS: typing.Final = 1.0
 # Every instance knows a published weight version after this time.
 _VERSION_PROPAGATION_SECONDS: typing.Final = 0.5
 
@@ -94,43 +80,30 @@
         me = members.me
         self._me = model.Owner(me.instance, me.incarnation)
         self._tasks: anyio_abc.TaskGroup | None = None
-        # Dead owners whose batches this instance takes over.
-        self._owners_to_replace: set[str] = set()
-        # Monotonic seconds at which each dead owner was detected.
-        self._dead_since: dict[str, float] = {}
         # Batches that a reminder brought back and that are being read.
         self._resuming: set[str] = set()
-        # Owners that have a member key but do not confirm their batches.
-        self._unreachable: set[str] = set()
-        self._scan_now = anyio.Event()
-        self._takeover_now = anyio.Event()
         self._is_stopping = False
-        # Longer while no member has room for a batch.
-        self._retry_delay = _RETRY_DELAY_SECONDS
         # Called with a model and by how many weight versions a batch may lag
         # behind the newest.
         self.on_lag: typing.Callable[[str, int], None] = lambda *_: None
         # Called with each batch that begins to run here.
         self.on_step: typing.Callable[[model.Batch], None] = lambda _: None
-        members.on_removed = self._record_member_removal
-        members.on_changed = self._request_takeover
+        self._orphans = orphans.Orphans(
+            members,
+            self._storage,
+            handoffs.ensure_running,
+            self._take_over_orphan,
+        )
 
     async def run(self) -> None:
         """Run batches and take over orphaned ones until cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            # The previous incarnation of this instance may have left batches.
-            self._owners_to_replace.add(self._me.instance)
-            self._takeover_now.set()
-            tasks.start_soon(self._scan_for_orphans)
-            tasks.start_soon(self._scan_on_join)
-            while True:
-                await self._takeover_now.wait()
-                self._takeover_now = anyio.Event()
-                self._retry_delay = _RETRY_DELAY_SECONDS
-                if not await self._take_over_orphans():
-                    await anyio.sleep(self._retry_delay)
-                    self._takeover_now.set()
+            await self._orphans.run()
+
+    def scan_soon(self) -> None:
+        """Trigger a scan for orphaned batches now."""
+        self._orphans.scan_soon()
 
     async def accept(
         self, submission: Submission, timeout: float
@@ -227,7 +200,7 @@
         self, record: storage.OwnerRecord, hold: memory.Hold
     ) -> None:
         if not await self._take_over_into(record, hold):
-            self._find_own_batches()
+            self._orphans.find_own_batches()
 
     def ensure_running(self, record: storage.OwnerRecord) -> bool:
         """Run a batch that this instance owns according to the store.
@@ -264,7 +237,7 @@
             if hold is not None:
                 await self._resume(record, hold)
             elif not await self._pass_on(record):
-                self._find_own_batches()
+                self._orphans.find_own_batches()
         finally:
             self._resuming.discard(record.batch_id)
 
@@ -294,6 +267,7 @@
     def stop(self) -> None:
         """Stop taking over batches; those that run here continue."""
         self._is_stopping = True
+        self._orphans.stop()
 
     async def release(self) -> None:
         """Give up every batch, so that others continue them at once."""
@@ -362,7 +336,7 @@
             # Until the next attempt it counts as running here. A member that
             # took it over would probably fail as well.
             await anyio.sleep(_FAILED_BATCH_DELAY_SECONDS)
-            self._find_own_batches()
+            self._orphans.find_own_batches()
         finally:
             hold.close()
             if self.runners.get(owned.batch.id) is owned:
@@ -370,7 +344,7 @@
 
     async def _find_own_batches_later(self) -> None:
         await anyio.sleep(_FAILED_BATCH_DELAY_SECONDS)
-        self._find_own_batches()
+        self._orphans.find_own_batches()
 
     async def _resolve_acceptance(self, batch_id: str) -> None:
         """Start a batch whose acceptance took effect without a response."""
@@ -384,131 +358,21 @@
                 await self._take_over_with_retries(record.ok_value)
                 return
 
-    def _record_member_removal(self, instance: str) -> None:
-        self._dead_since[instance] = time.monotonic()
-        self._takeover_now.set()
-
-    async def _scan_on_join(self) -> None:
-        """Find owners that died before this instance joined.
-
-        If this instance is the successor of such an owner, no other member
-        takes over its batches.
-        """
-        while self._me.instance not in self.members.all:
-            await anyio.sleep(_RETRY_DELAY_SECONDS)
-        await anyio.sleep(_JOIN_SCAN_DELAY_SECONDS)
-        while isinstance(records := await self._storage.owners(), result.Err):
-            await anyio.sleep(_RETRY_DELAY_SECONDS)
-        for record in records.ok_value:
-            owner = record.owner
-            if owner.instance and self._is_dead(owner):
-                self._dead_since.setdefault(owner.instance, time.monotonic())
-        self._takeover_now.set()
-
-    def _request_takeover(self) -> None:
-        self._takeover_now.set()
-
-    def _collect_dead_owners(self) -> None:
-        """Select the dead owners whose successor this instance is now."""
-        expired_before = time.monotonic() - _DEAD_OWNER_TTL_SECONDS
-        for instance, dead_since in list(self._dead_since.items()):
-            if self.members.successor_of(instance) == self._me.instance:
-                self._owners_to_replace.add(instance)
-            elif dead_since > expired_before:
-                continue
-            del self._dead_since[instance]
-
-    def scan_soon(self) -> None:
-        """Trigger a scan for orphaned batches now."""
-        self._scan_now.set()
-
-    async def _scan_for_orphans(self) -> None:
-        """Find batches whose owner is dead or no longer runs them."""
-        suspicions: dict[str, int] = {}
-        while True:
-            interval = (
-                _SUSPECT_SCAN_INTERVAL_SECONDS
-                if suspicions
-                else _SCAN_INTERVAL_SECONDS
-            )
-            with anyio.move_on_after(interval):
-                await self._scan_now.wait()
-            self._scan_now = anyio.Event()
-            if self.members.orphan_scanner() != self._me.instance:
-                suspicions.clear()
-                continue
-            records = await self._storage.owners()
-            if isinstance(records, result.Err):
-                continue
-            suspects = {
-                record.owner.instance
-                for record in records.ok_value
-                if not await self._is_running(record)
-            }
-            suspicions = {
-                name: suspicions.get(name, 0) + 1 for name in suspects
-            }
-            dead = {
-                name
-                for name, count in suspicions.items()
-                if count >= _DEAD_AFTER_SCANS
-            }
-            if dead:
-                self._unreachable = dead
-                self._owners_to_replace |= dead
-                self._takeover_now.set()
-
-    async def _is_running(self, record: storage.OwnerRecord) -> bool:
-        """Return whether a batch's owner is alive and runs it."""
-        if self._is_dead(record.owner):
-            return False
-        member = self.members.all[record.owner.instance]
-        return await self._handoffs.ensure_running(member, record)
-
-    def _is_dead(self, owner: model.Owner) -> bool:
-        member = self.members.all.get(owner.instance)
-        return member is None or member.incarnation != owner.incarnation
-
-    def _may_take_over(self, owner: model.Owner) -> bool:
-        """Return whether an owner's batches may be taken over."""
-        if not owner.instance or owner.instance == self._me.instance:
-            return True
-        return self._is_dead(owner) or owner.instance in self._unreachable
-
-    async def _take_over_orphans(self) -> bool:
-        """Take over batches of dead owners; return whether none is left."""
-        self._collect_dead_owners()
-        if self._is_stopping or not self._owners_to_replace:
-            return True
-        # Failed takeovers add this instance again meanwhile.
-        replaced, self._owners_to_replace = self._owners_to_replace, set()
-        records = await self._storage.owners()
-        if isinstance(records, result.Err):
-            self._owners_to_replace |= replaced
-            return False
-        all_taken_over = True
-        for record in records.ok_value:
-            owner = record.owner
-            if owner.instance not in replaced and owner.instance:
-                continue
-            if owner == self._me and self._is_running_here(record):
-                continue
-            if owner != self._me and not self._may_take_over(owner):
-                continue
-            is_taken_over = await self._take_over_contained(record)
-            all_taken_over = is_taken_over and all_taken_over
-        if not all_taken_over:
-            self._owners_to_replace |= replaced
-        return all_taken_over
-
     async def _take_over_with_retries(
         self, record: storage.OwnerRecord
     ) -> None:
         while not await self._take_over(record):
             await anyio.sleep(_RETRY_DELAY_SECONDS)
 
-    async def _take_over_contained(self, record: storage.OwnerRecord) -> bool:
-        """Take over a batch, whose errors must not keep others waiting."""
+    async def _take_over_orphan(self, record: storage.OwnerRecord) -> bool:
+        """Take over a batch, whose errors must not keep others waiting.
+
+        Returns False if that must be retried.
+        """
+        if self._is_stopping:
+            return True
+        if record.owner == self._me and self._is_running_here(record):
+            return True
         with containment.contain("batch", record.batch_id):
             return await self._take_over(record)
         self._spawn(record.batch_id, self._find_own_batches_later)
@@ -536,7 +400,7 @@
             batch=record.batch_id,
             footprint=record.footprint,
         )
-        self._retry_delay = _NO_ROOM_DELAY_SECONDS
+        self._orphans.retry_delay = _NO_ROOM_DELAY_SECONDS
         return False
 
     async def _take_over_into(
@@ -546,7 +410,7 @@
         response = await self._storage.take_over(record, self._me)
         if isinstance(response, result.Err):
             hold.close()
-            self._find_own_batches()
+            self._orphans.find_own_batches()
             failure = response.err_value.failure
             # On a conflict the batch ended, another instance was faster, or
             # an earlier attempt took effect without a response.
@@ -563,17 +427,9 @@
         )
         is_resumed = await self._resume(new_record, hold)
         if not is_resumed:
-            self._find_own_batches()
+            self._orphans.find_own_batches()
         return is_resumed
 
-    def _find_own_batches(self) -> None:
-        """Look for batches that this instance owns but doesn't run.
-
-        No other instance takes them over while this one is alive.
-        """
-        self._owners_to_replace.add(self._me.instance)
-        self._takeover_now.set()
-
     async def _resume(
         self, record: storage.OwnerRecord, hold: memory.Hold
     ) -> bool:
