Bound the text of an item over all runs and account the texts of batches

Found by reading: an engine that sends valid events without end added 8 MiB a run to a text that no entry of the log can hold; the write of its result would fail without end, and none of it was accounted. A run that gets an event now and then was never ended.

Change: a text has at most 800,000 bytes. Texts are added to the footprint of their batch each second. The checks of runs are a module of their own; the test of an error in them names that class.

--- a/src/hibiscussaddle/batches/events.py
+++ b/src/hibiscussaddle/batches/events.py
@@ -7,6 +7,9 @@
 from hibiscussaddle import decoding
 from hibiscussaddle.platform import endpoint_wire
 
+# Longest text of an item, in bytes. A longer one fits neither a page of
+# results nor an entry of the log.
+MAX_TEXT_BYTES: typing.Final = 800_000
 # Engines send no larger events.
 _MAX_EVENT_BYTES: typing.Final = 1 << 20
 
@@ -89,16 +92,25 @@
     versions: set[int] = dataclasses.field(default_factory=set)
     # Whether the engine ended the stream, so that the text is complete.
     is_complete: bool = False
+    # Bytes of the events that were added, with the line feeds between them.
+    added_bytes: int = 0
 
     def add(self, event: Event, version: int) -> None:
         """Append the next event.
 
-        Raises MalformedStreamError unless the ids are consecutive.
+        Raises MalformedStreamError unless the ids are consecutive, and where
+        the text becomes too long, which is discarded then.
         """
         if self.last_id is not None and event.id != self.last_id + 1:
             raise MalformedStreamError(
                 f"event {event.id} follows event {self.last_id}"
             )
+        self.added_bytes += len(event.data.encode()) + 1
+        if self.added_bytes > MAX_TEXT_BYTES:
+            self.clear()
+            raise MalformedStreamError(
+                f"text exceeds {MAX_TEXT_BYTES} bytes at event {event.id}"
+            )
         self.texts.append(event.data)
         self.last_id = event.id
         self.versions.add(version)
@@ -121,6 +133,7 @@
         self.versions.clear()
         self.last_id = None
         self.is_complete = False
+        self.added_bytes = 0
 
 
 def create_transcript(
@@ -137,6 +150,7 @@
         checkpoint.last_event_id,
         set(checkpoint.versions),
         checkpoint.is_whole,
+        sum(len(text.encode()) + 1 for text in checkpoint.texts),
     )
 
 
--- a/src/hibiscussaddle/batches/moves.py
+++ b/src/hibiscussaddle/batches/moves.py
@@ -20,6 +20,8 @@
     SLOW = "slow"
     # The run would end much sooner on another engine.
     FASTER_ELSEWHERE = "faster_elsewhere"
+    # The batch may be given up, and the run doesn't end by itself.
+    EXPIRED = "expired"
 
 
 def move_reason(
--- a/src/hibiscussaddle/batches/owners.py
+++ b/src/hibiscussaddle/batches/owners.py
@@ -33,6 +33,8 @@
 _NO_ROOM_DELAY_SECONDS: typing.Final = 1.0
 # Delay after an unexpected error of a batch, which may come again.
 _FAILED_BATCH_DELAY_SECONDS: typing.Final = 5.0
+# Interval at which the texts of a batch are accounted.
+_TEXT_CHECK_SECONDS: typing.Final = 1.0
 # Every instance knows a published weight version after this time.
 _VERSION_PROPAGATION_SECONDS: typing.Final = 0.5
 
@@ -56,6 +58,14 @@
         await job(*args)
 
 
+async def _account_texts(owned: runner.BatchRunner, hold: memory.Hold) -> None:
+    """Account the texts of a batch beside its footprint, until cancelled."""
+    size = hold.size
+    while True:
+        await anyio.sleep(_TEXT_CHECK_SECONDS)
+        hold.force(size + owned.text_bytes())
+
+
 class OwnedBatches:
     """Run the batches that this instance owns."""
 
@@ -331,7 +341,10 @@
     async def _run(self, owned: runner.BatchRunner, hold: memory.Hold) -> None:
         try:
             with containment.contain("batch", owned.batch.id):
-                await owned.run()
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(_account_texts, owned, hold)
+                    await owned.run()
+                    tasks.cancel_scope.cancel()
                 return
             # Until the next attempt it counts as running here. A member that
             # took it over would probably fail as well.
--- a/src/hibiscussaddle/batches/result_log.py
+++ b/src/hibiscussaddle/batches/result_log.py
@@ -53,6 +53,10 @@
             for entry in entries
             for item_result in entry.results
         }
+        # Memory that the texts of logged results hold.
+        self.logged_bytes = model.held_bytes(
+            item_result.text for item_result in self.logged.values()
+        )
         # Results that wait for the next append.
         self.pending: list[model.Result] = []
         # Results of the append that is under way or retried.
@@ -92,6 +96,7 @@
             self.logged.update(
                 {item_result.item_id: item_result for item_result in results}
             )
+            self.logged_bytes += self._appending_bytes()
             self._appending = []
             self._on_logged(storage.LogEntry(key, tuple(results)))
         return True
@@ -102,6 +107,11 @@
             item_result.text for item_result in self._appending + self.pending
         )
 
+    def _appending_bytes(self) -> int:
+        return model.held_bytes(
+            item_result.text for item_result in self._appending
+        )
+
     async def _wait_for_results(self) -> bool:
         """Wait for results and store text checkpoints meanwhile.
 
--- a/src/hibiscussaddle/batches/runner.py
+++ b/src/hibiscussaddle/batches/runner.py
@@ -16,12 +16,12 @@
 from hibiscussaddle.batches import groups
 from hibiscussaddle.batches import limits
 from hibiscussaddle.batches import model
-from hibiscussaddle.batches import moves
 from hibiscussaddle.batches import ownership
 from hibiscussaddle.batches import placement
 from hibiscussaddle.batches import reader
 from hibiscussaddle.batches import report as report_lib
 from hibiscussaddle.batches import result_log
+from hibiscussaddle.batches import run_checks
 from hibiscussaddle.batches import runs
 from hibiscussaddle.batches import scores
 from hibiscussaddle.batches import start_window as start_window_lib
@@ -41,8 +41,6 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Interval between checks of running items for stalled or slow engines.
-_CHECK_INTERVAL_SECONDS: typing.Final = 0.1
 # Generating a text of fewer events again is faster than storing it.
 _MIN_CHECKPOINT_EVENTS: typing.Final = 16
 # Items that start without letting other tasks run in between.
@@ -145,6 +143,14 @@
                 self._add_item(item, checkpoint_by_item.get(item.id))
         # Batches of one model compete for the same engines.
         self._engine_pool = batch.model or batch.route
+        self._run_checks = run_checks.RunChecks(
+            batch,
+            dependencies.engines,
+            self._choice,
+            self._unfinished,
+            self._limits,
+            self._gives_way,
+        )
         self._window = dependencies.start_window.join()
         self._started_at = time.monotonic()
         self._scope = anyio.CancelScope()
@@ -216,6 +222,10 @@
             for progress in self._unfinished.progress.values()
         )
 
+    def text_bytes(self) -> int:
+        """Return the memory that all texts of the batch hold."""
+        return self.held_bytes() + self._log.logged_bytes
+
     def stop(self, reason: str) -> None:
         """Stop all runs and append no further results."""
         if not self.stop_reason:
@@ -262,7 +272,7 @@
         """Run all items and log their results until the batch is complete."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_ownership)
-            tasks.start_soon(self._move_slow_runs)
+            tasks.start_soon(self._run_checks.run)
             tasks.start_soon(self._start_items, tasks)
             is_complete = await self._log.run()
             reason = "complete" if is_complete else "ownership_lost"
@@ -547,56 +557,6 @@
             suspect_items.reserve(self.batch, item, endpoint.id)
         return endpoint
 
-    async def _move_slow_runs(self) -> None:
-        """Move runs off engines that stall or are slow, until cancelled."""
-        while True:
-            await anyio.sleep(_CHECK_INTERVAL_SECONDS)
-            with containment.contain("slow_runs", self.batch.id):
-                self._check_runs(time.monotonic())
-                continue
-            await anyio.sleep(_UNEXPECTED_ERROR_DELAY_SECONDS)
-
-    def _check_runs(self, now: float) -> None:
-        # The longest runs reserve the fastest engines first.
-        for progress in sorted(
-            self._unfinished.progress.values(),
-            key=self._unfinished.events_left,
-            reverse=True,
-        ):
-            if progress.endpoint is None or progress.cancel_scope is None:
-                continue
-            # Fast engines belong to the groups that count.
-            gains = not self._gives_way(progress.item)
-            reason = moves.move_reason(
-                self._dependencies.engines,
-                progress,
-                self._choice.move_candidates(progress.item),
-                self._unfinished.events_left(progress) if gains else 0.0,
-                now,
-            )
-            if reason is not None:
-                self._move(progress, reason, now)
-
-    def _move(
-        self, progress: runs.Progress, reason: moves.MoveReason, now: float
-    ) -> None:
-        """Interrupt a run, so that the item resumes on another engine."""
-        endpoint = progress.endpoint
-        if endpoint is None or progress.cancel_scope is None:
-            return
-        logs.event(
-            _LOG,
-            "run_moved",
-            item=progress.item.id,
-            endpoint=endpoint.id,
-            why=reason.value,
-            last_event=progress.transcript.last_id,
-        )
-        progress.excluded_endpoint_id = endpoint.id
-        if reason is moves.MoveReason.STALLED:
-            self._dependencies.engines.record_failure(endpoint, now)
-        progress.cancel_scope.cancel()
-
     def _coalescing_seconds(self) -> float:
         """Return how many seconds results may wait to share a write."""
         logged = self._logged_groups.complete_groups
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -180,23 +180,34 @@
 
 
 @pytest.mark.parametrize(
-    "method", ["__init__", "run", "_move_slow_runs", "_watch_ownership"]
+    "part",
+    [
+        "runner.BatchRunner.__init__",
+        "runner.BatchRunner.run",
+        "runner.BatchRunner._watch_ownership",
+        "run_checks.RunChecks.run",
+    ],
 )
 def test_error_of_one_batch_ends_no_other(
-    method: str, monkeypatch: pytest.MonkeyPatch
+    part: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Fails when a batch whose runner fails ends its owner."""
-    original = getattr(runner_lib.BatchRunner, method)
+    module, cls, name = part.split(".")
+    target = getattr(importlib.import_module(f"{_BATCHES}.{module}"), cls)
+    original = getattr(target, name)
     failed: list[str] = []
 
     def fail_odd(self: typing.Any, *args: typing.Any) -> typing.Any:
-        batch = args[1] if method == "__init__" else self.batch
+        if name == "__init__":
+            batch = args[1]
+        else:
+            batch = getattr(self, "batch", None) or self._batch
         if batch.id == "odd":
             failed.append(batch.id)
             raise UnexpectedError
         return original(self, *args)
 
-    monkeypatch.setattr(runner_lib.BatchRunner, method, fail_odd)
+    monkeypatch.setattr(target, name, fail_odd)
     # Tests last no longer than a second attempt.
     monkeypatch.setattr(owners, "_FAILED_BATCH_DELAY_SECONDS", 0.2)
 
