--- a/tests/test_large_batches.py
+++ b/tests/test_large_batches.py
@@ -33,6 +33,10 @@
     return longest
 
 
+def _task_count() -> int:
+    return len(anyio.get_running_tasks())
+
+
 def test_end_of_a_large_batch_stops_nothing() -> None:
     """Fails when each cancelled item searches a list of all.
 
@@ -56,22 +60,34 @@
             )
             stop = anyio.Event()
             stalls: list[float] = []
+            assignments = 0
+            assign = harness.waiting_items.assign_engines
+
+            def count_assignment() -> None:
+                nonlocal assignments
+                assignments += 1
+                assign()
+
+            harness.waiting_items.assign_engines = count_assignment
 
             async def watch() -> None:
                 stalls.append(await _longest_stall(stop))
 
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(owned.run)
-                await anyio.sleep(1.0)
-                tasks.start_soon(watch)
-                await anyio.sleep(1.0)
-                running = len(anyio.get_running_tasks())
-                assert running < start_window.MAX_WAITING_OF_BATCH + 50
+                with anyio.fail_after(20):
+                    while _task_count() < start_window.MAX_WAITING_OF_BATCH:
+                        await anyio.sleep(0.005)
+                    tasks.start_soon(watch)
+                    ranked = assignments + 20
+                    while assignments < ranked:
+                        await anyio.sleep(0.005)
+                assert _task_count() < start_window.MAX_WAITING_OF_BATCH + 50
                 ended_at = time.process_time()
                 owned.stop("ended")
                 with anyio.fail_after(5):
                     # The items' tasks have ended.
-                    while len(anyio.get_running_tasks()) > 50:
+                    while _task_count() > 50:
                         await anyio.sleep(0.005)
                 assert time.process_time() - ended_at < 1.0
                 stop.set()
