Count the bodies of scoring calls in the records of a batch

Found by reading: a record was split by the bodies of items only, so that long scoring calls made one record of the whole batch, and each peer that asked for a body had the bytes of all added up.

Change: both bodies count, and the sum is kept.

Measured: test_record_of_a_batch_is_short fails without the change.

--- a/src/hibiscussaddle/batches/body_reads.py
+++ b/src/hibiscussaddle/batches/body_reads.py
@@ -182,11 +182,13 @@
     return result.Ok(items[item_id]) if item_id in items else _MISSING
 
 
-def peer_bodies(items: dict[str, bytes], item_id: str) -> dict[str, bytes]:
+def peer_bodies(
+    cached: cached_lib.CachedBatch, item_id: str
+) -> dict[str, bytes]:
     """Return the bodies to send to a peer that wants that of an item."""
-    if model.held_bytes(items.values()) <= MAX_BODIES_TOGETHER_BYTES:
-        return items
-    body = items.get(item_id)
+    if cached.body_bytes <= MAX_BODIES_TOGETHER_BYTES:
+        return cached.items
+    body = cached.items.get(item_id)
     if body is None or len(body) > MAX_PEER_BODY_BYTES:
         return {}
     return {item_id: body}
--- a/src/hibiscussaddle/batches/cached_batch.py
+++ b/src/hibiscussaddle/batches/cached_batch.py
@@ -34,8 +34,9 @@
     revision: int | None = None
     # Bodies by item id, empty while they are unknown.
     items: dict[str, bytes] = dataclasses.field(default_factory=dict)
-    # Memory that the texts of the results and the bodies hold. Kept up to
-    # date by add() and set_items(), since each read compares it to a limit.
+    # Memory that the bodies hold, and that which texts and bodies hold. Kept up
+    # to date by add() and set_items(), since reads compare them to limits.
+    body_bytes: int = 0
     held_bytes: int = 0
     # Returns whether this instance owns the batch and knows all results now.
     is_authoritative: abc.Callable[[], bool] = never
@@ -74,8 +75,9 @@
 
     def set_items(self, items: dict[str, bytes]) -> None:
         """Replace the bodies by item id."""
-        self.held_bytes -= model.held_bytes(self.items.values())
-        self.held_bytes += model.held_bytes(items.values())
+        self.held_bytes -= self.body_bytes
+        self.body_bytes = model.held_bytes(items.values())
+        self.held_bytes += self.body_bytes
         self.items = items
 
     def add_response(self, response: "PeerResponse") -> None:
--- a/src/hibiscussaddle/batches/parts.py
+++ b/src/hibiscussaddle/batches/parts.py
@@ -53,6 +53,8 @@
     size = 0
     for item in items:
         length = len(item.body)
+        if item.scoring is not None:
+            length += len(item.scoring.body)
         if found and (
             len(found) >= _RECORD_ITEMS or size + length > _RECORD_BYTES
         ):
--- a/src/hibiscussaddle/batches/reader.py
+++ b/src/hibiscussaddle/batches/reader.py
@@ -134,9 +134,7 @@
             cached.head,
             entries,
             cached.is_complete and not has_more,
-            body_reads.peer_bodies(cached.items, item_id)
-            if wants_items
-            else {},
+            body_reads.peer_bodies(cached, item_id) if wants_items else {},
             has_more,
         )
 
--- a/tests/test_batch_room.py
+++ b/tests/test_batch_room.py
@@ -24,6 +24,7 @@
 from hibiscussaddle.fleet import view as view_lib
 from hibiscussaddle import gateway
 from hibiscussaddle.platform import batch_wire
+from hibiscussaddle.scoring import model as scoring_model
 
 import batch_builders
 import owner_harness
@@ -216,6 +217,23 @@
             parts.decode(values[:-1])
 
 
+def test_record_of_a_batch_is_short() -> None:
+    """Fails when a reader of one body holds most of a large batch."""
+    call = scoring_model.ScoringCall("c", "h", "/", b"x" * 50_000)
+    plain = _many_items(40, 50_000)
+    scored = batch_builders.batch(
+        *(batch_builders.item(f"item-{n}", scoring=call) for n in range(40))
+    )
+    for batch in (plain, scored):
+        decoder = parts.Decoder()
+        records = [
+            record
+            for value in slices.run_at_once(parts.encode(batch))
+            for record in decoder.feed(value)
+        ]
+        assert max(len(record.items) for record in records) == 1
+
+
 def test_batch_of_an_earlier_build_is_restored() -> None:
     """Fails when an update loses the batches that are stored."""
     batch = _many_items(30, 50_000)
