--- a/src/hibiscussaddle/batches/cached_batch.py
+++ b/src/hibiscussaddle/batches/cached_batch.py
@@ -34,8 +34,8 @@
     revision: int | None = None
     # Bodies by item id, empty while they are unknown.
     items: dict[str, bytes] = dataclasses.field(default_factory=dict)
-    # Memory that the bodies hold, and that which texts and bodies hold. Kept up
-    # to date by add() and set_items(), since reads compare them to limits.
+    # Memory of the bodies, and of the bodies and texts together. Kept up to
+    # date by add() and set_items(), since reads compare them to limits.
     body_bytes: int = 0
     held_bytes: int = 0
     # Returns whether this instance owns the batch and knows all results now.
